--- /dev/null
+++ b/packages/base/tests/main.cpp
@@ -0,0 +1,6 @@
+#include <CppUTest/CommandLineTestRunner.h>
+
+int main(int aCount, char** aArguments)
+{
+  return CommandLineTestRunner::RunAllTests(aCount, aArguments);
+}
