--- /dev/null
+++ b/packages/transport/include/balsammount/http_client.h
@@ -0,0 +1,39 @@
+// HTTP/1.1 client for one endpoint with a bounded pool of keep-alive connections.
+#pragma once
+
+#include "balsammount/exchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstddef>
+
+namespace balsammount {
+
+struct HttpClientLimits
+{
+  size_t mMaxIdleConnections = 400;
+  size_t mMaxBodyBytes = 1024 * 1024;
+  std::chrono::milliseconds mConnectTimeout{ 1000 };
+};
+
+class HttpClient
+{
+public:
+  HttpClient(boost::asio::io_context& aContext, boost::asio::ip::tcp::endpoint aEndpoint,
+             HttpClientLimits aLimits = {});
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  // A failure with ConnectFailed proves that nothing was sent. Cancelling closes the connection.
+  std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
+                             ResponseCallback aCallback);
+
+private:
+  struct State;
+  std::shared_ptr<State> mState;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/transport/include/balsammount/peer_server.h
@@ -0,0 +1,41 @@
+// HTTP/2 server for the streams of other nodes.
+#pragma once
+
+#include "balsammount/exchange.h"
+#include "balsammount/kernel.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <cstdint>
+
+namespace balsammount {
+
+struct PeerServerLimits
+{
+  uint32_t mMaxConcurrentStreams = 2000; // per connection
+  size_t mMaxBodyBytes = 1024 * 1024;
+  size_t mMaxHeaderBytes = 32 * 1024;
+};
+
+class PeerServer final : public Service
+{
+public:
+  PeerServer(boost::asio::io_context& aContext, boost::asio::ip::tcp::endpoint aEndpoint,
+             PeerServerLimits aLimits, ExchangeHandler aHandler);
+  ~PeerServer() override;
+
+  Result<void> Start() override;
+
+  // Stops accepting and sends GOAWAY; streams in flight are still answered.
+  void Stop() override;
+
+  uint16_t Port() const;
+
+private:
+  struct State;
+  std::shared_ptr<State> mState;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/transport/src/http_message.cpp
@@ -0,0 +1,68 @@
+#include "balsammount/http_message.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+char LowerAscii(char aChar)
+{
+  return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+}
+
+} // namespace
+
+bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
+{
+  return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(),
+                    [](char aA, char aB) { return LowerAscii(aA) == LowerAscii(aB); });
+}
+
+std::string_view Headers::Find(std::string_view aName) const
+{
+  for (const Header& header : mHeaders) {
+    if (EqualsIgnoringCase(header.mName, aName)) {
+      return header.mValue;
+    }
+  }
+  return {};
+}
+
+bool Headers::Has(std::string_view aName) const
+{
+  return std::any_of(mHeaders.begin(), mHeaders.end(), [&](const Header& aHeader) {
+    return EqualsIgnoringCase(aHeader.mName, aName);
+  });
+}
+
+void Headers::Add(std::string_view aName, std::string_view aValue)
+{
+  mHeaders.push_back({ std::string(aName), std::string(aValue) });
+}
+
+void Headers::Set(std::string_view aName, std::string_view aValue)
+{
+  Remove(aName);
+  Add(aName, aValue);
+}
+
+void Headers::Remove(std::string_view aName)
+{
+  std::erase_if(mHeaders,
+                [&](const Header& aHeader) { return EqualsIgnoringCase(aHeader.mName, aName); });
+}
+
+bool IsHopByHop(std::string_view aName)
+{
+  static constexpr std::array<std::string_view, 8> kNames = {
+    "connection", "keep-alive", "proxy-connection",  "te",
+    "trailer",    "upgrade",    "transfer-encoding", "content-length"
+  };
+  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aHop) {
+    return EqualsIgnoringCase(aHop, aName);
+  });
+}
+
+} // namespace balsammount
