--- a/packages/transport/include/balsammount/peer_client.h
+++ b/packages/transport/include/balsammount/peer_client.h
@@ -1,5 +1,5 @@
-// HTTP/2 client for one other node. All requests share one connection, which is opened on demand and
-// replaced when it has gone silent.
+// HTTP/2 client for one other node. All requests share one connection, which is opened on demand
+// and replaced when it has gone silent.
 #pragma once
 
 #include "balsammount/exchange.h"
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -181,8 +181,8 @@
       aCall->Finish(Failure{ ToTransportError(error), mHost + ": " + error.message() });
       co_return;
     }
-    // Without a length or chunks the end of the answer is the end of the connection, and a truncated
-    // answer cannot be told from a whole one.
+    // Without a length or chunks the end of the answer is the end of the connection, and a
+    // truncated answer cannot be told from a whole one.
     const bool isFramed = parser.content_length() || parser.chunked() || !parser.need_eof();
     const bool keepAlive = parser.keep_alive();
     if (keepAlive && !aCall->IsCancelled() && mIdle.size() < mLimits.mMaxIdleConnections) {
@@ -203,7 +203,8 @@
   std::vector<std::shared_ptr<Connection>> mIdle;
 };
 
-HttpClient::HttpClient(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpClientLimits aLimits)
+HttpClient::HttpClient(asio::io_context& aContext, tcp::endpoint aEndpoint,
+                       HttpClientLimits aLimits)
   : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits))
 {
 }
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -60,9 +60,8 @@
     "connection", "keep-alive", "proxy-connection",  "te",
     "trailer",    "upgrade",    "transfer-encoding", "content-length"
   };
-  return std::any_of(kNames.begin(), kNames.end(), [&](std::string_view aHop) {
-    return EqualsIgnoringCase(aHop, aName);
-  });
+  return std::any_of(kNames.begin(), kNames.end(),
+                     [&](std::string_view aHop) { return EqualsIgnoringCase(aHop, aName); });
 }
 
 } // namespace balsammount
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -191,7 +191,7 @@
     beast::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
     const auto remote = aSocket.remote_endpoint(ignored);
-    const std::string address = remote.address().to_string(ignored);
+    const std::string address = remote.address().to_string();
     auto session = std::make_shared<Session>(std::move(aSocket));
     mSessions.insert(session);
     beast::flat_buffer buffer;
@@ -230,8 +230,8 @@
     const bool keepAlive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
     const bool isHead = parser.get().method() == http::verb::head;
-    auto exchange = std::make_shared<HttpExchange>(stream.get_executor(),
-                                                   FromBeast(parser.release()), aAddress);
+    auto exchange =
+      std::make_shared<HttpExchange>(stream.get_executor(), FromBeast(parser.release()), aAddress);
     aSession.mBusy = true;
     stream.expires_never();
     WatchForDisconnect(stream, exchange);
@@ -244,7 +244,7 @@
     }
     const bool written =
       co_await Write(stream, std::move(*response), version, keepAlive && !mStopping, isHead);
-    co_return written && keepAlive;
+    co_return written&& keepAlive;
   }
 
   asio::awaitable<bool> Write(beast::tcp_stream& aStream, HttpResponse aResponse, unsigned aVersion,
@@ -258,9 +258,10 @@
     co_return !error;
   }
 
-  // A client that closes its connection while its request is in flight cancels the request. Bytes of
-  // a pipelined request end the watch.
-  static void WatchForDisconnect(beast::tcp_stream& aStream, std::shared_ptr<HttpExchange> aExchange)
+  // A client that closes its connection while its request is in flight cancels the request. Bytes
+  // of a pipelined request end the watch.
+  static void WatchForDisconnect(beast::tcp_stream& aStream,
+                                 std::shared_ptr<HttpExchange> aExchange)
   {
     aStream.socket().async_wait(
       tcp::socket::wait_read, [&aStream, aExchange](const beast::error_code& aError) {
@@ -285,8 +286,8 @@
   bool mStopping = false;
 };
 
-HttpServer::HttpServer(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpServerLimits aLimits,
-                       ExchangeHandler aHandler)
+HttpServer::HttpServer(asio::io_context& aContext, tcp::endpoint aEndpoint,
+                       HttpServerLimits aLimits, ExchangeHandler aHandler)
   : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits, std::move(aHandler)))
 {
 }
@@ -310,8 +311,8 @@
   }
   if (error) {
     return Failure{ TransportError::ListenFailed, mState->mEndpoint.address().to_string() + ":" +
-                                                    std::to_string(mState->mEndpoint.port()) + ": " +
-                                                    error.message() };
+                                                    std::to_string(mState->mEndpoint.port()) +
+                                                    ": " + error.message() };
   }
   asio::co_spawn(acceptor.get_executor(), mState->Accept(), asio::detached);
   return {};
