--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -261,7 +261,7 @@
   // A client that closes its connection while its request is in flight cancels the request. Bytes
   // of a pipelined request end the watch.
   static void WatchForDisconnect(beast::tcp_stream& aStream,
-                                 std::shared_ptr<HttpExchange> aExchange)
+                                 const std::shared_ptr<HttpExchange>& aExchange)
   {
     aStream.socket().async_wait(
       tcp::socket::wait_read, [&aStream, aExchange](const beast::error_code& aError) {
