Add HTTP/2 streams between nodes

Cause: nodes forward many requests at once; one connection must carry them, answers must reach their own requests whole, and a silent connection must be noticed. Change: nghttp2 client and server over Asio; PING after 200 ms of silence with requests in flight, closed 500 ms later; failures say whether the request can have run.

--- /dev/null
+++ b/packages/transport/src/h2_connection.cpp
@@ -0,0 +1,217 @@
+#include "h2_connection.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+
+namespace balsammount::detail {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Bytes collected before a write is handed to the socket.
+constexpr size_t kMaxWriteBytes = 256 * 1024;
+
+std::string_view View(const uint8_t* aData, size_t aSize)
+{
+  return { reinterpret_cast<const char*>(aData), aSize };
+}
+
+ssize_t ReadBody(nghttp2_session* /*aSession*/, int32_t /*aStream*/, uint8_t* aBuffer,
+                 size_t aLength, uint32_t* aFlags, nghttp2_data_source* aSource, void* /*aUser*/)
+{
+  auto& body = *static_cast<OutgoingBody*>(aSource->ptr);
+  const size_t count = std::min(aLength, body.mBytes.size() - body.mOffset);
+  std::copy_n(body.mBytes.data() + body.mOffset, count, aBuffer);
+  body.mOffset += count;
+  if (body.mOffset == body.mBytes.size()) {
+    *aFlags |= NGHTTP2_DATA_FLAG_EOF;
+  }
+  return static_cast<ssize_t>(count);
+}
+
+} // namespace
+
+nghttp2_data_provider MakeDataProvider(OutgoingBody& aBody)
+{
+  nghttp2_data_provider provider{};
+  provider.source.ptr = &aBody;
+  provider.read_callback = ReadBody;
+  return provider;
+}
+
+void HeaderBlock::Add(std::string_view aName, std::string_view aValue)
+{
+  mFields.push_back({ std::string(aName), std::string(aValue) });
+}
+
+void HeaderBlock::AddAll(const Headers& aHeaders)
+{
+  for (const Header& header : aHeaders.All()) {
+    if (IsHopByHop(header.mName) || EqualsIgnoringCase(header.mName, "host")) {
+      continue;
+    }
+    std::string name = header.mName;
+    std::transform(name.begin(), name.end(), name.begin(), [](char aChar) {
+      return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
+    });
+    mFields.push_back({ std::move(name), header.mValue });
+  }
+}
+
+std::span<const nghttp2_nv> HeaderBlock::Values()
+{
+  mValues.clear();
+  for (Field& field : mFields) {
+    mValues.push_back({ reinterpret_cast<uint8_t*>(field.mName.data()),
+                        reinterpret_cast<uint8_t*>(field.mValue.data()), field.mName.size(),
+                        field.mValue.size(), NGHTTP2_NV_FLAG_NONE });
+  }
+  return mValues;
+}
+
+struct H2Connection::Callbacks
+{
+  static H2Connection& Self(void* aUser) { return *static_cast<H2Connection*>(aUser); }
+
+  static int OnFrame(nghttp2_session* /*aSession*/, const nghttp2_frame* aFrame, void* aUser)
+  {
+    Self(aUser).OnFrame(*aFrame);
+    return 0;
+  }
+
+  static int OnHeader(nghttp2_session* /*aSession*/, const nghttp2_frame* aFrame,
+                      const uint8_t* aName, size_t aNameLength, const uint8_t* aValue,
+                      size_t aValueLength, uint8_t /*aFlags*/, void* aUser)
+  {
+    Self(aUser).OnHeader(aFrame->hd.stream_id, View(aName, aNameLength),
+                         View(aValue, aValueLength));
+    return 0;
+  }
+
+  static int OnData(nghttp2_session* /*aSession*/, uint8_t /*aFlags*/, int32_t aStream,
+                    const uint8_t* aData, size_t aLength, void* aUser)
+  {
+    Self(aUser).OnData(aStream, View(aData, aLength));
+    return 0;
+  }
+
+  static int OnStreamClosed(nghttp2_session* /*aSession*/, int32_t aStream, uint32_t aError,
+                            void* aUser)
+  {
+    Self(aUser).OnStreamClosed(aStream, aError);
+    return 0;
+  }
+};
+
+H2Connection::H2Connection(asio::ip::tcp::socket aSocket)
+  : mSocket(std::move(aSocket))
+{
+}
+
+H2Connection::~H2Connection() = default;
+
+void H2Connection::Open(bool aIsServer, uint32_t aMaxStreams, size_t aMaxHeaderBytes)
+{
+  nghttp2_session_callbacks* callbacks = nullptr;
+  nghttp2_session_callbacks_new(&callbacks);
+  nghttp2_session_callbacks_set_on_frame_recv_callback(callbacks, Callbacks::OnFrame);
+  nghttp2_session_callbacks_set_on_header_callback(callbacks, Callbacks::OnHeader);
+  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, Callbacks::OnData);
+  nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, Callbacks::OnStreamClosed);
+  nghttp2_session* session = nullptr;
+  if (aIsServer) {
+    nghttp2_session_server_new(&session, callbacks, this);
+  } else {
+    nghttp2_session_client_new(&session, callbacks, this);
+  }
+  nghttp2_session_callbacks_del(callbacks);
+  mSession.reset(session);
+
+  const nghttp2_settings_entry settings[] = {
+    { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, aMaxStreams },
+    { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow },
+    { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<uint32_t>(aMaxHeaderBytes) },
+  };
+  nghttp2_submit_settings(session, NGHTTP2_FLAG_NONE, settings, std::size(settings));
+  nghttp2_session_set_local_window_size(session, NGHTTP2_FLAG_NONE, 0, kConnectionWindow);
+}
+
+void H2Connection::Read()
+{
+  mSocket.async_read_some(asio::buffer(mReadBuffer),
+                          [self = shared_from_this()](const auto& aError, size_t aCount) {
+                            if (aError) {
+                              self->Close();
+                              return;
+                            }
+                            self->HandleBytes(aCount);
+                          });
+}
+
+void H2Connection::HandleBytes(size_t aCount)
+{
+  if (mClosed) {
+    return;
+  }
+  mLastReceived = std::chrono::steady_clock::now();
+  if (nghttp2_session_mem_recv(mSession.get(), mReadBuffer.data(), aCount) < 0) {
+    Close();
+    return;
+  }
+  Flush();
+  if (!mClosed) {
+    Read();
+  }
+}
+
+void H2Connection::Flush()
+{
+  if (mClosed || mWriting) {
+    return;
+  }
+  mWriteBuffer.clear();
+  while (mWriteBuffer.size() < kMaxWriteBytes) {
+    const uint8_t* data = nullptr;
+    const ssize_t count = nghttp2_session_mem_send(mSession.get(), &data);
+    if (count < 0) {
+      Close();
+      return;
+    }
+    if (count == 0) {
+      break;
+    }
+    mWriteBuffer.append(View(data, static_cast<size_t>(count)));
+  }
+  if (mWriteBuffer.empty()) {
+    if (!nghttp2_session_want_read(mSession.get()) && !nghttp2_session_want_write(mSession.get())) {
+      Close();
+    }
+    return;
+  }
+  mWriting = true;
+  asio::async_write(mSocket, asio::buffer(mWriteBuffer),
+                    [self = shared_from_this()](const auto& aError, size_t /*aCount*/) {
+                      self->mWriting = false;
+                      if (aError) {
+                        self->Close();
+                        return;
+                      }
+                      self->Flush();
+                    });
+}
+
+void H2Connection::Close()
+{
+  if (mClosed) {
+    return;
+  }
+  mClosed = true;
+  boost::system::error_code ignored;
+  mSocket.close(ignored);
+  OnClosed();
+}
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/transport/src/peer_client.cpp
@@ -0,0 +1,378 @@
+#include "balsammount/peer_client.h"
+
+#include "h2_connection.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <charconv>
+#include <map>
+#include <optional>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+// Interval at which a connection with requests in flight is checked for silence.
+constexpr std::chrono::milliseconds kSilenceCheck{ 50 };
+
+class ClientConnection;
+
+class StreamCall final
+  : public Call
+  , public std::enable_shared_from_this<StreamCall>
+{
+public:
+  StreamCall(const asio::any_io_executor& aExecutor, HttpRequest aRequest,
+             ResponseCallback aCallback)
+    : mRequest(std::move(aRequest))
+    , mTimer(aExecutor)
+    , mCallback(std::move(aCallback))
+  {
+  }
+
+  void StartTimer(std::chrono::nanoseconds aTimeout)
+  {
+    mTimer.expires_after(aTimeout);
+    mTimer.async_wait([weak = weak_from_this()](const auto& aError) {
+      if (auto self = weak.lock(); self && !aError) {
+        self->OnTimeout();
+      }
+    });
+  }
+
+  void Cancel() override
+  {
+    mCallback = nullptr;
+    Reset();
+  }
+
+  void Finish(Result<HttpResponse> aResult)
+  {
+    mTimer.cancel();
+    mConnection.reset();
+    if (auto callback = std::exchange(mCallback, nullptr)) {
+      callback(std::move(aResult));
+    }
+  }
+
+  void Fail(TransportError aError) { Finish(Failure{ aError, {} }); }
+  bool IsDone() const { return !mCallback; }
+
+  HttpRequest mRequest;
+  detail::OutgoingBody mRequestBody;
+  HttpResponse mResponse;
+  std::weak_ptr<ClientConnection> mConnection;
+  int32_t mStream = -1;
+  bool mWhole = false; // the stream ended with END_STREAM
+  bool mTooLarge = false;
+
+private:
+  void OnTimeout()
+  {
+    const bool sent = mStream > 0;
+    auto self = shared_from_this();
+    Reset();
+    Fail(sent ? TransportError::TimedOut : TransportError::ConnectFailed);
+  }
+  void Reset();
+
+  asio::steady_timer mTimer;
+  ResponseCallback mCallback;
+};
+
+class ClientConnection final : public detail::H2Connection
+{
+public:
+  ClientConnection(const asio::any_io_executor& aExecutor, PeerClientLimits aLimits)
+    : H2Connection(tcp::socket(aExecutor))
+    , mLimits(aLimits)
+    , mTimer(aExecutor)
+  {
+  }
+
+  void Connect(const tcp::endpoint& aEndpoint)
+  {
+    auto self = Shared();
+    mTimer.expires_after(mLimits.mConnectTimeout);
+    mTimer.async_wait([self](const auto& aError) {
+      if (!aError && !self->mConnected) {
+        self->Close();
+      }
+    });
+    Socket().async_connect(aEndpoint, [self](const auto& aError) { self->OnConnected(aError); });
+  }
+
+  void Send(const std::shared_ptr<StreamCall>& aCall)
+  {
+    aCall->mConnection = Shared();
+    if (!mConnected) {
+      mWaiting.push_back(aCall);
+      return;
+    }
+    Submit(aCall);
+    FlushSoon();
+  }
+
+  // The call stays in mCalls until nghttp2 reports the stream closed, because nghttp2 may still
+  // read the call's request body.
+  void ResetStream(int32_t aStream)
+  {
+    if (!IsClosed()) {
+      nghttp2_submit_rst_stream(Session(), NGHTTP2_FLAG_NONE, aStream, NGHTTP2_CANCEL);
+      FlushSoon();
+    }
+  }
+
+  // False once the peer has announced that it takes no new streams.
+  bool IsUsable() const { return !IsClosed() && !mGoingAway; }
+
+private:
+  std::shared_ptr<ClientConnection> Shared()
+  {
+    return std::static_pointer_cast<ClientConnection>(shared_from_this());
+  }
+
+  void OnConnected(const boost::system::error_code& aError)
+  {
+    if (aError || IsClosed()) {
+      Close();
+      return;
+    }
+    mConnected = true;
+    boost::system::error_code ignored;
+    Socket().set_option(tcp::no_delay(true), ignored);
+    Open(false, 0, 64 * 1024);
+    for (const auto& call : std::exchange(mWaiting, {})) {
+      if (!call->IsDone()) {
+        Submit(call);
+      }
+    }
+    Flush();
+    Read();
+    CheckSilence();
+  }
+
+  void Submit(const std::shared_ptr<StreamCall>& aCall)
+  {
+    detail::HeaderBlock block;
+    block.Add(":method", aCall->mRequest.mMethod);
+    block.Add(":scheme", "http");
+    block.Add(":authority", "node");
+    block.Add(":path", aCall->mRequest.mTarget);
+    block.AddAll(aCall->mRequest.mHeaders);
+    block.Add("content-length", std::to_string(aCall->mRequest.mBody.size()));
+    aCall->mRequestBody = { std::move(aCall->mRequest.mBody), 0 };
+    const nghttp2_data_provider provider = detail::MakeDataProvider(aCall->mRequestBody);
+    const auto values = block.Values();
+    const int32_t stream =
+      nghttp2_submit_request(Session(), nullptr, values.data(), values.size(), &provider, nullptr);
+    if (stream < 0) {
+      aCall->Fail(TransportError::NotProcessed);
+      return;
+    }
+    aCall->mStream = stream;
+    if (mCalls.empty()) {
+      mQuietSince = std::chrono::steady_clock::now();
+    }
+    mCalls.emplace(stream, aCall);
+  }
+
+  void FlushSoon()
+  {
+    if (mFlushPosted) {
+      return;
+    }
+    mFlushPosted = true;
+    asio::post(Socket().get_executor(), [self = Shared()] {
+      self->mFlushPosted = false;
+      self->Flush();
+    });
+  }
+
+  // Probes a quiet connection while requests wait on it, and closes it when the probe is not
+  // answered.
+  void CheckSilence()
+  {
+    mTimer.expires_after(kSilenceCheck);
+    mTimer.async_wait([self = Shared()](const auto& aError) {
+      if (aError || self->IsClosed()) {
+        return;
+      }
+      self->ProbeIfQuiet();
+      if (!self->IsClosed()) {
+        self->CheckSilence();
+      }
+    });
+  }
+
+  void ProbeIfQuiet()
+  {
+    if (mGoingAway && mCalls.empty()) {
+      Close();
+      return;
+    }
+    const auto now = std::chrono::steady_clock::now();
+    if (mPingSent && LastReceived() >= *mPingSent) {
+      mPingSent.reset();
+    }
+    if (mPingSent) {
+      if (now - *mPingSent >= mLimits.mPingTimeout) {
+        Close();
+      }
+      return;
+    }
+    if (!mCalls.empty() && now - std::max(LastReceived(), mQuietSince) >= mLimits.mPingAfter) {
+      mPingSent = now;
+      nghttp2_submit_ping(Session(), NGHTTP2_FLAG_NONE, nullptr);
+      Flush();
+    }
+  }
+
+  void OnFrame(const nghttp2_frame& aFrame) override
+  {
+    if (aFrame.hd.type == NGHTTP2_GOAWAY) {
+      mGoingAway = true;
+      return;
+    }
+    if ((aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0 ||
+        (aFrame.hd.type != NGHTTP2_HEADERS && aFrame.hd.type != NGHTTP2_DATA)) {
+      return;
+    }
+    if (const auto found = mCalls.find(aFrame.hd.stream_id); found != mCalls.end()) {
+      found->second->mWhole = true;
+    }
+  }
+
+  void OnHeader(int32_t aStream, std::string_view aName, std::string_view aValue) override
+  {
+    const auto found = mCalls.find(aStream);
+    if (found == mCalls.end()) {
+      return;
+    }
+    HttpResponse& response = found->second->mResponse;
+    if (aName == ":status") {
+      std::from_chars(aValue.data(), aValue.data() + aValue.size(), response.mStatus);
+    } else if (!IsHopByHop(aName)) {
+      response.mHeaders.Add(aName, aValue);
+    }
+  }
+
+  void OnData(int32_t aStream, std::string_view aBytes) override
+  {
+    const auto found = mCalls.find(aStream);
+    if (found == mCalls.end()) {
+      return;
+    }
+    StreamCall& call = *found->second;
+    if (call.mResponse.mBody.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+      call.mTooLarge = true;
+      return;
+    }
+    call.mResponse.mBody.append(aBytes);
+  }
+
+  void OnStreamClosed(int32_t aStream, uint32_t aError) override
+  {
+    auto node = mCalls.extract(aStream);
+    if (!node) {
+      return;
+    }
+    // The callback may send the next request, which nghttp2 does not allow from inside its
+    // callbacks.
+    asio::post(Socket().get_executor(), [call = node.mapped(), aError] {
+      if (call->IsDone()) {
+        return;
+      }
+      if (aError == NGHTTP2_REFUSED_STREAM) {
+        call->Fail(TransportError::NotProcessed);
+      } else if (aError != NGHTTP2_NO_ERROR || !call->mWhole) {
+        call->Fail(TransportError::Lost);
+      } else if (call->mTooLarge) {
+        call->Fail(TransportError::TooLarge);
+      } else {
+        call->Finish(std::move(call->mResponse));
+      }
+    });
+  }
+
+  void OnClosed() override
+  {
+    mTimer.cancel();
+    for (auto waiting = std::exchange(mWaiting, {}); const auto& call : waiting) {
+      call->Fail(TransportError::ConnectFailed);
+    }
+    for (auto calls = std::exchange(mCalls, {}); const auto& [stream, call] : calls) {
+      call->Fail(TransportError::Lost);
+    }
+  }
+
+  PeerClientLimits mLimits;
+  asio::steady_timer mTimer;
+  std::vector<std::shared_ptr<StreamCall>> mWaiting;
+  std::map<int32_t, std::shared_ptr<StreamCall>> mCalls;
+  std::optional<std::chrono::steady_clock::time_point> mPingSent;
+  std::chrono::steady_clock::time_point mQuietSince;
+  bool mConnected = false;
+  bool mGoingAway = false;
+  bool mFlushPosted = false;
+};
+
+void StreamCall::Reset()
+{
+  mTimer.cancel();
+  auto connection = std::exchange(mConnection, {}).lock();
+  if (connection && mStream > 0) {
+    connection->ResetStream(mStream);
+  }
+}
+
+} // namespace
+
+struct PeerClient::State
+{
+  State(asio::io_context& aContext, tcp::endpoint aEndpoint, PeerClientLimits aLimits)
+    : mExecutor(aContext.get_executor())
+    , mEndpoint(std::move(aEndpoint))
+    , mLimits(aLimits)
+  {
+  }
+
+  asio::any_io_executor mExecutor;
+  tcp::endpoint mEndpoint;
+  PeerClientLimits mLimits;
+  std::shared_ptr<ClientConnection> mConnection;
+};
+
+PeerClient::PeerClient(asio::io_context& aContext, tcp::endpoint aEndpoint,
+                       PeerClientLimits aLimits)
+  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits))
+{
+}
+
+PeerClient::~PeerClient()
+{
+  if (mState->mConnection) {
+    mState->mConnection->Close();
+  }
+}
+
+std::shared_ptr<Call> PeerClient::Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
+                                       ResponseCallback aCallback)
+{
+  auto call =
+    std::make_shared<StreamCall>(mState->mExecutor, std::move(aRequest), std::move(aCallback));
+  call->StartTimer(aTimeout);
+  auto& connection = mState->mConnection;
+  if (!connection || !connection->IsUsable()) {
+    connection = std::make_shared<ClientConnection>(mState->mExecutor, mState->mLimits);
+    connection->Connect(mState->mEndpoint);
+  }
+  connection->Send(call);
+  return call;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/transport/tests/peer_test.cpp
@@ -0,0 +1,170 @@
+#include "balsammount/peer_client.h"
+#include "balsammount/peer_server.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <optional>
+#include <vector>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+namespace {
+
+const tcp::endpoint kLoopback(asio::ip::address_v4::loopback(), 0);
+
+HttpRequest Post(std::string aBody)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/echo";
+  request.mHeaders.Add("Bm-Rank", "2");
+  request.mBody = std::move(aBody);
+  return request;
+}
+
+void Echo(const std::shared_ptr<Exchange>& aExchange)
+{
+  HttpResponse response;
+  response.mBody = aExchange->Request().mBody;
+  response.mHeaders.Add("bm-rank", aExchange->Request().mHeaders.Find("bm-rank"));
+  aExchange->Respond(std::move(response));
+}
+
+} // namespace
+
+TEST_GROUP(Peer)
+{
+  asio::io_context mContext;
+
+  std::unique_ptr<PeerServer> MakeServer(ExchangeHandler aHandler, PeerServerLimits aLimits = {})
+  {
+    auto server = std::make_unique<PeerServer>(mContext, kLoopback, aLimits, std::move(aHandler));
+    CHECK(server->Start().has_value());
+    return server;
+  }
+  tcp::endpoint EndpointOf(const PeerServer& aServer) const
+  {
+    return { asio::ip::address_v4::loopback(), aServer.Port() };
+  }
+  // Runs the context until the condition holds; the bound only ends a hanging test.
+  void RunUntil(const std::function<bool()>& aDone)
+  {
+    const auto bound = std::chrono::steady_clock::now() + 30s;
+    while (!aDone() && std::chrono::steady_clock::now() < bound) {
+      mContext.run_one_for(50ms);
+    }
+    CHECK(aDone());
+  }
+};
+
+// Guards against mixed up or cut answers on a shared connection: 200 bodies of many sizes.
+TEST(Peer, ReturnsWholeAnswersToTheirOwnRequests)
+{
+  const auto server = MakeServer(Echo);
+  PeerClient client(mContext, EndpointOf(*server));
+  size_t good = 0;
+  size_t done = 0;
+  for (size_t i = 0; i < 200; ++i) {
+    const std::string body(i * 997, static_cast<char>('a' + i % 26));
+    client.Send(Post(body), 20s, [&good, &done, body](Result<HttpResponse> aResult) {
+      ++done;
+      good +=
+        aResult.has_value() && aResult->mBody == body && aResult->mHeaders.Find("bm-rank") == "2";
+    });
+  }
+  RunUntil([&] { return done == 200; });
+  CHECK_EQUAL(200, good);
+}
+
+// Guards against reporting a request as possibly run when nothing was sent.
+TEST(Peer, ConnectFailureProvesNotRun)
+{
+  const auto endpoint = [this] {
+    const auto server = MakeServer(Echo);
+    return EndpointOf(*server);
+  }();
+  PeerClient client(mContext, endpoint);
+  std::optional<Result<HttpResponse>> result;
+  client.Send(Post("x"), 5s, [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+  RunUntil([&] { return result.has_value(); });
+  CHECK(ProvesNotRun(result->error().mCode));
+}
+
+// Guards against waiting for ever on a connection that a middlebox has dropped: the server accepts
+// and never sends a byte. The outcome must not claim that the request did not run.
+TEST(Peer, SilentConnectionIsLost)
+{
+  tcp::acceptor acceptor(mContext, kLoopback);
+  tcp::socket silent(mContext);
+  acceptor.async_accept(silent, [](const auto&) {});
+  PeerClient client(mContext, acceptor.local_endpoint());
+  std::optional<Result<HttpResponse>> result;
+  client.Send(Post("x"), 20s, [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+  RunUntil([&] { return result.has_value(); });
+  CHECK(result->error().mCode == TransportError::Lost);
+}
+
+// Guards against a server that goes on working for a caller that has gone.
+TEST(Peer, CancelReachesTheServer)
+{
+  bool cancelled = false;
+  std::shared_ptr<Exchange> held;
+  const auto server = MakeServer([&](const std::shared_ptr<Exchange>& aExchange) {
+    held = aExchange;
+    aExchange->OnCancel([&] { cancelled = true; });
+  });
+  PeerClient client(mContext, EndpointOf(*server));
+  const auto call = client.Send(Post("x"), 20s, [](const Result<HttpResponse>&) {
+    FAIL("a cancelled call must not call back");
+  });
+  RunUntil([&] { return held != nullptr; });
+  call->Cancel();
+  RunUntil([&] { return cancelled; });
+}
+
+// Guards against cutting off requests in flight when a server stops: the stream in flight is
+// answered, a later request goes to a new connection and is refused there.
+TEST(Peer, StopAnswersStreamsInFlight)
+{
+  std::shared_ptr<Exchange> held;
+  const auto server =
+    MakeServer([&](const std::shared_ptr<Exchange>& aExchange) { held = aExchange; });
+  PeerClient client(mContext, EndpointOf(*server));
+  std::optional<Result<HttpResponse>> first;
+  client.Send(Post("first"), 20s,
+              [&](Result<HttpResponse> aResult) { first = std::move(aResult); });
+  RunUntil([&] { return held != nullptr; });
+  server->Stop();
+  Echo(held);
+  RunUntil([&] { return first.has_value(); });
+  CHECK(first->has_value());
+  STRCMP_EQUAL("first", first->value().mBody.c_str());
+  std::optional<Result<HttpResponse>> second;
+  client.Send(Post("second"), 20s,
+              [&](Result<HttpResponse> aResult) { second = std::move(aResult); });
+  RunUntil([&] { return second.has_value(); });
+  CHECK(ProvesNotRun(second->error().mCode));
+}
+
+// Guards against unbounded memory: a body above the limit is refused and stated as not run.
+TEST(Peer, RefusesTooLargeBody)
+{
+  PeerServerLimits limits;
+  limits.mMaxBodyBytes = 1000;
+  bool handled = false;
+  const auto server = MakeServer([&](const std::shared_ptr<Exchange>&) { handled = true; }, limits);
+  PeerClient client(mContext, EndpointOf(*server));
+  std::optional<Result<HttpResponse>> result;
+  client.Send(Post(std::string(5000, 'x')), 20s,
+              [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+  RunUntil([&] { return result.has_value(); });
+  CHECK_EQUAL(413, result->value().mStatus);
+  STRCMP_EQUAL("not-run", std::string(result->value().mHeaders.Find("bm-outcome")).c_str());
+  CHECK_FALSE(handled);
+}
