Add the admission controller and the adaptive limit

Cause: the node needs admission in front of its backend server; its interface comes first. Conclusion: the interface is usable; behaviour under load is not measured yet.

--- /dev/null
+++ b/packages/admission/include/balsammount/concurrency_limit.h
@@ -0,0 +1,76 @@
+// Adaptive concurrency limit of one backend server, from measured service times only.
+#pragma once
+
+#include "balsammount/clock.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace balsammount {
+
+inline constexpr size_t kMaxRanks = 16;
+
+// Follows the gradient of recent against baseline service time, in epochs of about two limits of
+// completed requests. Service time that does not fall when the limit falls is not caused by
+// concurrency: the server has become slower as a whole, so the baseline is raised and the limit
+// restored. Service times are compared per rank, so that a change of mix is not taken for load.
+class ConcurrencyLimit
+{
+public:
+  ConcurrencyLimit(uint32_t aMinimum, uint32_t aMaximum, SteadyTime aNow);
+
+  uint32_t Limit() const { return mLimit; }
+
+  // Call after each dispatch with the number in flight.
+  void OnDispatch(uint32_t aInFlight);
+
+  // A request that ran to its end or timed out. Fast failures must not be reported: they would
+  // lower the baseline.
+  void OnSample(size_t aRank, SteadyTime aStarted, Duration aService, SteadyTime aNow);
+
+  // The backend server refused a request because it was overloaded.
+  void OnOverload(SteadyTime aNow);
+
+  // Clamps the limit to the new bounds and keeps what was learned.
+  void SetBounds(uint32_t aMinimum, uint32_t aMaximum);
+
+  // Forgets everything: the backend server was restarted.
+  void Reset(SteadyTime aNow);
+
+private:
+  struct RankSamples
+  {
+    double mBaseline = 0; // seconds, 0 when unknown
+    double mSum = 0;
+    uint32_t mCount = 0;
+  };
+
+  void EndEpoch(SteadyTime aNow);
+  double Ratio();
+  void FollowBaselines(double aRatio, bool aSaturated);
+  void ScaleBaselines(double aFactor);
+  bool JudgeDescent(double aRatio);
+  void StartDescent(double aRatio, double aFactor);
+  void SetLimit(double aLimit);
+  void StartEpoch(SteadyTime aNow);
+
+  uint32_t mMinimum;
+  uint32_t mMaximum;
+  uint32_t mLimit = 1;
+  double mExact = 1;
+  std::array<RankSamples, kMaxRanks> mRanks{};
+  uint32_t mSamples = 0;
+  uint32_t mPeakInFlight = 0;
+  SteadyTime mEpochStart;
+  SteadyTime mLastProbe;
+  bool mStarting = true;    // doubles until the first sign of saturation
+  bool mDescending = false; // the limit was lowered and the effect is not known yet
+  bool mProbing = false;    // the descent is a periodic check, not a reaction
+  double mDescentLimit = 0;
+  double mDescentRatio = 0;
+  uint32_t mEpochsAtMinimum = 0;
+  bool mOverloaded = false;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/admission/src/admission.cpp
@@ -0,0 +1,741 @@
+#include "balsammount/admission.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+
+namespace balsammount {
+
+namespace {
+
+// Refusals that were decided but not yet reported by Poll().
+constexpr size_t kSparePlaces = 64;
+// Weight of a new sample in the moving average of service time.
+constexpr double kSampleWeight = 1.0 / 16;
+// Bounds of a rank's service time relative to the average, as the cost of one dispatch.
+constexpr double kMinCost = 1.0 / 16;
+constexpr double kMaxCost = 16;
+// A rank whose typical service time exceeds every deadline gets one request through per period, or
+// the estimate could never be corrected.
+constexpr auto kProbePeriod = std::chrono::seconds(1);
+constexpr auto kMinRetryAfter = std::chrono::milliseconds(10);
+constexpr auto kMaxRetryAfter = std::chrono::seconds(5);
+
+constexpr auto kLevelInterval = std::chrono::milliseconds(50);
+constexpr auto kDownstreamValidity = std::chrono::seconds(1);
+// Refusing one request in twenty here keeps the queue from running empty while callers upstream
+// react to the level; a refusal costs far less than an idle slot.
+constexpr double kWantedRefusals = 0.05;
+constexpr double kMinRaise = 0.01;
+constexpr double kMaxRaise = 0.5;
+constexpr double kMinLower = 0.02;
+constexpr double kMaxLower = 0.25;
+constexpr double kLowerGrowth = 1.25;
+// A quarter of a rank: bounds one step down through steps of the scale without known arrivals.
+constexpr uint32_t kMaxLowerSteps = kShedCohorts / 4;
+constexpr float kArrivalDecay = 0.8F;
+constexpr float kShedArrivalDecay = 0.99F;
+
+double Seconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+Duration FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(aSeconds));
+}
+
+bool ForCapacity(RefusalReason aReason)
+{
+  return aReason == RefusalReason::QueueFull || aReason == RefusalReason::Displaced ||
+         aReason == RefusalReason::DeadlineTooClose;
+}
+
+} // namespace
+
+const char* ToString(RefusalReason aReason)
+{
+  static constexpr std::array<const char*, 6> kNames = { "none",     "queue-full", "displaced",
+                                                         "deadline", "draining",   "unavailable" };
+  return kNames[static_cast<size_t>(aReason)];
+}
+
+AdmissionController::AdmissionController(const Clock& aClock, const AdmissionPolicy& aPolicy)
+  : mClock(aClock)
+  , mPolicy(aPolicy)
+  , mLimit(aPolicy.mMinConcurrency, aPolicy.mSlots, aClock.Now())
+  , mIntervalStart(aClock.Now())
+{
+  ApplyPolicy(aClock.Now());
+}
+
+void AdmissionController::SetPolicy(const AdmissionPolicy& aPolicy)
+{
+  mPolicy = aPolicy;
+  mLimit.SetBounds(aPolicy.mMinConcurrency, aPolicy.mSlots);
+  ApplyPolicy(mClock.Now());
+}
+
+void AdmissionController::ApplyPolicy(SteadyTime aNow)
+{
+  mPolicy.mRankCount = std::clamp<size_t>(mPolicy.mRankCount, 1, kMaxRanks);
+  const size_t count = mPolicy.mRankCount;
+  const auto ranks = std::span(mPolicy.mRanks).first(count);
+
+  const size_t wanted = mPolicy.mSlots + mPolicy.mMaxQueue + kSparePlaces;
+  const size_t old = mEntries.size();
+  if (wanted > old) {
+    mEntries.resize(wanted);
+    mHeap.resize(wanted, kNone);
+    for (size_t i = old; i < wanted; ++i) {
+      PushBack(mFree, static_cast<uint32_t>(i));
+    }
+  }
+
+  const auto byWorth = std::span(mByWorth).first(count);
+  std::iota(byWorth.begin(), byWorth.end(), uint8_t{ 0 });
+  // Insertion sort: stable and without the buffer that std::stable_sort allocates.
+  for (size_t i = 1; i < count; ++i) {
+    for (size_t j = i; j > 0 && ranks[byWorth[j]].mWorth > ranks[byWorth[j - 1]].mWorth; --j) {
+      std::swap(byWorth[j], byWorth[j - 1]);
+    }
+  }
+  double sum = 0;
+  for (const AdmissionRank& rank : ranks) {
+    sum += std::max(0.0, rank.mFloor);
+  }
+  const double scale = !mPolicy.mFloors ? 0 : (sum > 1 ? 1 / sum : 1);
+  for (size_t i = 0; i < count; ++i) {
+    Rank& rank = mRanks[byWorth[i]];
+    rank.mBelow = static_cast<uint32_t>(count - 1 - i);
+    rank.mFloor = std::max(0.0, ranks[byWorth[i]].mFloor) * scale;
+    rank.mPlaces = static_cast<uint32_t>(rank.mFloor * mPolicy.mMaxQueue);
+    rank.mCredit = std::min(rank.mCredit, rank.mFloor * mPolicy.mSlots + kMaxCost);
+    if (rank.mService == 0) {
+      rank.mService = Seconds(mPolicy.mInitialService);
+    }
+  }
+  if (mService == 0) {
+    mService = Seconds(mPolicy.mInitialService);
+  }
+
+  // Requests of removed ranks go on in the last one.
+  for (uint32_t index = 0; index < mEntries.size(); ++index) {
+    Entry& entry = mEntries[index];
+    if (entry.mState == State::Free || entry.mRank < count) {
+      continue;
+    }
+    const bool queued = entry.mState == State::Queued;
+    if (queued) {
+      Dequeue(index);
+    }
+    entry.mRank = static_cast<uint8_t>(count - 1);
+    if (queued) {
+      Enqueue(index);
+    }
+  }
+  mLevel = std::min(mLevel, static_cast<uint32_t>(count) * kShedCohorts - 1);
+  mIntervalStart = aNow;
+}
+
+void AdmissionController::SetAvailable(bool aAvailable)
+{
+  if (aAvailable == mAvailable) {
+    return;
+  }
+  mAvailable = aAvailable;
+  if (aAvailable) {
+    mLimit.Reset(mClock.Now());
+    return;
+  }
+  while (mHeapSize > 0) {
+    RefuseQueued(mHeap[0], RefusalReason::Unavailable);
+  }
+}
+
+uint32_t AdmissionController::Limit() const
+{
+  return mPolicy.mAdaptiveLimit ? mLimit.Limit() : std::max(1U, mPolicy.mSlots);
+}
+
+uint32_t AdmissionController::RanksBelow(size_t aRank) const
+{
+  return mRanks[std::min(aRank, mPolicy.mRankCount - 1)].mBelow;
+}
+
+// Pool and lists.
+
+AdmissionId AdmissionController::IdOf(uint32_t aIndex) const
+{
+  return uint64_t{ mEntries[aIndex].mGeneration } << 32 | aIndex;
+}
+
+uint32_t AdmissionController::Find(AdmissionId aId) const
+{
+  const auto index = static_cast<uint32_t>(aId);
+  return index < mEntries.size() && mEntries[index].mState != State::Free && IdOf(index) == aId
+           ? index
+           : kNone;
+}
+
+uint32_t AdmissionController::Allocate()
+{
+  const uint32_t index = mFree.mHead;
+  if (index != kNone) {
+    Unlink(mFree, index);
+  }
+  return index;
+}
+
+void AdmissionController::Release(uint32_t aIndex)
+{
+  Entry& entry = mEntries[aIndex];
+  entry.mState = State::Free;
+  // The generation is never 0, so no id is 0.
+  entry.mGeneration = entry.mGeneration == UINT32_MAX ? 1 : entry.mGeneration + 1;
+  PushBack(mFree, aIndex);
+}
+
+void AdmissionController::PushBack(List& aList, uint32_t aIndex)
+{
+  Entry& entry = mEntries[aIndex];
+  entry.mNext = kNone;
+  entry.mPrevious = aList.mTail;
+  (aList.mTail == kNone ? aList.mHead : mEntries[aList.mTail].mNext) = aIndex;
+  aList.mTail = aIndex;
+  ++aList.mCount;
+}
+
+void AdmissionController::Unlink(List& aList, uint32_t aIndex)
+{
+  const Entry& entry = mEntries[aIndex];
+  (entry.mPrevious == kNone ? aList.mHead : mEntries[entry.mPrevious].mNext) = entry.mNext;
+  (entry.mNext == kNone ? aList.mTail : mEntries[entry.mNext].mPrevious) = entry.mPrevious;
+  --aList.mCount;
+}
+
+// Queue.
+
+void AdmissionController::Enqueue(uint32_t aIndex)
+{
+  Entry& entry = mEntries[aIndex];
+  Rank& rank = mRanks[entry.mRank];
+  List& bucket = rank.mBuckets[entry.mBucket];
+  if (bucket.mCount == 0) {
+    rank.mActive[(rank.mActiveHead + rank.mActiveCount++) % kBuckets] = entry.mBucket;
+  }
+  PushBack(bucket, aIndex);
+  entry.mState = State::Queued;
+  ++rank.mQueued;
+  ++mQueued;
+  HeapInsert(aIndex);
+}
+
+void AdmissionController::Dequeue(uint32_t aIndex)
+{
+  const Entry& entry = mEntries[aIndex];
+  Rank& rank = mRanks[entry.mRank];
+  List& bucket = rank.mBuckets[entry.mBucket];
+  Unlink(bucket, aIndex);
+  if (bucket.mCount == 0) {
+    Deactivate(rank, entry.mBucket);
+  }
+  --rank.mQueued;
+  --mQueued;
+  mIntervalMinQueued = std::min(mIntervalMinQueued, mQueued);
+  HeapRemove(aIndex);
+}
+
+void AdmissionController::Deactivate(Rank& aRank, uint8_t aBucket)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < aRank.mActiveCount; ++i) {
+    const uint8_t bucket = aRank.mActive[(aRank.mActiveHead + i) % kBuckets];
+    if (bucket != aBucket) {
+      aRank.mActive[(aRank.mActiveHead + kept++) % kBuckets] = bucket;
+    }
+  }
+  aRank.mActiveCount = kept;
+}
+
+// The longest caller bucket of the rank that has to give up a place for a request of aRank and
+// aBucket, as the index of its newest request; kNone when that is the request itself.
+uint32_t AdmissionController::FindVictim(size_t aRank, uint8_t aBucket) const
+{
+  for (size_t i = mPolicy.mRankCount; i-- > 0;) {
+    const size_t index = mByWorth[i];
+    const Rank& rank = mRanks[index];
+    const bool own = index == aRank;
+    if (rank.mQueued + (own ? 1 : 0) <= rank.mPlaces) {
+      continue;
+    }
+    const auto longest =
+      std::max_element(rank.mBuckets.begin(), rank.mBuckets.end(),
+                       [](const List& a, const List& b) { return a.mCount < b.mCount; });
+    if (own && longest->mCount <= rank.mBuckets[aBucket].mCount + 1) {
+      return kNone;
+    }
+    if (longest->mCount > 0) {
+      return longest->mTail;
+    }
+  }
+  return kNone;
+}
+
+bool AdmissionController::MakePlace(size_t aRank, uint8_t aBucket)
+{
+  const uint32_t victim = FindVictim(aRank, aBucket);
+  if (victim == kNone) {
+    return false;
+  }
+  RefuseQueued(victim, RefusalReason::Displaced);
+  return true;
+}
+
+void AdmissionController::RefuseQueued(uint32_t aIndex, RefusalReason aReason)
+{
+  Dequeue(aIndex);
+  Entry& entry = mEntries[aIndex];
+  entry.mState = State::Refusing;
+  entry.mReason = aReason;
+  PushBack(mRefusing, aIndex);
+  CountRefusal(entry.mRank, aReason);
+}
+
+// The rank to dispatch from: first those that are owed part of their floor, then by worth.
+size_t AdmissionController::NextRank() const
+{
+  const auto byWorth = std::span(mByWorth).first(mPolicy.mRankCount);
+  size_t first = kMaxRanks;
+  for (const uint8_t index : byWorth) {
+    const Rank& rank = mRanks[index];
+    if (rank.mQueued == 0) {
+      continue;
+    }
+    if (rank.mFloor > 0 && rank.mCredit >= Cost(rank)) {
+      return index;
+    }
+    if (first == kMaxRanks) {
+      first = index;
+    }
+  }
+  return first;
+}
+
+uint32_t AdmissionController::FirstOf(Rank& aRank) const
+{
+  return aRank.mBuckets[aRank.mActive[aRank.mActiveHead]].mHead;
+}
+
+// Heap of queued requests by latest start.
+
+void AdmissionController::HeapSet(size_t aPlace, uint32_t aIndex)
+{
+  mHeap[aPlace] = aIndex;
+  mEntries[aIndex].mHeapPlace = static_cast<uint32_t>(aPlace);
+}
+
+void AdmissionController::HeapInsert(uint32_t aIndex)
+{
+  HeapSet(mHeapSize, aIndex);
+  HeapUp(mHeapSize++);
+}
+
+void AdmissionController::HeapRemove(uint32_t aIndex)
+{
+  const size_t place = mEntries[aIndex].mHeapPlace;
+  const uint32_t last = mHeap[--mHeapSize];
+  if (last != aIndex) {
+    HeapSet(place, last);
+    HeapUp(place);
+    HeapDown(mEntries[last].mHeapPlace);
+  }
+}
+
+void AdmissionController::HeapUp(size_t aPlace)
+{
+  const uint32_t index = mHeap[aPlace];
+  const SteadyTime start = mEntries[index].mLatestStart;
+  while (aPlace > 0) {
+    const size_t parent = (aPlace - 1) / 2;
+    if (mEntries[mHeap[parent]].mLatestStart <= start) {
+      break;
+    }
+    HeapSet(aPlace, mHeap[parent]);
+    aPlace = parent;
+  }
+  HeapSet(aPlace, index);
+}
+
+void AdmissionController::HeapDown(size_t aPlace)
+{
+  const uint32_t index = mHeap[aPlace];
+  const SteadyTime start = mEntries[index].mLatestStart;
+  for (;;) {
+    size_t child = 2 * aPlace + 1;
+    if (child >= mHeapSize) {
+      break;
+    }
+    if (child + 1 < mHeapSize &&
+        mEntries[mHeap[child + 1]].mLatestStart < mEntries[mHeap[child]].mLatestStart) {
+      ++child;
+    }
+    if (start <= mEntries[mHeap[child]].mLatestStart) {
+      break;
+    }
+    HeapSet(aPlace, mHeap[child]);
+    aPlace = child;
+  }
+  HeapSet(aPlace, index);
+}
+
+// Estimates.
+
+bool AdmissionController::CanFinish(const Rank& aRank, SteadyTime aNow, double aWait,
+                                    SteadyTime aDeadline) const
+{
+  if (!mPolicy.mDeadlineCheck) {
+    return true;
+  }
+  if (aDeadline <= aNow) {
+    return false;
+  }
+  const double left = Seconds(aDeadline - aNow);
+  if (left >= aWait + aRank.mService) {
+    return true;
+  }
+  return left > aWait && left < aRank.mService && aNow - aRank.mLastDispatch >= kProbePeriod;
+}
+
+double AdmissionController::Cost(const Rank& aRank) const
+{
+  return std::clamp(aRank.mService / mService, kMinCost, kMaxCost);
+}
+
+double AdmissionController::SecondsPerDispatch() const
+{
+  return mService / Limit();
+}
+
+double AdmissionController::QueueWait(size_t aRank) const
+{
+  if (mQueued == 0 && mInFlight < Limit()) {
+    return 0;
+  }
+  const Rank& own = mRanks[aRank];
+  uint32_t ahead = 0;
+  for (size_t i = 0; i < mPolicy.mRankCount; ++i) {
+    ahead += mRanks[i].mBelow >= own.mBelow ? mRanks[i].mQueued : 0;
+  }
+  const double perDispatch = SecondsPerDispatch();
+  const double byWorth = (ahead + 1) * perDispatch;
+  if (own.mFloor <= 0) {
+    return byWorth;
+  }
+  return std::min(byWorth, (own.mQueued + 1) * Cost(own) * perDispatch / own.mFloor);
+}
+
+Duration AdmissionController::RetryAfter(size_t aRank) const
+{
+  return std::clamp<Duration>(FromSeconds(QueueWait(aRank)), kMinRetryAfter, kMaxRetryAfter);
+}
+
+// Decisions.
+
+void AdmissionController::CountRefusal(size_t aRank, RefusalReason aReason)
+{
+  ++mRanks[aRank].mStats.mRefused;
+  if (ForCapacity(aReason)) {
+    ++mIntervalRefused;
+  }
+}
+
+Verdict AdmissionController::Refuse(size_t aRank, RefusalReason aReason)
+{
+  CountRefusal(aRank, aReason);
+  return { Decision::Refused, 0, aReason, ForCapacity(aReason) ? RetryAfter(aRank) : Duration{} };
+}
+
+Verdict AdmissionController::Offer(const balsammount::Offer& aOffer)
+{
+  const SteadyTime now = mClock.Now();
+  const size_t rankIndex = std::min(aOffer.mRank, mPolicy.mRankCount - 1);
+  Rank& rank = mRanks[rankIndex];
+  ++rank.mStats.mOffered;
+  ++mIntervalOffered;
+  const uint32_t step = rank.mBelow * kShedCohorts + ShedCohort(aOffer.mRequestHash);
+  if (step >= mLevel) {
+    mArrivals[step] += 1;
+  }
+  if (mDraining) {
+    return Refuse(rankIndex, RefusalReason::Draining);
+  }
+  if (!mAvailable) {
+    return Refuse(rankIndex, RefusalReason::Unavailable);
+  }
+  if (!CanFinish(rank, now, QueueWait(rankIndex), aOffer.mDeadline)) {
+    return Refuse(rankIndex, RefusalReason::DeadlineTooClose);
+  }
+  const auto bucket = static_cast<uint8_t>(aOffer.mCallerHash % kBuckets);
+  const bool direct = mInFlight < Limit() && mQueued == 0;
+  if (!direct && mQueued >= mPolicy.mMaxQueue && !MakePlace(rankIndex, bucket)) {
+    return Refuse(rankIndex, RefusalReason::QueueFull);
+  }
+  const uint32_t index = Allocate();
+  if (index == kNone) {
+    return Refuse(rankIndex, RefusalReason::QueueFull);
+  }
+  Entry& entry = mEntries[index];
+  entry.mRank = static_cast<uint8_t>(rankIndex);
+  entry.mBucket = bucket;
+  entry.mContext = aOffer.mContext;
+  entry.mDeadline = aOffer.mDeadline;
+  if (direct) {
+    StartDispatch(index, now);
+    return { Decision::Dispatch, IdOf(index), RefusalReason::None, {} };
+  }
+  entry.mLatestStart = aOffer.mDeadline == SteadyTime::max() || !mPolicy.mDeadlineCheck
+                         ? SteadyTime::max()
+                         : std::max(now, aOffer.mDeadline - FromSeconds(rank.mService));
+  Enqueue(index);
+  return { Decision::Queued, IdOf(index), RefusalReason::None, {} };
+}
+
+void AdmissionController::StartDispatch(uint32_t aIndex, SteadyTime aNow)
+{
+  Entry& entry = mEntries[aIndex];
+  entry.mState = State::InFlight;
+  entry.mDispatched = aNow;
+  ++mInFlight;
+  ++mIntervalDispatched;
+  mLimit.OnDispatch(mInFlight);
+  Rank& own = mRanks[entry.mRank];
+  own.mLastDispatch = aNow;
+  ++own.mStats.mDispatched;
+  // Every rank earns its floor of each dispatch. What a rank can save up is bounded by its share of
+  // the slots and the queue, so that a rank that was idle does not hold up the others for long.
+  const double cost = Cost(own);
+  const double places = Limit() + mPolicy.mMaxQueue;
+  for (size_t i = 0; i < mPolicy.mRankCount; ++i) {
+    Rank& rank = mRanks[i];
+    rank.mCredit = std::min(rank.mCredit + rank.mFloor * cost, Cost(rank) + rank.mFloor * places);
+  }
+  own.mCredit = std::max(0.0, own.mCredit - cost);
+}
+
+// Refuses queued requests that can no longer finish in time.
+void AdmissionController::RefuseLate(SteadyTime aNow)
+{
+  while (mHeapSize > 0 && mEntries[mHeap[0]].mLatestStart < aNow) {
+    const uint32_t index = mHeap[0];
+    Entry& entry = mEntries[index];
+    const Rank& rank = mRanks[entry.mRank];
+    if (!CanFinish(rank, aNow, 0, entry.mDeadline)) {
+      RefuseQueued(index, RefusalReason::DeadlineTooClose);
+      continue;
+    }
+    // The estimate has fallen since the request was queued, or it is a probe.
+    entry.mLatestStart = std::max(aNow, entry.mDeadline - FromSeconds(rank.mService));
+    HeapDown(0);
+  }
+}
+
+Action AdmissionController::Report(uint32_t aIndex)
+{
+  const Entry& entry = mEntries[aIndex];
+  Action action{ Decision::Dispatch, IdOf(aIndex), entry.mContext, RefusalReason::None, {} };
+  if (entry.mState == State::Refusing) {
+    action.mDecision = Decision::Refused;
+    action.mReason = entry.mReason;
+    action.mRetryAfter = ForCapacity(entry.mReason) ? RetryAfter(entry.mRank) : Duration{};
+  }
+  return action;
+}
+
+size_t AdmissionController::Poll(std::span<Action> aActions)
+{
+  const SteadyTime now = mClock.Now();
+  if (now - mIntervalStart >= kLevelInterval) {
+    UpdateLevel(now);
+  }
+  RefuseLate(now);
+  size_t count = 0;
+  while (count < aActions.size()) {
+    if (mRefusing.mHead != kNone) {
+      const uint32_t index = mRefusing.mHead;
+      aActions[count++] = Report(index);
+      Unlink(mRefusing, index);
+      Release(index);
+      continue;
+    }
+    if (mQueued == 0 || mInFlight >= Limit()) {
+      break;
+    }
+    Rank& rank = mRanks[NextRank()];
+    const uint32_t index = FirstOf(rank);
+    const Entry& entry = mEntries[index];
+    if (!CanFinish(rank, now, 0, entry.mDeadline)) {
+      RefuseQueued(index, RefusalReason::DeadlineTooClose);
+      continue;
+    }
+    const uint8_t bucket = entry.mBucket;
+    Dequeue(index);
+    if (rank.mBuckets[bucket].mCount > 0) {
+      // Round robin: the caller's bucket goes to the end of the ring.
+      rank.mActiveHead = (rank.mActiveHead + 1) % kBuckets;
+      rank.mActive[(rank.mActiveHead + rank.mActiveCount - 1) % kBuckets] = bucket;
+    }
+    StartDispatch(index, now);
+    aActions[count++] = Report(index);
+  }
+  return count;
+}
+
+SteadyTime AdmissionController::NextDeadline() const
+{
+  if (mRefusing.mHead != kNone || (mQueued > 0 && mInFlight < Limit())) {
+    return mClock.Now();
+  }
+  SteadyTime next = SteadyTime::max();
+  if (mHeapSize > 0 && mEntries[mHeap[0]].mLatestStart != SteadyTime::max()) {
+    // Poll() refuses what is past its latest start.
+    next = mEntries[mHeap[0]].mLatestStart + Duration(1);
+  }
+  if (mLevel > 0 || mQueued > 0) {
+    next = std::min(next, mIntervalStart + kLevelInterval);
+  }
+  return next;
+}
+
+void AdmissionController::End(uint32_t aIndex, Outcome aOutcome, std::optional<Duration> aService)
+{
+  const SteadyTime now = mClock.Now();
+  const Entry& entry = mEntries[aIndex];
+  Rank& rank = mRanks[entry.mRank];
+  --mInFlight;
+  if (aOutcome == Outcome::Cancelled) {
+    ++rank.mStats.mCancelled;
+  } else {
+    ++rank.mStats.mCompleted;
+  }
+  if (aOutcome == Outcome::Success || aOutcome == Outcome::TimedOut) {
+    const Duration service = std::max(Duration(1), aService.value_or(now - entry.mDispatched));
+    rank.mService += (Seconds(service) - rank.mService) * kSampleWeight;
+    mService += (Seconds(service) - mService) * kSampleWeight;
+    mLimit.OnSample(entry.mRank, entry.mDispatched, service, now);
+  } else if (aOutcome == Outcome::Overloaded) {
+    mLimit.OnOverload(now);
+  }
+  Release(aIndex);
+}
+
+bool AdmissionController::Complete(AdmissionId aId, Outcome aOutcome,
+                                   std::optional<Duration> aService)
+{
+  const uint32_t index = Find(aId);
+  if (index == kNone || mEntries[index].mState != State::InFlight) {
+    return false;
+  }
+  End(index, aOutcome, aService);
+  return true;
+}
+
+bool AdmissionController::Cancel(AdmissionId aId)
+{
+  const uint32_t index = Find(aId);
+  if (index == kNone || mEntries[index].mState == State::Refusing) {
+    return false;
+  }
+  if (mEntries[index].mState == State::InFlight) {
+    End(index, Outcome::Cancelled, {});
+    return true;
+  }
+  ++mRanks[mEntries[index].mRank].mStats.mCancelled;
+  Dequeue(index);
+  Release(index);
+  return true;
+}
+
+AdmissionStats AdmissionController::Stats() const
+{
+  AdmissionStats stats;
+  stats.mRankCount = mPolicy.mRankCount;
+  for (size_t i = 0; i < mPolicy.mRankCount; ++i) {
+    stats.mRanks[i] = mRanks[i].mStats;
+    stats.mRanks[i].mQueued = mRanks[i].mQueued;
+    stats.mRanks[i].mTypicalService = FromSeconds(mRanks[i].mService);
+  }
+  stats.mInFlight = mInFlight;
+  stats.mQueued = mQueued;
+  stats.mLimit = Limit();
+  stats.mShedLevel = ShedLevel();
+  stats.mQueueDelay = FromSeconds(mQueued * SecondsPerDispatch());
+  return stats;
+}
+
+// Shed level.
+
+uint32_t AdmissionController::ShedLevel() const
+{
+  if (!mPolicy.mShedLevel) {
+    return 0;
+  }
+  return mClock.Now() < mDownstreamUntil ? std::max(mLevel, mDownstreamLevel) : mLevel;
+}
+
+void AdmissionController::ReportDownstreamLevel(uint32_t aLevel)
+{
+  mDownstreamLevel = aLevel;
+  mDownstreamUntil = mClock.Now() + kDownstreamValidity;
+}
+
+// The level follows the least queue length of an interval: a queue that was empty at some time is
+// a burst, not overload.
+void AdmissionController::UpdateLevel(SteadyTime aNow)
+{
+  const double delay = mIntervalMinQueued * SecondsPerDispatch();
+  const double refused =
+    mIntervalOffered == 0 ? 0 : static_cast<double>(mIntervalRefused) / mIntervalOffered;
+  if (delay > Seconds(mPolicy.mQueueTarget)) {
+    mCalmIntervals = 0;
+    RaiseLevel(std::clamp((refused - kWantedRefusals) / 2, kMinRaise, kMaxRaise));
+  } else if (mLevel > 0) {
+    LowerLevel();
+    ++mCalmIntervals;
+  }
+  for (size_t i = 0; i < mPolicy.mRankCount * kShedCohorts; ++i) {
+    mArrivals[i] *= i < mLevel ? kShedArrivalDecay : kArrivalDecay;
+  }
+  mIntervalStart = aNow;
+  mIntervalOffered = 0;
+  mIntervalDispatched = 0;
+  mIntervalRefused = 0;
+  mIntervalMinQueued = mQueued;
+}
+
+void AdmissionController::RaiseLevel(double aShare)
+{
+  const auto last = static_cast<uint32_t>(mPolicy.mRankCount) * kShedCohorts - 1;
+  double total = 0;
+  for (uint32_t step = mLevel; step <= last; ++step) {
+    total += mArrivals[step];
+  }
+  double shed = 0;
+  while (mLevel < last && shed < aShare * total) {
+    shed += mArrivals[mLevel++];
+  }
+}
+
+void AdmissionController::LowerLevel()
+{
+  const double share = std::min(kMaxLower, kMinLower * std::pow(kLowerGrowth, mCalmIntervals));
+  // The arrivals are a decaying sum, equal to 1 / (1 - decay) intervals.
+  const double wanted = share * mIntervalDispatched / (1 - kArrivalDecay);
+  double restored = 0;
+  for (uint32_t step = 0; step < kMaxLowerSteps && mLevel > 0 && restored <= wanted; ++step) {
+    restored += mArrivals[--mLevel];
+  }
+}
+
+} // namespace balsammount
