Add retry budgets

Change: RequestBudget counts the retries of a whole call tree and is move-only. RetryRatio bounds the retries of a service to a share of its first attempts, with a floor for a quiet service. CallerBudget holds a caller that resends a failed request to the attempts of one request, in fixed memory. ShouldRetry decides with a typed reason and takes nothing.

--- /dev/null
+++ b/packages/retry/src/retry.cpp
@@ -0,0 +1,270 @@
+#include "balsammount/retry.h"
+
+#include "balsammount/hash.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+// Most credit from requests that delays the floor, in retries.
+constexpr double kMaxAhead = 1;
+
+// Tolerance for sums of ratios such as ten times 0.1.
+constexpr double kEpsilon = 1e-9;
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+std::error_code make_error_code(RetryError aError)
+{
+  static constexpr std::array<const char*, 2> kMessages = { "success",
+                                                            "caller is over its retry budget" };
+  static const EnumCategory sCategory("balsammount.retry", kMessages);
+  return { static_cast<int>(aError), sCategory };
+}
+
+bool RequestBudget::Take()
+{
+  if (mLeft == 0) {
+    return false;
+  }
+  --mLeft;
+  return true;
+}
+
+RequestBudget RequestBudget::Split(uint32_t aRetries)
+{
+  const uint32_t moved = std::min(aRetries, mLeft);
+  mLeft -= moved;
+  mGranted -= moved;
+  return RequestBudget(moved);
+}
+
+RequestBudget RequestBudget::SplitShare(uint32_t aBranches)
+{
+  const uint32_t branches = std::max<uint32_t>(aBranches, 1);
+  return Split(mLeft / branches + (mLeft % branches != 0 ? 1 : 0));
+}
+
+void RequestBudget::LimitTo(uint32_t aReported)
+{
+  mLeft = std::min(mLeft, aReported);
+}
+
+void RequestBudget::Return(RequestBudget&& aUnspent)
+{
+  RequestBudget unspent(std::move(aUnspent));
+  mGranted += unspent.mGranted;
+  mLeft += unspent.mLeft;
+}
+
+RetryRatio::RetryRatio(const Clock& aClock, const RetryRatioPolicy& aPolicy)
+  : mClock(aClock)
+  , mPolicy(aPolicy)
+  , mRefilled(aClock.Now())
+  , mTokens(std::min(1.0, aPolicy.mBurst))
+{
+}
+
+double RetryRatio::FloorCredit(SteadyTime aNow) const
+{
+  return std::max(0.0, Seconds(aNow - mRefilled)) * mPolicy.mFloorPerSecond;
+}
+
+void RetryRatio::Refill()
+{
+  const SteadyTime now = mClock.Now();
+  const double floor = FloorCredit(now);
+  const double covered = std::min(floor, mAhead);
+  mAhead -= covered;
+  mTokens = std::min(mPolicy.mBurst, mTokens + floor - covered);
+  mRefilled = std::max(mRefilled, now);
+}
+
+void RetryRatio::OnRequest()
+{
+  Refill();
+  mTokens = std::min(mPolicy.mBurst, mTokens + mPolicy.mRatio);
+  mAhead = std::min(kMaxAhead, mAhead + mPolicy.mRatio);
+}
+
+bool RetryRatio::CanRetry() const
+{
+  const double floor = FloorCredit(mClock.Now());
+  const double tokens = mTokens + floor - std::min(floor, mAhead);
+  return std::min(mPolicy.mBurst, tokens) >= 1 - kEpsilon;
+}
+
+bool RetryRatio::TryRetry()
+{
+  Refill();
+  if (mTokens < 1 - kEpsilon) {
+    return false;
+  }
+  mTokens = std::max(0.0, mTokens - 1);
+  return true;
+}
+
+void RetryRatio::SetPolicy(const RetryRatioPolicy& aPolicy)
+{
+  Refill();
+  mPolicy = aPolicy;
+  mTokens = std::min(mTokens, mPolicy.mBurst);
+}
+
+const char* RetryReasonName(RetryReason aReason)
+{
+  static constexpr std::array<const char*, 7> kNames = {
+    "retry",        "completed",      "refused-everywhere", "not-idempotent",
+    "budget-spent", "ratio-exceeded", "deadline-too-close"
+  };
+  return kNames[static_cast<size_t>(aReason)];
+}
+
+RetryReason ShouldRetry(AttemptOutcome aOutcome, bool aIdempotent, const RequestBudget& aBudget,
+                        const RetryRatio& aRatio, Duration aRemaining, Duration aExpected)
+{
+  if (aOutcome == AttemptOutcome::Complete) {
+    return RetryReason::Completed;
+  }
+  if (aOutcome == AttemptOutcome::NotRunEverywhere) {
+    return RetryReason::RefusedEverywhere;
+  }
+  if (aOutcome == AttemptOutcome::Unknown && !aIdempotent) {
+    return RetryReason::NotIdempotent;
+  }
+  if (aRemaining <= aExpected || aRemaining <= Duration::zero()) {
+    return RetryReason::DeadlineTooClose;
+  }
+  if (aBudget.Left() == 0) {
+    return RetryReason::BudgetSpent;
+  }
+  return aRatio.CanRetry() ? RetryReason::Retry : RetryReason::RatioExceeded;
+}
+
+RetryReason TakeRetry(AttemptOutcome aOutcome, bool aIdempotent, RequestBudget& aBudget,
+                      RetryRatio& aRatio, Duration aRemaining, Duration aExpected)
+{
+  const RetryReason reason =
+    ShouldRetry(aOutcome, aIdempotent, aBudget, aRatio, aRemaining, aExpected);
+  if (reason != RetryReason::Retry) {
+    return reason;
+  }
+  if (!aRatio.TryRetry()) {
+    return RetryReason::RatioExceeded;
+  }
+  return aBudget.Take() ? RetryReason::Retry : RetryReason::BudgetSpent;
+}
+
+CallerBudget::CallerBudget(const Clock& aClock, const CallerBudgetPolicy& aPolicy)
+  : mClock(aClock)
+  , mPolicy(aPolicy)
+  , mEntries(std::max<size_t>(1, (aPolicy.mEntries + kWays - 1) / kWays) * kWays)
+{
+}
+
+size_t CallerBudget::SetOf(uint64_t aIdentity) const
+{
+  return HashCombine(aIdentity, 0) % (mEntries.size() / kWays) * kWays;
+}
+
+float CallerBudget::ChargeOf(const Entry& aEntry, SteadyTime aNow) const
+{
+  const double window = std::max(Seconds(mPolicy.mWindow), 1e-9);
+  const double back = Seconds(aNow - aEntry.mUpdated) * mPolicy.mAttempts / window;
+  return std::max(0.0F, aEntry.mCharge - static_cast<float>(std::max(0.0, back)));
+}
+
+const CallerBudget::Entry* CallerBudget::Find(uint64_t aIdentity) const
+{
+  const size_t set = SetOf(aIdentity);
+  for (size_t i = set; i < set + kWays; ++i) {
+    if (mEntries[i].mCharge > 0 && mEntries[i].mIdentity == aIdentity) {
+      return &mEntries[i];
+    }
+  }
+  return nullptr;
+}
+
+CallerBudget::Entry* CallerBudget::Find(uint64_t aIdentity)
+{
+  return const_cast<Entry*>(std::as_const(*this).Find(aIdentity));
+}
+
+CallerBudget::Entry& CallerBudget::Place(uint64_t aIdentity, SteadyTime aNow)
+{
+  const size_t set = SetOf(aIdentity);
+  Entry* victim = &mEntries[set];
+  for (size_t i = set; i < set + kWays; ++i) {
+    const auto key = [&](const Entry& aEntry) {
+      return std::make_pair(ChargeOf(aEntry, aNow), aEntry.mUpdated);
+    };
+    if (key(mEntries[i]) < key(*victim)) {
+      victim = &mEntries[i];
+    }
+  }
+  *victim = Entry{ aIdentity, aNow, 0 };
+  return *victim;
+}
+
+Result<CallerSend> CallerBudget::Open(uint64_t aIdentity)
+{
+  Entry* entry = Find(aIdentity);
+  if (!entry) {
+    return CallerSend{ RequestBudget::ForAttempts(mPolicy.mAttempts), 0 };
+  }
+  const SteadyTime now = mClock.Now();
+  entry->mCharge = ChargeOf(*entry, now);
+  entry->mUpdated = now;
+  const float left = static_cast<float>(mPolicy.mAttempts) - entry->mCharge;
+  // The tolerance covers the rounding of RetryAfter to float and nanoseconds.
+  if (left < 1 - 1e-3F) {
+    return Failure{ RetryError::CallerOverBudget, {} };
+  }
+  const auto attempts = std::max<uint32_t>(1, static_cast<uint32_t>(left));
+  entry->mCharge += static_cast<float>(attempts);
+  return CallerSend{ RequestBudget::ForAttempts(attempts), attempts };
+}
+
+void CallerBudget::Close(uint64_t aIdentity, CallerSend&& aSend, AttemptOutcome aOutcome)
+{
+  const CallerSend send(std::move(aSend));
+  Entry* entry = Find(aIdentity);
+  if (aOutcome == AttemptOutcome::Complete) {
+    if (entry) {
+      *entry = Entry{};
+    }
+    return;
+  }
+  const SteadyTime now = mClock.Now();
+  Entry& target = entry ? *entry : Place(aIdentity, now);
+  const auto used = static_cast<float>(1 + send.mBudget.Spent());
+  const float charged = entry ? static_cast<float>(send.mCharged) : 0;
+  // A bounded charge keeps RetryAfter within one window after a burst of concurrent failures.
+  target.mCharge = std::clamp(ChargeOf(target, now) + used - charged, 0.0F,
+                              static_cast<float>(std::max<uint32_t>(1, mPolicy.mAttempts)));
+  target.mUpdated = now;
+}
+
+Duration CallerBudget::RetryAfter(uint64_t aIdentity) const
+{
+  const Entry* entry = Find(aIdentity);
+  if (!entry) {
+    return Duration::zero();
+  }
+  const float excess = ChargeOf(*entry, mClock.Now()) + 1 - static_cast<float>(mPolicy.mAttempts);
+  if (excess <= 1e-3F) {
+    return Duration::zero();
+  }
+  return std::chrono::duration_cast<Duration>(mPolicy.mWindow * static_cast<double>(excess) /
+                                              mPolicy.mAttempts);
+}
+
+} // namespace balsammount
