--- /dev/null
+++ b/packages/store/include/balsammount/etcd_store.h
@@ -0,0 +1,51 @@
+// Adapter for a store that speaks the JSON form of the etcd v3 API (published gateway, /v3/...).
+#pragma once
+
+#include "balsammount/store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <vector>
+
+namespace balsammount {
+
+struct EtcdStoreSettings
+{
+  std::vector<boost::asio::ip::tcp::endpoint> mEndpoints; // at least one; tried in turn
+  std::chrono::milliseconds mTimeout{ 2000 };             // of a whole call, over all endpoints
+  // A watch that receives nothing for this time may be on a silent connection and reconnects. The
+  // cost is one call per watch and interval.
+  std::chrono::milliseconds mWatchIdleTimeout{ 5000 };
+  // Pause before a failed watch reconnects; doubles up to the maximum, with jitter, so that the
+  // watchers of a fleet do not all come back at once.
+  std::chrono::milliseconds mMinReconnectDelay{ 100 };
+  std::chrono::milliseconds mMaxReconnectDelay{ 3000 };
+  uint64_t mSeed = 1; // of the jitter
+};
+
+class EtcdStore final : public Store
+{
+public:
+  EtcdStore(boost::asio::io_context& aContext, EtcdStoreSettings aSettings);
+  ~EtcdStore() override;
+  EtcdStore(const EtcdStore&) = delete;
+  EtcdStore& operator=(const EtcdStore&) = delete;
+
+  void Get(std::string aKey, StoreCallback<StoreRead> aCallback) override;
+  void CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue, LeaseId aLease,
+                      StoreCallback<Revision> aCallback) override;
+  void Delete(std::string aKey, Revision aExpected, StoreCallback<Revision> aCallback) override;
+  void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<StoreLease> aCallback) override;
+  void KeepAlive(LeaseId aLease, StoreCallback<std::chrono::seconds> aCallback) override;
+  void RevokeLease(LeaseId aLease, StoreCallback<void> aCallback) override;
+  std::unique_ptr<StoreWatch> Watch(std::string aKey, Revision aFrom,
+                                    WatchCallback aCallback) override;
+
+  struct State;
+
+private:
+  std::shared_ptr<State> mState;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/store/include/balsammount/fake_store.h
@@ -0,0 +1,66 @@
+// A deterministic store in memory, for the unit tests of other packages.
+#pragma once
+
+#include "balsammount/key_value_model.h"
+
+#include <vector>
+
+namespace balsammount {
+
+struct FakeStoreFaults
+{
+  bool mDown = false;        // calls fail with Unavailable and have no effect; watches stand still
+  bool mLoseAnswers = false; // writes take effect and fail with Unknown
+  Duration mDelay{ 0 };      // calls take effect at once and are answered this much later
+};
+
+// Calls take effect when they are made. Answers and watch events are delivered by Poll, in order,
+// once they are due on the clock. A call that would be answered after its timeout fails when it is
+// due, a read with TimedOut and a write with Unknown.
+class FakeStore final : public Store
+{
+public:
+  explicit FakeStore(const Clock& aClock, Duration aTimeout = std::chrono::seconds(2));
+  ~FakeStore() override;
+
+  void Get(std::string aKey, StoreCallback<StoreRead> aCallback) override;
+  void CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue, LeaseId aLease,
+                      StoreCallback<Revision> aCallback) override;
+  void Delete(std::string aKey, Revision aExpected, StoreCallback<Revision> aCallback) override;
+  void GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<StoreLease> aCallback) override;
+  void KeepAlive(LeaseId aLease, StoreCallback<std::chrono::seconds> aCallback) override;
+  void RevokeLease(LeaseId aLease, StoreCallback<void> aCallback) override;
+  std::unique_ptr<StoreWatch> Watch(std::string aKey, Revision aFrom,
+                                    WatchCallback aCallback) override;
+
+  // Expires leases and makes every callback that is due, also the ones that these lead to.
+  void Poll();
+
+  FakeStoreFaults mFaults;
+  size_t mCalls = 0; // a watch counts as one
+  // For arranging a test, and for changes by others.
+  KeyValueModel& Model() { return mModel; }
+
+private:
+  struct Watcher;
+  class Handle;
+  struct Answer
+  {
+    SteadyTime mDue;
+    std::function<void()> mRun;
+  };
+
+  template <class T>
+  void Reply(StoreCallback<T> aCallback, StoreError aLost, std::function<StoreResult<T>()> aApply);
+  std::optional<StoreFailure> CheckExpected(const std::string& aKey, Revision aExpected) const;
+  bool DeliverAnswer();
+  bool DeliverEvents();
+
+  const Clock& mClock;
+  Duration mTimeout;
+  KeyValueModel mModel;
+  std::vector<Answer> mAnswers;
+  std::vector<std::shared_ptr<Watcher>> mWatchers;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/store/include/balsammount/key_value_model.h
@@ -0,0 +1,84 @@
+// An in-memory key-value model with revisions, leases and history, for the test doubles of the
+// store.
+#pragma once
+
+#include "balsammount/clock.h"
+#include "balsammount/store.h"
+
+#include <map>
+#include <vector>
+
+namespace balsammount {
+
+struct ModelEntry
+{
+  std::string mValue;
+  Revision mCreateRevision = 0;
+  Revision mModRevision = 0;
+  int64_t mVersion = 0; // writes since the key was created
+  LeaseId mLease = kNoLease;
+};
+
+struct ModelEvent
+{
+  std::string mKey;
+  std::optional<ModelEntry> mEntry; // nothing when the key was deleted
+  Revision mRevision = 0;
+};
+
+class KeyValueModel
+{
+public:
+  explicit KeyValueModel(const Clock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  Revision CurrentRevision() const { return mRevision; }
+  const ModelEntry* Find(const std::string& aKey) const;
+  // The entries with aKey <= key < aEnd.
+  std::vector<std::pair<std::string, ModelEntry>> Range(const std::string& aKey,
+                                                        const std::string& aEnd) const;
+  // kAbsent when the key does not exist.
+  Revision ModRevision(const std::string& aKey) const;
+
+  // False when the lease does not exist; nothing changes then.
+  bool Put(const std::string& aKey, std::string aValue, LeaseId aLease);
+  // False when the key does not exist; the revision stays then.
+  bool Delete(const std::string& aKey);
+
+  LeaseId Grant(std::chrono::seconds aTimeToLive, LeaseId aWanted = kNoLease);
+  // Nothing when the lease does not exist.
+  std::optional<std::chrono::seconds> KeepAlive(LeaseId aLease);
+  bool Revoke(LeaseId aLease);
+  // Revokes what has run out.
+  void ExpireLeases();
+  void ExpireAllLeases();
+  size_t LeaseCount() const { return mLeases.size(); }
+
+  // The changes from aFrom on. Nothing when the history before aFrom + 1 was dropped.
+  std::optional<std::vector<ModelEvent>> EventsFrom(Revision aFrom) const;
+  Revision CompactRevision() const { return mCompactRevision; }
+  // Drops the history up to and with aRevision.
+  void Compact(Revision aRevision);
+
+private:
+  struct Lease
+  {
+    std::chrono::seconds mTimeToLive;
+    SteadyTime mEnd;
+  };
+
+  void Append(const std::string& aKey, std::optional<ModelEntry> aEntry);
+  void DeleteKeysOf(LeaseId aLease);
+
+  const Clock& mClock;
+  Revision mRevision = 1;
+  Revision mCompactRevision = 0;
+  LeaseId mLastLease = 1000;
+  std::map<std::string, ModelEntry> mEntries;
+  std::map<LeaseId, Lease> mLeases;
+  std::vector<ModelEvent> mHistory;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/store/src/etcd_store.cpp
@@ -0,0 +1,569 @@
+#include "balsammount/etcd_store.h"
+
+#include "balsammount/http_client.h"
+#include "balsammount/random.h"
+#include "etcd_json.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <spdlog/spdlog.h>
+
+#include <map>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using etcd::Json;
+using std::chrono::steady_clock;
+
+namespace {
+
+// A value of 1 MB is 1.4 MB in base64, and the answer to a failed transaction carries one.
+constexpr size_t kMaxAnswerBytes = 4 * 1024 * 1024;
+
+enum class Kind
+{
+  Read,
+  Write,
+};
+
+HttpRequest MakeRequest(std::string_view aPath, const Json& aBody)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = aPath;
+  request.mHeaders.Set("Content-Type", "application/json");
+  request.mBody = aBody.dump();
+  return request;
+}
+
+// How an attempt at one endpoint ended.
+struct Attempt
+{
+  std::optional<std::string> mBody; // of an answer with status 200
+  std::optional<StoreFailure> mFailure;
+  bool mMayTryOther = false;
+};
+
+Attempt Failed(StoreError aError, std::string aDetail, bool aMayTryOther = false)
+{
+  return { std::nullopt, StoreFailure(aError, std::move(aDetail)), aMayTryOther };
+}
+
+// A write is sent to another endpoint only when the first one certainly did not take it.
+Attempt FromTransport(const Failure& aFailure, Kind aKind)
+{
+  std::string detail = Describe(aFailure);
+  if (ProvesNotRun(aFailure.mCode)) {
+    return Failed(StoreError::Unavailable, std::move(detail), true);
+  }
+  if (aKind == Kind::Write) {
+    return Failed(StoreError::Unknown, std::move(detail));
+  }
+  if (aFailure.mCode == TransportError::TimedOut) {
+    return Failed(StoreError::TimedOut, std::move(detail), true);
+  }
+  if (aFailure.mCode == TransportError::TooLarge) {
+    return Failed(StoreError::Malformed, std::move(detail));
+  }
+  return Failed(StoreError::Unavailable, std::move(detail), true);
+}
+
+Attempt FromResponse(HttpResponse&& aResponse, Kind aKind)
+{
+  if (aResponse.mStatus == 200) {
+    return { std::move(aResponse.mBody), std::nullopt, false };
+  }
+  const std::string text = etcd::ErrorText(aResponse.mBody);
+  std::string detail = "status " + std::to_string(aResponse.mStatus) + ": " + text;
+  const auto says = [&](std::string_view aPhrase) { return text.find(aPhrase) != text.npos; };
+  if (says("lease not found")) {
+    return Failed(StoreError::LeaseNotFound, std::move(detail));
+  }
+  if (aResponse.mStatus == 413 || says("request is too large")) {
+    return Failed(StoreError::TooLarge, std::move(detail));
+  }
+  // Without a leader the server refuses a call before it proposes it. Every other 5xx answer to a
+  // write can come after the proposal.
+  if (aResponse.mStatus < 500 || aKind == Kind::Read || says("no leader")) {
+    return Failed(StoreError::Unavailable, std::move(detail), aResponse.mStatus >= 500);
+  }
+  return Failed(StoreError::Unknown, std::move(detail));
+}
+
+} // namespace
+
+struct EtcdStore::State : std::enable_shared_from_this<State>
+{
+  struct Operation
+  {
+    std::string mPath;
+    Json mBody;
+    Kind mKind = Kind::Read;
+    steady_clock::time_point mDeadline;
+    size_t mTries = 0;
+    // Reads the body of an answer; throws MalformedMessage.
+    std::function<void(const std::string&)> mOnBody;
+    std::function<void(StoreFailure)> mOnFailure;
+  };
+
+  State(asio::io_context& aContext, EtcdStoreSettings aSettings)
+    : mContext(aContext)
+    , mSettings(std::move(aSettings))
+    , mRandom(mSettings.mSeed)
+  {
+    HttpClientLimits limits;
+    limits.mMaxBodyBytes = kMaxAnswerBytes;
+    const auto endpoints = static_cast<int>(mSettings.mEndpoints.size());
+    limits.mConnectTimeout = mSettings.mTimeout / std::max(endpoints, 1);
+    for (const auto& endpoint : mSettings.mEndpoints) {
+      mClients.push_back(std::make_unique<HttpClient>(aContext, endpoint, limits));
+    }
+  }
+
+  HttpClient& Preferred() { return *mClients[mPreferred]; }
+  void PreferNext() { mPreferred = (mPreferred + 1) % mClients.size(); }
+
+  // Makes a call whose body aParse turns into the result.
+  template <class T>
+  void Start(Kind aKind, std::string aPath, Json aBody, StoreCallback<T> aCallback,
+             std::function<StoreResult<T>(const std::string&)> aParse)
+  {
+    auto operation = std::make_shared<Operation>();
+    operation->mPath = std::move(aPath);
+    operation->mBody = std::move(aBody);
+    operation->mKind = aKind;
+    operation->mDeadline = steady_clock::now() + mSettings.mTimeout;
+    operation->mOnBody = [aCallback, parse = std::move(aParse)](const std::string& aText) {
+      // The callback is outside of the parser's exceptions.
+      const StoreResult<T> result = parse(aText);
+      aCallback(result);
+    };
+    operation->mOnFailure = [aCallback](StoreFailure aFailure) {
+      aCallback(StoreResult<T>(std::move(aFailure)));
+    };
+    Try(operation);
+  }
+
+  void Try(const std::shared_ptr<Operation>& aOperation)
+  {
+    const std::chrono::nanoseconds left = aOperation->mDeadline - steady_clock::now();
+    // A read leaves time for the endpoints that were not tried; a write waits for its answer.
+    const auto others = static_cast<int64_t>(mClients.size() - aOperation->mTries);
+    const auto timeout = aOperation->mKind == Kind::Read ? left / others : left;
+    ++aOperation->mTries;
+    const uint64_t id = ++mLastCall;
+    const size_t endpoint = mPreferred;
+    mCalls[id] = Preferred().Send(
+      MakeRequest(aOperation->mPath, aOperation->mBody), timeout,
+      [this, self = shared_from_this(), id, endpoint, aOperation](Result<HttpResponse> aResult) {
+        mCalls.erase(id);
+        const Kind kind = aOperation->mKind;
+        Conclude(aOperation, endpoint,
+                 aResult ? FromResponse(std::move(*aResult), kind)
+                         : FromTransport(aResult.error(), kind));
+      });
+  }
+
+  void Conclude(const std::shared_ptr<Operation>& aOperation, size_t aEndpoint, Attempt aAttempt)
+  {
+    if (!aAttempt.mFailure) {
+      Read(*aOperation, *aAttempt.mBody);
+      return;
+    }
+    const StoreFailure& failure = *aAttempt.mFailure;
+    const bool endpointFailed = failure.mCode == StoreError::Unavailable ||
+                                failure.mCode == StoreError::TimedOut ||
+                                failure.mCode == StoreError::Unknown;
+    // Another call may have moved on already.
+    if (endpointFailed && mPreferred == aEndpoint) {
+      PreferNext();
+    }
+    if (aAttempt.mMayTryOther && aOperation->mTries < mClients.size() &&
+        steady_clock::now() < aOperation->mDeadline) {
+      Try(aOperation);
+      return;
+    }
+    aOperation->mOnFailure(failure);
+  }
+
+  static void Read(const Operation& aOperation, const std::string& aBody)
+  {
+    std::string problem;
+    try {
+      aOperation.mOnBody(aBody);
+      return;
+    } catch (const etcd::MalformedMessage& error) {
+      problem = error.what();
+    }
+    // A write whose answer cannot be read has probably taken effect.
+    aOperation.mOnFailure(StoreFailure(
+      aOperation.mKind == Kind::Write ? StoreError::Unknown : StoreError::Malformed, problem));
+  }
+
+  void Get(const std::string& aKey, StoreCallback<StoreRead> aCallback)
+  {
+    Start<StoreRead>(Kind::Read, "/v3/kv/range", etcd::RangeRequest(aKey), std::move(aCallback),
+                     [](const std::string& aBody) -> StoreResult<StoreRead> {
+                       const Json message = etcd::ParseObject(aBody);
+                       return StoreRead{ etcd::EntryOf(message), etcd::HeaderRevision(message) };
+                     });
+  }
+
+  void Transact(Json aTransaction, std::string aKey, StoreCallback<Revision> aCallback)
+  {
+    Start<Revision>(Kind::Write, "/v3/kv/txn", std::move(aTransaction), std::move(aCallback),
+                    [key = std::move(aKey)](const std::string& aBody) {
+                      return etcd::TransactionOutcome(etcd::ParseObject(aBody), key);
+                    });
+  }
+
+  asio::io_context& mContext;
+  EtcdStoreSettings mSettings;
+  Random mRandom;
+  std::vector<std::unique_ptr<HttpClient>> mClients;
+  size_t mPreferred = 0;
+  std::map<uint64_t, std::shared_ptr<Call>> mCalls;
+  uint64_t mLastCall = 0;
+  bool mStopped = false;
+};
+
+namespace {
+
+// One watch over its successive connections.
+class WatchLoop : public std::enable_shared_from_this<WatchLoop>
+{
+public:
+  WatchLoop(std::shared_ptr<EtcdStore::State> aState, std::string aKey, Revision aFrom,
+            WatchCallback aCallback)
+    : mState(std::move(aState))
+    , mTimer(mState->mContext)
+    , mKey(std::move(aKey))
+    , mNext(aFrom)
+    , mCallback(std::move(aCallback))
+  {
+  }
+
+  void Connect()
+  {
+    if (IsOver()) {
+      return;
+    }
+    mBuffer.clear();
+    mCreated = false;
+    mStatus = 0;
+    StreamCallbacks callbacks;
+    // Events of an abandoned connection are ignored.
+    const uint64_t connection = ++mConnection;
+    const auto self = shared_from_this();
+    const auto isCurrent = [self, connection] {
+      return !self->IsOver() && self->mConnection == connection;
+    };
+    callbacks.mOnHead = [self, isCurrent](const HttpResponse& aHead) {
+      if (isCurrent()) {
+        self->mStatus = aHead.mStatus;
+      }
+    };
+    callbacks.mOnPiece = [self, isCurrent](std::string_view aPiece) {
+      if (isCurrent()) {
+        self->OnPiece(aPiece);
+      }
+    };
+    callbacks.mOnEnd = [self, isCurrent](const Result<void>& aResult) {
+      if (isCurrent()) {
+        self->OnEnd(aResult);
+      }
+    };
+    mCall = mState->Preferred().Stream(MakeRequest("/v3/watch", etcd::WatchRequest(mKey, mNext)),
+                                       mState->mSettings.mWatchIdleTimeout, std::move(callbacks));
+  }
+
+  void Cancel()
+  {
+    mCancelled = true;
+    Disconnect();
+    mTimer.cancel();
+  }
+
+private:
+  bool IsOver() const { return mCancelled || mState->mStopped; }
+
+  void Disconnect()
+  {
+    ++mConnection;
+    if (auto call = std::exchange(mCall, nullptr)) {
+      call->Cancel();
+    }
+  }
+
+  void OnPiece(std::string_view aPiece)
+  {
+    mBuffer += aPiece;
+    const uint64_t connection = mConnection;
+    size_t start = 0;
+    for (size_t end = mBuffer.find('\n'); end != std::string::npos;
+         end = mBuffer.find('\n', start)) {
+      const std::string line = mBuffer.substr(start, end - start);
+      start = end + 1;
+      OnLine(line);
+      if (IsOver() || mConnection != connection) {
+        return;
+      }
+    }
+    mBuffer.erase(0, start);
+    if (mBuffer.size() > kMaxAnswerBytes) {
+      Retry("message too large");
+    }
+  }
+
+  void OnLine(const std::string& aLine)
+  {
+    if (aLine.empty()) {
+      return;
+    }
+    etcd::WatchMessage message;
+    try {
+      message = etcd::ParseWatchMessage(aLine);
+    } catch (const etcd::MalformedMessage& error) {
+      Retry(error.what());
+      return;
+    }
+    if (message.mCancelled) {
+      Resync();
+      return;
+    }
+    if (message.mCreated) {
+      OnCreated(message.mRevision);
+      return;
+    }
+    Deliver(message);
+  }
+
+  void OnCreated(Revision aRevision)
+  {
+    mCreated = true;
+    if (mNext == 0) {
+      mNext = aRevision + 1;
+    }
+    // The store lost its data, or this endpoint lags behind: only a read can tell.
+    if (aRevision + 1 < mNext) {
+      Resync();
+    } else {
+      mDelay = {};
+    }
+  }
+
+  void Deliver(const etcd::WatchMessage& aMessage)
+  {
+    for (const WatchEvent& event : aMessage.mEvents) {
+      if (event.mModRevision >= mNext) {
+        Report(event, event.mModRevision + 1);
+        if (IsOver()) {
+          return;
+        }
+      }
+    }
+    // A message without events states that nothing happened up to its revision.
+    if (aMessage.mEvents.empty()) {
+      mNext = std::max(mNext, aMessage.mRevision + 1);
+    }
+  }
+
+  void Report(const WatchEvent& aEvent, Revision aNext)
+  {
+    mNext = aNext;
+    mIsDeleted = !aEvent.mValue;
+    mCallback(aEvent);
+  }
+
+  // Reads the latest state, because the store has dropped the changes from mNext on.
+  void Resync()
+  {
+    Disconnect();
+    mState->Get(mKey, [self = shared_from_this()](const StoreResult<StoreRead>& aResult) {
+      if (self->IsOver()) {
+        return;
+      }
+      if (!aResult) {
+        self->Retry(Describe(aResult.error()));
+        return;
+      }
+      self->OnResync(*aResult);
+    });
+  }
+
+  void OnResync(const StoreRead& aRead)
+  {
+    const bool wentBack = aRead.mRevision + 1 < mNext;
+    const Revision next = aRead.mRevision + 1;
+    const auto& entry = aRead.mEntry;
+    if (wentBack) {
+      spdlog::warn("store: revision went back from {} to {}, reading {} again", mNext - 1,
+                   aRead.mRevision, mKey);
+    }
+    if (entry && (wentBack || entry->mModRevision >= mNext)) {
+      Report({ entry->mValue, entry->mModRevision }, next);
+    } else if (!entry && !mIsDeleted) {
+      Report({ std::nullopt, aRead.mRevision }, next);
+    }
+    mNext = next;
+    // An endpoint that lags behind would be read again at once.
+    mState->PreferNext();
+    ConnectLater();
+  }
+
+  void OnEnd(const Result<void>& aResult)
+  {
+    mCall = nullptr;
+    const bool isIdle = !aResult && aResult.error().mCode == TransportError::TimedOut && mCreated;
+    if (isIdle) {
+      Connect();
+      return;
+    }
+    Retry(!aResult ? Describe(aResult.error()) : "ended with status " + std::to_string(mStatus));
+  }
+
+  void Retry(const std::string& aReason)
+  {
+    Disconnect();
+    mState->PreferNext();
+    spdlog::warn("store: watch of {} was cut, reconnecting: {}", mKey, aReason);
+    ConnectLater();
+  }
+
+  void ConnectLater()
+  {
+    const auto& settings = mState->mSettings;
+    mDelay = std::clamp(mDelay * 2, settings.mMinReconnectDelay, settings.mMaxReconnectDelay);
+    mTimer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
+      mDelay * (0.5 + 0.5 * mState->mRandom.Uniform())));
+    mTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->Connect();
+      }
+    });
+  }
+
+  std::shared_ptr<EtcdStore::State> mState;
+  asio::steady_timer mTimer;
+  std::string mKey;
+  Revision mNext; // the first revision that was not reported
+  WatchCallback mCallback;
+  std::shared_ptr<Call> mCall;
+  std::string mBuffer;
+  uint64_t mConnection = 0;
+  unsigned mStatus = 0;
+  std::chrono::milliseconds mDelay{ 0 };
+  bool mCreated = false;
+  bool mIsDeleted = false; // as last reported
+  bool mCancelled = false;
+};
+
+class WatchHandle final : public StoreWatch
+{
+public:
+  explicit WatchHandle(std::shared_ptr<WatchLoop> aLoop)
+    : mLoop(std::move(aLoop))
+  {
+  }
+  ~WatchHandle() override { mLoop->Cancel(); }
+  void Cancel() override { mLoop->Cancel(); }
+
+private:
+  std::shared_ptr<WatchLoop> mLoop;
+};
+
+} // namespace
+
+EtcdStore::EtcdStore(asio::io_context& aContext, EtcdStoreSettings aSettings)
+  : mState(std::make_shared<State>(aContext, std::move(aSettings)))
+{
+}
+
+EtcdStore::~EtcdStore()
+{
+  mState->mStopped = true;
+  for (const auto& [id, call] : std::exchange(mState->mCalls, {})) {
+    call->Cancel();
+  }
+}
+
+void EtcdStore::Get(std::string aKey, StoreCallback<StoreRead> aCallback)
+{
+  mState->Get(aKey, std::move(aCallback));
+}
+
+void EtcdStore::CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue,
+                               LeaseId aLease, StoreCallback<Revision> aCallback)
+{
+  if (aValue.size() > kMaxStoreValueBytes) {
+    asio::post(mState->mContext, [state = mState, callback = std::move(aCallback),
+                                  detail = aKey + ": " + std::to_string(aValue.size()) +
+                                           " bytes exceed " + std::to_string(kMaxStoreValueBytes)] {
+      if (!state->mStopped) {
+        callback(StoreFailure(StoreError::TooLarge, detail));
+      }
+    });
+    return;
+  }
+  Json transaction = etcd::PutTransaction(aKey, aExpected, aValue, aLease);
+  mState->Transact(std::move(transaction), std::move(aKey), std::move(aCallback));
+}
+
+void EtcdStore::Delete(std::string aKey, Revision aExpected, StoreCallback<Revision> aCallback)
+{
+  Json transaction = etcd::DeleteTransaction(aKey, aExpected);
+  mState->Transact(std::move(transaction), std::move(aKey), std::move(aCallback));
+}
+
+void EtcdStore::GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<StoreLease> aCallback)
+{
+  mState->Start<StoreLease>(
+    Kind::Write, "/v3/lease/grant", { { "TTL", std::to_string(aTimeToLive.count()) } },
+    std::move(aCallback), [](const std::string& aBody) -> StoreResult<StoreLease> {
+      const Json message = etcd::ParseObject(aBody);
+      const StoreLease lease{ etcd::Integer(message, "ID"),
+                              std::chrono::seconds(etcd::Integer(message, "TTL")) };
+      if (lease.mId == kNoLease || lease.mTimeToLive.count() <= 0) {
+        throw etcd::MalformedMessage("lease without an id or time to live");
+      }
+      return lease;
+    });
+}
+
+void EtcdStore::KeepAlive(LeaseId aLease, StoreCallback<std::chrono::seconds> aCallback)
+{
+  mState->Start<std::chrono::seconds>(
+    Kind::Read, "/v3/lease/keepalive", { { "ID", std::to_string(aLease) } }, std::move(aCallback),
+    [aLease](const std::string& aBody) -> StoreResult<std::chrono::seconds> {
+      const Json message = etcd::ParseObject(aBody);
+      // The answer for a lease that has ended carries no time to live.
+      const int64_t timeToLive = etcd::Integer(etcd::Field(message, "result"), "TTL");
+      if (message.contains("error")) {
+        throw etcd::MalformedMessage(etcd::ErrorText(aBody));
+      }
+      if (timeToLive <= 0) {
+        return StoreFailure(StoreError::LeaseNotFound, std::to_string(aLease));
+      }
+      return std::chrono::seconds(timeToLive);
+    });
+}
+
+void EtcdStore::RevokeLease(LeaseId aLease, StoreCallback<void> aCallback)
+{
+  mState->Start<void>(Kind::Write, "/v3/lease/revoke", { { "ID", std::to_string(aLease) } },
+                      std::move(aCallback), [](const std::string& aBody) -> StoreResult<void> {
+                        etcd::HeaderRevision(etcd::ParseObject(aBody));
+                        return {};
+                      });
+}
+
+std::unique_ptr<StoreWatch> EtcdStore::Watch(std::string aKey, Revision aFrom,
+                                             WatchCallback aCallback)
+{
+  auto loop = std::make_shared<WatchLoop>(mState, std::move(aKey), aFrom, std::move(aCallback));
+  loop->Connect();
+  return std::make_unique<WatchHandle>(std::move(loop));
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/store/src/fake_store.cpp
@@ -0,0 +1,200 @@
+#include "balsammount/fake_store.h"
+
+#include <algorithm>
+
+namespace balsammount {
+
+struct FakeStore::Watcher
+{
+  std::string mKey;
+  Revision mNext = 0;
+  WatchCallback mCallback;
+  bool mCancelled = false;
+};
+
+class FakeStore::Handle final : public StoreWatch
+{
+public:
+  explicit Handle(std::shared_ptr<Watcher> aWatcher)
+    : mWatcher(std::move(aWatcher))
+  {
+  }
+  ~Handle() override { mWatcher->mCancelled = true; }
+  void Cancel() override { mWatcher->mCancelled = true; }
+
+private:
+  std::shared_ptr<Watcher> mWatcher;
+};
+
+namespace {
+
+StoreEntry ToEntry(const ModelEntry& aEntry)
+{
+  return { aEntry.mValue, aEntry.mModRevision, aEntry.mLease };
+}
+
+} // namespace
+
+FakeStore::FakeStore(const Clock& aClock, Duration aTimeout)
+  : mClock(aClock)
+  , mTimeout(aTimeout)
+  , mModel(aClock)
+{
+}
+
+FakeStore::~FakeStore() = default;
+
+template <class T>
+void FakeStore::Reply(StoreCallback<T> aCallback, StoreError aLost,
+                      std::function<StoreResult<T>()> aApply)
+{
+  ++mCalls;
+  mModel.ExpireLeases();
+  const bool isWrite = aLost == StoreError::Unknown;
+  const bool isLost = (mFaults.mLoseAnswers && isWrite) || mFaults.mDelay > mTimeout;
+  StoreResult<T> result = StoreFailure(StoreError::Unavailable, "fake store is down");
+  if (!mFaults.mDown) {
+    result = aApply();
+    if (isLost) {
+      result = StoreFailure(aLost, "fake store lost the answer");
+    }
+  }
+  const Duration delay = mFaults.mDown ? Duration(0) : std::min(mFaults.mDelay, mTimeout);
+  mAnswers.push_back(
+    { mClock.Now() + (isLost && !mFaults.mDown ? mTimeout : delay),
+      [callback = std::move(aCallback), result = std::move(result)] { callback(result); } });
+}
+
+std::optional<StoreFailure> FakeStore::CheckExpected(const std::string& aKey,
+                                                     Revision aExpected) const
+{
+  if (mModel.ModRevision(aKey) == aExpected) {
+    return std::nullopt;
+  }
+  const ModelEntry* entry = mModel.Find(aKey);
+  return StoreFailure(StoreError::Conflict, aKey,
+                      entry ? std::optional(ToEntry(*entry)) : std::nullopt);
+}
+
+void FakeStore::Get(std::string aKey, StoreCallback<StoreRead> aCallback)
+{
+  Reply<StoreRead>(std::move(aCallback), StoreError::TimedOut, [&]() -> StoreResult<StoreRead> {
+    const ModelEntry* entry = mModel.Find(aKey);
+    return StoreRead{ entry ? std::optional(ToEntry(*entry)) : std::nullopt,
+                      mModel.CurrentRevision() };
+  });
+}
+
+void FakeStore::CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue,
+                               LeaseId aLease, StoreCallback<Revision> aCallback)
+{
+  Reply<Revision>(std::move(aCallback), StoreError::Unknown, [&]() -> StoreResult<Revision> {
+    if (aValue.size() > kMaxStoreValueBytes) {
+      return StoreFailure(StoreError::TooLarge, aKey);
+    }
+    if (auto conflict = CheckExpected(aKey, aExpected)) {
+      return *conflict;
+    }
+    if (!mModel.Put(aKey, std::move(aValue), aLease)) {
+      return StoreFailure(StoreError::LeaseNotFound, std::to_string(aLease));
+    }
+    return mModel.CurrentRevision();
+  });
+}
+
+void FakeStore::Delete(std::string aKey, Revision aExpected, StoreCallback<Revision> aCallback)
+{
+  Reply<Revision>(std::move(aCallback), StoreError::Unknown, [&]() -> StoreResult<Revision> {
+    if (auto conflict = CheckExpected(aKey, aExpected)) {
+      return *conflict;
+    }
+    mModel.Delete(aKey);
+    return mModel.CurrentRevision();
+  });
+}
+
+void FakeStore::GrantLease(std::chrono::seconds aTimeToLive, StoreCallback<StoreLease> aCallback)
+{
+  Reply<StoreLease>(std::move(aCallback), StoreError::Unknown, [&]() -> StoreResult<StoreLease> {
+    return StoreLease{ mModel.Grant(aTimeToLive), aTimeToLive };
+  });
+}
+
+void FakeStore::KeepAlive(LeaseId aLease, StoreCallback<std::chrono::seconds> aCallback)
+{
+  Reply<std::chrono::seconds>(
+    std::move(aCallback), StoreError::TimedOut, [&]() -> StoreResult<std::chrono::seconds> {
+      if (auto timeToLive = mModel.KeepAlive(aLease)) {
+        return *timeToLive;
+      }
+      return StoreFailure(StoreError::LeaseNotFound, std::to_string(aLease));
+    });
+}
+
+void FakeStore::RevokeLease(LeaseId aLease, StoreCallback<void> aCallback)
+{
+  Reply<void>(std::move(aCallback), StoreError::Unknown, [&]() -> StoreResult<void> {
+    if (!mModel.Revoke(aLease)) {
+      return StoreFailure(StoreError::LeaseNotFound, std::to_string(aLease));
+    }
+    return {};
+  });
+}
+
+std::unique_ptr<StoreWatch> FakeStore::Watch(std::string aKey, Revision aFrom,
+                                             WatchCallback aCallback)
+{
+  ++mCalls;
+  const Revision from = aFrom == 0 ? mModel.CurrentRevision() + 1 : aFrom;
+  auto watcher = std::make_shared<Watcher>();
+  watcher->mKey = std::move(aKey);
+  watcher->mNext = from;
+  watcher->mCallback = std::move(aCallback);
+  mWatchers.push_back(watcher);
+  return std::make_unique<Handle>(std::move(watcher));
+}
+
+void FakeStore::Poll()
+{
+  mModel.ExpireLeases();
+  while (DeliverAnswer() || DeliverEvents()) {
+  }
+}
+
+bool FakeStore::DeliverAnswer()
+{
+  const auto due = std::min_element(
+    mAnswers.begin(), mAnswers.end(),
+    [](const Answer& aLeft, const Answer& aRight) { return aLeft.mDue < aRight.mDue; });
+  if (due == mAnswers.end() || due->mDue > mClock.Now()) {
+    return false;
+  }
+  const auto run = std::move(due->mRun);
+  mAnswers.erase(due);
+  run();
+  return true;
+}
+
+bool FakeStore::DeliverEvents()
+{
+  std::erase_if(mWatchers, [](const auto& aWatcher) { return aWatcher->mCancelled; });
+  if (mFaults.mDown) {
+    return false;
+  }
+  bool delivered = false;
+  for (const auto& watcher : std::vector(mWatchers)) {
+    const auto events = mModel.EventsFrom(std::max(watcher->mNext, mModel.CompactRevision() + 1));
+    for (const ModelEvent& event : *events) {
+      if (event.mKey != watcher->mKey || watcher->mCancelled) {
+        continue;
+      }
+      delivered = true;
+      watcher->mNext = event.mRevision + 1;
+      watcher->mCallback(
+        { event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt, event.mRevision });
+    }
+  }
+  return delivered;
+}
+
+} // namespace balsammount
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -18,6 +18,15 @@
   std::chrono::milliseconds mConnectTimeout{ 1000 };
 };
 
+// Receives an answer as it arrives.
+struct StreamCallbacks
+{
+  std::function<void(const HttpResponse& aHead)> mOnHead; // status and headers, no body
+  std::function<void(std::string_view aPiece)> mOnPiece;
+  // Called once unless cancelled; no failure when the answer ended completely.
+  std::function<void(Result<void>)> mOnEnd;
+};
+
 class HttpClient
 {
 public:
@@ -31,6 +40,11 @@
   std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
                              ResponseCallback aCallback);
 
+  // Streams an answer of any length on a connection of its own. aIdleTimeout bounds the time until
+  // the head and between two pieces.
+  std::shared_ptr<Call> Stream(HttpRequest aRequest, std::chrono::nanoseconds aIdleTimeout,
+                               StreamCallbacks aCallbacks);
+
 private:
   struct State;
   std::shared_ptr<State> mState;
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -19,7 +19,24 @@
   size_t mMaxConnections = 2000;
   std::chrono::milliseconds mIdleTimeout{ 60'000 };  // between requests of a connection
   std::chrono::milliseconds mReadTimeout{ 10'000 };  // from the first byte to the whole request
-  std::chrono::milliseconds mWriteTimeout{ 10'000 }; // for the whole answer
+  std::chrono::milliseconds mWriteTimeout{ 10'000 }; // for the whole answer, or one streamed piece
+  size_t mMaxStreamBacklogBytes = 8 * 1024 * 1024;   // streamed and not yet written
+};
+
+// The exchanges of an HttpServer: besides a whole answer they can stream one.
+class HttpExchange : public Exchange
+{
+public:
+  // Starts an answer whose body follows in chunks. Needs HTTP/1.1; an older client gets 505. A
+  // client that goes away before EndStream is reported to the callback of OnCancel.
+  virtual void StartStream(HttpResponse aHead) = 0;
+
+  // False when the stream is over, or when the client reads too slowly: its connection is closed.
+  virtual bool WritePiece(std::string_view aPiece) = 0;
+  virtual void EndStream() = 0;
+
+  // Closes the connection without an answer, or in the middle of a streamed one.
+  virtual void Abort() = 0;
 };
 
 class HttpServer final : public Service
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -85,9 +85,12 @@
   {
   }
 
+  // Once the call is finished its connection may carry another call.
   void Cancel() override
   {
-    mCallback = nullptr;
+    if (!std::exchange(mCallback, nullptr)) {
+      return;
+    }
     if (auto connection = mConnection.lock()) {
       connection->mStream.close();
     }
@@ -98,6 +101,7 @@
 
   void Finish(Result<HttpResponse> aResult)
   {
+    mConnection.reset();
     if (auto callback = std::exchange(mCallback, nullptr)) {
       callback(std::move(aResult));
     }
@@ -108,6 +112,50 @@
   std::weak_ptr<Connection> mConnection;
 };
 
+class StreamCall final : public Call
+{
+public:
+  explicit StreamCall(StreamCallbacks aCallbacks)
+    : mCallbacks(std::move(aCallbacks))
+  {
+  }
+
+  void Cancel() override
+  {
+    mOver = true;
+    if (auto connection = mConnection.lock()) {
+      connection->mStream.close();
+    }
+  }
+
+  bool IsOver() const { return mOver; }
+  void Use(const std::shared_ptr<Connection>& aConnection) { mConnection = aConnection; }
+
+  void Begin(const HttpResponse& aHead)
+  {
+    if (!mOver && mCallbacks.mOnHead) {
+      mCallbacks.mOnHead(aHead);
+    }
+  }
+  void Deliver(std::string_view aPiece)
+  {
+    if (!mOver && !aPiece.empty() && mCallbacks.mOnPiece) {
+      mCallbacks.mOnPiece(aPiece);
+    }
+  }
+  void Finish(Result<void> aResult)
+  {
+    if (!std::exchange(mOver, true) && mCallbacks.mOnEnd) {
+      mCallbacks.mOnEnd(std::move(aResult));
+    }
+  }
+
+private:
+  StreamCallbacks mCallbacks;
+  std::weak_ptr<Connection> mConnection;
+  bool mOver = false;
+};
+
 TransportError ToTransportError(const beast::error_code& aError)
 {
   if (aError == beast::error::timeout) {
@@ -118,7 +166,7 @@
 
 } // namespace
 
-struct HttpClient::State : std::enable_shared_from_this<State>
+struct HttpClient::State
 {
   State(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpClientLimits aLimits)
     : mExecutor(aContext.get_executor())
@@ -140,62 +188,132 @@
     return nullptr;
   }
 
-  asio::awaitable<void> Run(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
-                            std::shared_ptr<HttpCall> aCall)
+  Failure Fail(TransportError aError, const beast::error_code& aCause) const
+  {
+    return Failure{ aError, mHost + ": " + aCause.message() };
+  }
+
+  asio::awaitable<beast::error_code> Connect(Connection& aConnection,
+                                             std::chrono::nanoseconds aTimeout)
   {
-    auto self = shared_from_this();
+    aConnection.mStream.expires_after(
+      std::min<std::chrono::nanoseconds>(mLimits.mConnectTimeout, aTimeout));
+    auto [error] = co_await aConnection.mStream.async_connect(mEndpoint, kAwait);
+    if (!error) {
+      beast::error_code ignored;
+      aConnection.mStream.socket().set_option(tcp::no_delay(true), ignored);
+    }
+    co_return error;
+  }
+
+  // The coroutines take the state by shared pointer: they start after the call that spawns them
+  // returned, and the client may be gone by then.
+  static asio::awaitable<void> Run(std::shared_ptr<State> aState, HttpRequest aRequest,
+                                   std::chrono::nanoseconds aTimeout,
+                                   std::shared_ptr<HttpCall> aCall)
+  {
+    State& self = *aState;
     const auto deadline = std::chrono::steady_clock::now() + aTimeout;
-    auto connection = TakeIdle();
+    if (aCall->IsCancelled()) {
+      co_return;
+    }
+    auto connection = self.TakeIdle();
     if (!connection) {
-      connection = std::make_shared<Connection>(mExecutor);
+      connection = std::make_shared<Connection>(self.mExecutor);
       aCall->Use(connection);
-      connection->mStream.expires_after(
-        std::min<std::chrono::nanoseconds>(mLimits.mConnectTimeout, aTimeout));
-      auto [error] = co_await connection->mStream.async_connect(mEndpoint, kAwait);
-      if (error) {
-        aCall->Finish(Failure{ TransportError::ConnectFailed, mHost + ": " + error.message() });
+      if (auto error = co_await self.Connect(*connection, aTimeout)) {
+        aCall->Finish(self.Fail(TransportError::ConnectFailed, error));
         co_return;
       }
-      beast::error_code ignored;
-      connection->mStream.socket().set_option(tcp::no_delay(true), ignored);
     }
     aCall->Use(connection);
     if (aCall->IsCancelled()) {
       co_return;
     }
-    auto message = ToBeast(std::move(aRequest), mHost);
+    auto message = ToBeast(std::move(aRequest), self.mHost);
     connection->mStream.expires_at(deadline);
     {
       auto [error, size] = co_await http::async_write(connection->mStream, message, kAwait);
       if (error) {
-        aCall->Finish(Failure{ ToTransportError(error), mHost + ": " + error.message() });
+        aCall->Finish(self.Fail(ToTransportError(error), error));
         co_return;
       }
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(mLimits.mMaxBodyBytes);
+    parser.body_limit(self.mLimits.mMaxBodyBytes);
     parser.skip(message.method() == http::verb::head);
     auto [error, size] =
       co_await http::async_read(connection->mStream, connection->mBuffer, parser, kAwait);
     if (error) {
-      aCall->Finish(Failure{ ToTransportError(error), mHost + ": " + error.message() });
+      aCall->Finish(self.Fail(ToTransportError(error), error));
       co_return;
     }
     // Without a length or chunks the end of the answer is the end of the connection, and a
     // truncated answer cannot be told from a whole one.
     const bool isFramed = parser.content_length() || parser.chunked() || !parser.need_eof();
-    const bool keepAlive = parser.keep_alive();
-    if (keepAlive && !aCall->IsCancelled() && mIdle.size() < mLimits.mMaxIdleConnections) {
+    // Bytes after the answer would be taken for the answer to the next request.
+    const bool isClean = connection->mBuffer.size() == 0;
+    if (parser.keep_alive() && isClean && !aCall->IsCancelled() &&
+        self.mIdle.size() < self.mLimits.mMaxIdleConnections) {
       connection->mStream.expires_never();
-      mIdle.push_back(std::move(connection));
+      self.mIdle.push_back(std::move(connection));
     }
     if (!isFramed) {
-      aCall->Finish(Failure{ TransportError::Lost, mHost + ": answer without a length" });
+      aCall->Finish(Failure{ TransportError::Lost, self.mHost + ": answer without a length" });
       co_return;
     }
     aCall->Finish(FromBeast(parser.release()));
   }
 
+  static asio::awaitable<void> RunStream(std::shared_ptr<State> aState, HttpRequest aRequest,
+                                         std::chrono::nanoseconds aIdleTimeout,
+                                         std::shared_ptr<StreamCall> aCall)
+  {
+    State& self = *aState;
+    if (aCall->IsOver()) {
+      co_return;
+    }
+    auto connection = std::make_shared<Connection>(self.mExecutor);
+    aCall->Use(connection);
+    if (auto error = co_await self.Connect(*connection, aIdleTimeout)) {
+      aCall->Finish(self.Fail(TransportError::ConnectFailed, error));
+      co_return;
+    }
+    auto message = ToBeast(std::move(aRequest), self.mHost);
+    beast::tcp_stream& stream = connection->mStream;
+    stream.expires_after(aIdleTimeout);
+    auto [writeError, written] = co_await http::async_write(stream, message, kAwait);
+    if (writeError) {
+      aCall->Finish(self.Fail(ToTransportError(writeError), writeError));
+      co_return;
+    }
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(boost::none);
+    auto [headError, headSize] =
+      co_await http::async_read_header(stream, connection->mBuffer, parser, kAwait);
+    if (headError) {
+      aCall->Finish(self.Fail(ToTransportError(headError), headError));
+      co_return;
+    }
+    const bool isFramed = parser.content_length() || parser.chunked() || !parser.need_eof();
+    aCall->Begin(FromBeast(http::response<http::string_body>(parser.get().base())));
+    while (!parser.is_done() && !aCall->IsOver()) {
+      stream.expires_after(aIdleTimeout);
+      auto [error, size] =
+        co_await http::async_read_some(stream, connection->mBuffer, parser, kAwait);
+      aCall->Deliver(std::exchange(parser.get().body(), {}));
+      if (error) {
+        aCall->Finish(self.Fail(ToTransportError(error), error));
+        co_return;
+      }
+    }
+    if (!isFramed) {
+      aCall->Finish(Failure{ TransportError::Lost, self.mHost + ": answer without a length" });
+      co_return;
+    }
+    aCall->Finish({});
+  }
+
   asio::any_io_executor mExecutor;
   tcp::endpoint mEndpoint;
   HttpClientLimits mLimits;
@@ -215,9 +333,19 @@
                                        ResponseCallback aCallback)
 {
   auto call = std::make_shared<HttpCall>(std::move(aCallback));
-  asio::co_spawn(mState->mExecutor, mState->Run(std::move(aRequest), aTimeout, call),
+  asio::co_spawn(mState->mExecutor, State::Run(mState, std::move(aRequest), aTimeout, call),
                  asio::detached);
   return call;
 }
 
+std::shared_ptr<Call> HttpClient::Stream(HttpRequest aRequest,
+                                         std::chrono::nanoseconds aIdleTimeout,
+                                         StreamCallbacks aCallbacks)
+{
+  auto call = std::make_shared<StreamCall>(std::move(aCallbacks));
+  asio::co_spawn(mState->mExecutor,
+                 State::RunStream(mState, std::move(aRequest), aIdleTimeout, call), asio::detached);
+  return call;
+}
+
 } // namespace balsammount
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -23,13 +23,15 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-class HttpExchange final : public Exchange
+class ServerExchange final : public HttpExchange
 {
 public:
-  HttpExchange(const asio::any_io_executor& aExecutor, HttpRequest aRequest, std::string aAddress)
+  ServerExchange(const asio::any_io_executor& aExecutor, HttpRequest aRequest, std::string aAddress,
+                 size_t aMaxBacklog)
     : mRequest(std::move(aRequest))
     , mAddress(std::move(aAddress))
-    , mAnswered(aExecutor, asio::steady_timer::time_point::max())
+    , mMaxBacklog(aMaxBacklog)
+    , mWake(aExecutor, asio::steady_timer::time_point::max())
   {
   }
 
@@ -42,39 +44,95 @@
       return;
     }
     mResponse = std::move(aResponse);
+    mEnded = true;
     mOnCancel = nullptr;
-    mAnswered.cancel();
+    mWake.cancel();
   }
 
   void OnCancel(std::function<void()> aCallback) override { mOnCancel = std::move(aCallback); }
 
-  void NotifyGone()
+  void StartStream(HttpResponse aHead) override
   {
     if (mResponse || mGone) {
       return;
     }
+    mResponse = std::move(aHead);
+    mStreaming = true;
+    mWake.cancel();
+  }
+
+  bool WritePiece(std::string_view aPiece) override
+  {
+    if (!mStreaming || mEnded || mGone) {
+      return false;
+    }
+    if (mPieces.size() + aPiece.size() > mMaxBacklog) {
+      Abort();
+      return false;
+    }
+    mPieces += aPiece;
+    mWake.cancel();
+    return true;
+  }
+
+  void EndStream() override
+  {
+    mEnded = true;
+    mOnCancel = nullptr;
+    mWake.cancel();
+  }
+
+  void Abort() override
+  {
     mGone = true;
-    mAnswered.cancel();
+    mOnCancel = nullptr;
+    mWake.cancel();
+  }
+
+  void NotifyGone()
+  {
+    if (mEnded || mGone) {
+      return;
+    }
+    mGone = true;
+    mWake.cancel();
     if (auto callback = std::exchange(mOnCancel, nullptr)) {
       callback();
     }
   }
 
-  // Waits for the answer; nothing when the other side went away first.
+  // Waits for the answer or the head of a streamed one; nothing when the exchange is over without.
   asio::awaitable<std::optional<HttpResponse>> WaitForResponse()
   {
-    if (!mResponse && !mGone) {
-      co_await mAnswered.async_wait(kAwait);
+    while (!mResponse && !mGone) {
+      co_await mWake.async_wait(kAwait);
+    }
+    co_return mGone ? std::nullopt : std::exchange(mResponse, HttpResponse{});
+  }
+
+  // Waits for bytes to stream; empty when the stream is over.
+  asio::awaitable<std::string> WaitForPieces()
+  {
+    while (mPieces.empty() && !mEnded && !mGone) {
+      co_await mWake.async_wait(kAwait);
     }
-    co_return std::move(mResponse);
+    co_return mGone ? std::string() : std::exchange(mPieces, {});
   }
 
+  bool IsStreaming() const { return mStreaming; }
+  bool IsGone() const { return mGone; }
+  bool IsAwaitingEnd() const { return !mEnded && !mGone; }
+
 private:
   HttpRequest mRequest;
   std::string mAddress;
-  asio::steady_timer mAnswered;
+  size_t mMaxBacklog;
+  asio::steady_timer mWake;
   std::optional<HttpResponse> mResponse;
+  std::string mPieces;
   std::function<void()> mOnCancel;
+  bool mStreaming = false;
+  bool mEnded = false;
   bool mGone = false;
 };
 
@@ -166,9 +224,15 @@
   {
   }
 
-  asio::awaitable<void> Accept()
+  // The coroutines take the state by shared pointer: they start after the call that spawns them
+  // returned, and the server may be gone by then.
+  static asio::awaitable<void> Accept(std::shared_ptr<State> aState)
+  {
+    co_await aState->AcceptLoop();
+  }
+
+  asio::awaitable<void> AcceptLoop()
   {
-    auto self = shared_from_this();
     asio::steady_timer pause(mAcceptor.get_executor());
     while (!mStopping) {
       auto [error, socket] = co_await mAcceptor.async_accept(kAwait);
@@ -181,32 +245,32 @@
         co_await pause.async_wait(kAwait);
         continue;
       }
-      asio::co_spawn(mAcceptor.get_executor(), Serve(std::move(socket)), asio::detached);
+      asio::co_spawn(mAcceptor.get_executor(), Serve(shared_from_this(), std::move(socket)),
+                     asio::detached);
     }
   }
 
-  asio::awaitable<void> Serve(tcp::socket aSocket)
+  static asio::awaitable<void> Serve(std::shared_ptr<State> aState, tcp::socket aSocket)
   {
-    auto self = shared_from_this();
     beast::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
     const auto remote = aSocket.remote_endpoint(ignored);
     const std::string address = remote.address().to_string();
     auto session = std::make_shared<Session>(std::move(aSocket));
-    mSessions.insert(session);
+    aState->mSessions.insert(session);
     beast::flat_buffer buffer;
-    while (!mStopping && co_await ServeOne(*session, buffer, address)) {
+    while (!aState->mStopping && co_await aState->ServeOne(session, buffer, address)) {
     }
     session->mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     session->mStream.close();
-    mSessions.erase(session);
+    aState->mSessions.erase(session);
   }
 
   // Serves one request; false when the connection has to close.
-  asio::awaitable<bool> ServeOne(Session& aSession, beast::flat_buffer& aBuffer,
+  asio::awaitable<bool> ServeOne(std::shared_ptr<Session> aSession, beast::flat_buffer& aBuffer,
                                  const std::string& aAddress)
   {
-    beast::tcp_stream& stream = aSession.mStream;
+    beast::tcp_stream& stream = aSession->mStream;
     if (aBuffer.size() == 0) {
       // The idle timeout ends with the first byte of the request.
       stream.expires_after(mLimits.mIdleTimeout);
@@ -216,6 +280,8 @@
       }
       aBuffer.commit(count);
     }
+    // A request whose first byte has arrived is in flight: Stop lets it finish.
+    aSession->mBusy = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(mLimits.mMaxHeaderBytes));
     parser.body_limit(mLimits.mMaxBodyBytes);
@@ -230,15 +296,26 @@
     const bool keepAlive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
     const bool isHead = parser.get().method() == http::verb::head;
-    auto exchange =
-      std::make_shared<HttpExchange>(stream.get_executor(), FromBeast(parser.release()), aAddress);
-    aSession.mBusy = true;
+    auto exchange = std::make_shared<ServerExchange>(
+      stream.get_executor(), FromBeast(parser.release()), aAddress, mLimits.mMaxStreamBacklogBytes);
     stream.expires_never();
-    WatchForDisconnect(stream, exchange);
+    WatchForDisconnect(aSession, exchange);
     mHandler(exchange);
     auto response = co_await exchange->WaitForResponse();
+    if (response && exchange->IsStreaming()) {
+      if (version < 11) {
+        exchange->NotifyGone();
+        response = StatusOnly(505, "a streamed answer needs HTTP/1.1");
+        response->mHeaders.Set("Balsam-Outcome", "unknown");
+      } else {
+        const bool streamed = co_await WriteStream(stream, *exchange, std::move(*response));
+        stream.socket().cancel();
+        aSession->mBusy = false;
+        co_return streamed&& keepAlive;
+      }
+    }
     stream.socket().cancel();
-    aSession.mBusy = false;
+    aSession->mBusy = false;
     if (!response) {
       co_return false;
     }
@@ -247,6 +324,46 @@
     co_return written&& keepAlive;
   }
 
+  // Writes a streamed answer until its end; false when the connection has to close.
+  asio::awaitable<bool> WriteStream(beast::tcp_stream& aStream, ServerExchange& aExchange,
+                                    HttpResponse aHead)
+  {
+    http::response<http::empty_body> head;
+    head.version(11);
+    head.result(aHead.mStatus);
+    for (const Header& header : aHead.mHeaders.All()) {
+      if (!IsHopByHop(header.mName)) {
+        head.insert(header.mName, header.mValue);
+      }
+    }
+    head.chunked(true);
+    http::response_serializer<http::empty_body> serializer(head);
+    aStream.expires_after(mLimits.mWriteTimeout);
+    auto [headError, headSize] = co_await http::async_write_header(aStream, serializer, kAwait);
+    if (headError) {
+      aExchange.NotifyGone();
+      co_return false;
+    }
+    for (;;) {
+      aStream.expires_never();
+      const std::string pieces = co_await aExchange.WaitForPieces();
+      if (aExchange.IsGone()) {
+        co_return false;
+      }
+      aStream.expires_after(mLimits.mWriteTimeout);
+      if (pieces.empty()) {
+        auto [error, size] = co_await asio::async_write(aStream, http::make_chunk_last(), kAwait);
+        co_return !error;
+      }
+      auto [error, size] =
+        co_await asio::async_write(aStream, http::make_chunk(asio::buffer(pieces)), kAwait);
+      if (error) {
+        aExchange.NotifyGone();
+        co_return false;
+      }
+    }
+  }
+
   asio::awaitable<bool> Write(beast::tcp_stream& aStream, HttpResponse aResponse, unsigned aVersion,
                               bool aKeepAlive, bool aIsHead)
   {
@@ -259,19 +376,24 @@
   }
 
   // A client that closes its connection while its request is in flight cancels the request. Bytes
-  // of a pipelined request end the watch.
-  static void WatchForDisconnect(beast::tcp_stream& aStream,
-                                 const std::shared_ptr<HttpExchange>& aExchange)
+  // of a pipelined request end the watch. The wait can complete just before the answer and its
+  // handler run after the next request was read, so the handler checks the exchange first and never
+  // blocks.
+  static void WatchForDisconnect(const std::shared_ptr<Session>& aSession,
+                                 const std::shared_ptr<ServerExchange>& aExchange)
   {
-    aStream.socket().async_wait(
-      tcp::socket::wait_read, [&aStream, aExchange](const beast::error_code& aError) {
-        if (aError) {
+    tcp::socket& socket = aSession->mStream.socket();
+    beast::error_code ignored;
+    socket.non_blocking(true, ignored);
+    socket.async_wait(
+      tcp::socket::wait_read, [aSession, aExchange](const beast::error_code& aError) {
+        if (aError || !aExchange->IsAwaitingEnd()) {
           return;
         }
         char byte = 0;
         beast::error_code error;
-        const size_t count =
-          aStream.socket().receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+        const size_t count = aSession->mStream.socket().receive(asio::buffer(&byte, 1),
+                                                                tcp::socket::message_peek, error);
         if ((error && error != asio::error::would_block) || (!error && count == 0)) {
           aExchange->NotifyGone();
         }
@@ -314,7 +436,7 @@
                                                     std::to_string(mState->mEndpoint.port()) +
                                                     ": " + error.message() };
   }
-  asio::co_spawn(acceptor.get_executor(), mState->Accept(), asio::detached);
+  asio::co_spawn(acceptor.get_executor(), State::Accept(mState), asio::detached);
   return {};
 }
 
--- /dev/null
+++ b/testing/store/src/store_standin.cpp
@@ -0,0 +1,640 @@
+#include "balsammount/store_standin.h"
+
+#include "balsammount/base64.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+namespace {
+
+// A put of 1 MB is 1.4 MB in base64.
+constexpr size_t kMaxRequestBytes = 4 * 1024 * 1024;
+constexpr std::chrono::milliseconds kLeaseCheckInterval{ 20 };
+
+// Status codes of gRPC that the gateway passes on.
+enum class GrpcCode
+{
+  InvalidArgument = 3,
+  NotFound = 5,
+  Unimplemented = 12,
+  Unavailable = 14,
+};
+
+unsigned HttpStatus(GrpcCode aCode)
+{
+  switch (aCode) {
+    case GrpcCode::InvalidArgument:
+      return 400;
+    case GrpcCode::NotFound:
+      return 404;
+    case GrpcCode::Unimplemented:
+      return 501;
+    case GrpcCode::Unavailable:
+      break;
+  }
+  return 503;
+}
+
+// A call that is refused; thrown before it has any effect.
+struct Refusal
+{
+  GrpcCode mCode;
+  std::string mMessage;
+};
+
+std::string Text(int64_t aValue)
+{
+  return std::to_string(aValue);
+}
+
+int64_t Integer(const Json& aObject, const char* aName)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return 0;
+  }
+  if (found->is_number_integer()) {
+    return found->get<int64_t>();
+  }
+  try {
+    return std::stoll(found->get<std::string>());
+  } catch (const std::exception&) {
+    throw Refusal{ GrpcCode::InvalidArgument, std::string("invalid value for ") + aName };
+  }
+}
+
+std::string Bytes(const Json& aObject, const char* aName)
+{
+  const auto found = aObject.find(aName);
+  if (found == aObject.end()) {
+    return {};
+  }
+  auto bytes = found->is_string() ? DecodeBase64(found->get_ref<const std::string&>())
+                                  : std::optional<std::string>();
+  if (!bytes) {
+    throw Refusal{ GrpcCode::InvalidArgument, std::string("illegal base64 data for ") + aName };
+  }
+  return std::move(*bytes);
+}
+
+std::string KeyOf(const Json& aObject)
+{
+  std::string key = Bytes(aObject, "key");
+  if (key.empty()) {
+    throw Refusal{ GrpcCode::InvalidArgument, "etcdserver: key is not provided" };
+  }
+  return key;
+}
+
+// The end of the keys that a request names; a single key has none.
+std::string EndOf(const Json& aObject, const std::string& aKey)
+{
+  std::string end = Bytes(aObject, "range_end");
+  return end.empty() ? aKey + '\0' : end;
+}
+
+Json EntryJson(const std::string& aKey, const ModelEntry& aEntry)
+{
+  Json entry = { { "key", EncodeBase64(aKey) },
+                 { "create_revision", Text(aEntry.mCreateRevision) },
+                 { "mod_revision", Text(aEntry.mModRevision) },
+                 { "version", Text(aEntry.mVersion) } };
+  if (!aEntry.mValue.empty()) {
+    entry["value"] = EncodeBase64(aEntry.mValue);
+  }
+  if (aEntry.mLease != kNoLease) {
+    entry["lease"] = Text(aEntry.mLease);
+  }
+  return entry;
+}
+
+Json EventJson(const ModelEvent& aEvent)
+{
+  if (aEvent.mEntry) {
+    return { { "kv", EntryJson(aEvent.mKey, *aEvent.mEntry) } };
+  }
+  return {
+    { "type", "DELETE" },
+    { "kv", { { "key", EncodeBase64(aEvent.mKey) }, { "mod_revision", Text(aEvent.mRevision) } } }
+  };
+}
+
+HttpResponse JsonResponse(unsigned aStatus, const Json& aBody)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mHeaders.Set("Content-Type", "application/json");
+  response.mBody = aBody.dump();
+  return response;
+}
+
+HttpResponse RefusalResponse(const Refusal& aRefusal)
+{
+  return JsonResponse(HttpStatus(aRefusal.mCode), { { "error", aRefusal.mMessage },
+                                                    { "code", static_cast<int>(aRefusal.mCode) },
+                                                    { "message", aRefusal.mMessage } });
+}
+
+int Sign(int64_t aLeft, int64_t aRight)
+{
+  return aLeft < aRight ? -1 : static_cast<int>(aLeft > aRight);
+}
+
+} // namespace
+
+struct StoreStandin::State : std::enable_shared_from_this<State>
+{
+  struct Watcher
+  {
+    std::shared_ptr<HttpExchange> mExchange;
+    std::string mKey;
+    std::string mEnd;
+    Revision mNext = 0;
+  };
+
+  using Method = Json (State::*)(const Json&);
+  struct Route
+  {
+    std::string_view mPath;
+    uint64_t StandinCounters::*mCounter;
+    Method mMethod;
+    bool mIsWrite;
+  };
+  struct CounterName
+  {
+    const char* mName;
+    uint64_t StandinCounters::*mCounter;
+  };
+
+  State(asio::io_context& aContext, const Clock& aClock)
+    : mContext(aContext)
+    , mModel(aClock)
+    , mLeaseTimer(aContext)
+  {
+  }
+
+  static const std::array<Route, 8>& Routes()
+  {
+    using C = StandinCounters;
+    static const std::array<Route, 8> sRoutes = {
+      Route{ "/v3/kv/range", &C::mRange, &State::Range, false },
+      Route{ "/v3/kv/put", &C::mPut, &State::Put, true },
+      Route{ "/v3/kv/deleterange", &C::mDeleteRange, &State::DeleteRange, true },
+      Route{ "/v3/kv/txn", &C::mTransaction, &State::Transaction, true },
+      Route{ "/v3/lease/grant", &C::mLeaseGrant, &State::LeaseGrant, true },
+      Route{ "/v3/lease/keepalive", &C::mLeaseKeepAlive, &State::LeaseKeepAlive, false },
+      Route{ "/v3/lease/revoke", &C::mLeaseRevoke, &State::LeaseRevoke, true },
+      Route{ "/v3/kv/lease/revoke", &C::mLeaseRevoke, &State::LeaseRevoke, true },
+    };
+    return sRoutes;
+  }
+
+  Json Header() const
+  {
+    return { { "cluster_id", "1" },
+             { "member_id", "1" },
+             { "revision", Text(mModel.CurrentRevision()) },
+             { "raft_term", "2" } };
+  }
+
+  // Exchanges.
+
+  void Handle(const std::shared_ptr<Exchange>& aExchange)
+  {
+    auto exchange = std::static_pointer_cast<HttpExchange>(aExchange);
+    const HttpRequest& request = exchange->Request();
+    try {
+      if (request.mTarget.starts_with("/standin/")) {
+        exchange->Respond(Control(request));
+        return;
+      }
+      Serve(exchange, request);
+    } catch (const Refusal& refusal) {
+      exchange->Respond(RefusalResponse(refusal));
+    } catch (const Json::exception& error) {
+      exchange->Respond(RefusalResponse({ GrpcCode::InvalidArgument, error.what() }));
+    }
+  }
+
+  void Serve(const std::shared_ptr<HttpExchange>& aExchange, const HttpRequest& aRequest)
+  {
+    mModel.ExpireLeases();
+    const bool isWatch = aRequest.mTarget == "/v3/watch";
+    const Route* route = nullptr;
+    for (const Route& candidate : Routes()) {
+      route = candidate.mPath == aRequest.mTarget ? &candidate : route;
+    }
+    if (aRequest.mMethod != "POST" || (!route && !isWatch)) {
+      throw Refusal{ GrpcCode::Unimplemented, "Not Implemented" };
+    }
+    ++(mCounters.*(isWatch ? &StandinCounters::mWatch : route->mCounter));
+    if (mFaults.mDown) {
+      throw Refusal{ GrpcCode::Unavailable, "etcdserver: no leader" };
+    }
+    const Json body = Json::parse(aRequest.mBody);
+    if (isWatch) {
+      StartWatch(aExchange, body);
+      return;
+    }
+    const bool lost = mFaults.mLoseAnswers && route->mIsWrite;
+    const Json answer = (this->*route->mMethod)(body);
+    NotifyWatches();
+    AfterDelay([exchange = aExchange, answer, lost] {
+      if (lost) {
+        exchange->Abort();
+      } else {
+        exchange->Respond(JsonResponse(200, answer));
+      }
+    });
+  }
+
+  void AfterDelay(std::function<void()> aRun)
+  {
+    if (mFaults.mDelay.count() == 0) {
+      aRun();
+      return;
+    }
+    auto timer = std::make_shared<asio::steady_timer>(mContext, mFaults.mDelay);
+    timer->async_wait([timer, run = std::move(aRun)](const boost::system::error_code&) { run(); });
+  }
+
+  // Control.
+
+  HttpResponse Control(const HttpRequest& aRequest)
+  {
+    if (aRequest.mMethod == "GET" && aRequest.mTarget == "/standin/counters") {
+      return JsonResponse(200, CountersJson());
+    }
+    if (aRequest.mMethod != "POST" || aRequest.mTarget != "/standin/faults") {
+      return JsonResponse(404, { { "error", "no such control" } });
+    }
+    const Json body = Json::parse(aRequest.mBody);
+    StandinFaults faults = mFaults;
+    faults.mDown = body.value("down", faults.mDown);
+    faults.mDelay = std::chrono::milliseconds(body.value("delay_ms", faults.mDelay.count()));
+    faults.mLoseAnswers = body.value("lose_answers", faults.mLoseAnswers);
+    if (body.value("expire_leases", false)) {
+      mModel.ExpireAllLeases();
+    }
+    if (body.value("compact", false)) {
+      mModel.Compact(mModel.CurrentRevision());
+    }
+    if (body.value("cut_watches", false)) {
+      CutWatches();
+    }
+    SetFaults(faults);
+    NotifyWatches();
+    return JsonResponse(200, { { "down", mFaults.mDown },
+                               { "delay_ms", mFaults.mDelay.count() },
+                               { "lose_answers", mFaults.mLoseAnswers } });
+  }
+
+  Json CountersJson() const
+  {
+    using C = StandinCounters;
+    static constexpr std::array<CounterName, 8> kNames = {
+      CounterName{ "range", &C::mRange },
+      CounterName{ "put", &C::mPut },
+      CounterName{ "deleterange", &C::mDeleteRange },
+      CounterName{ "txn", &C::mTransaction },
+      CounterName{ "lease_grant", &C::mLeaseGrant },
+      CounterName{ "lease_keepalive", &C::mLeaseKeepAlive },
+      CounterName{ "lease_revoke", &C::mLeaseRevoke },
+      CounterName{ "watch", &C::mWatch },
+    };
+    Json counters = Json::object();
+    for (const CounterName& name : kNames) {
+      counters[name.mName] = mCounters.*name.mCounter;
+    }
+    counters["waiting_watches"] = mWatchers.size();
+    counters["leases"] = mModel.LeaseCount();
+    counters["revision"] = mModel.CurrentRevision();
+    return counters;
+  }
+
+  void SetFaults(const StandinFaults& aFaults)
+  {
+    mFaults = aFaults;
+    if (mFaults.mDown) {
+      CutWatches();
+    }
+  }
+
+  // Keys.
+
+  Json Range(const Json& aBody)
+  {
+    const std::string key = KeyOf(aBody);
+    Json answer = { { "header", Header() } };
+    const auto entries = mModel.Range(key, EndOf(aBody, key));
+    for (const auto& [entryKey, entry] : entries) {
+      answer["kvs"].push_back(EntryJson(entryKey, entry));
+    }
+    if (!entries.empty()) {
+      answer["count"] = Text(static_cast<int64_t>(entries.size()));
+    }
+    return answer;
+  }
+
+  Json Put(const Json& aBody)
+  {
+    const std::string key = KeyOf(aBody);
+    std::string value = Bytes(aBody, "value");
+    if (value.size() > kMaxStoreValueBytes) {
+      throw Refusal{ GrpcCode::InvalidArgument, "etcdserver: request is too large" };
+    }
+    if (!mModel.Put(key, std::move(value), Integer(aBody, "lease"))) {
+      throw Refusal{ GrpcCode::NotFound, "etcdserver: requested lease not found" };
+    }
+    return { { "header", Header() } };
+  }
+
+  Json DeleteRange(const Json& aBody)
+  {
+    const std::string key = KeyOf(aBody);
+    int64_t deleted = 0;
+    for (const auto& [entryKey, entry] : mModel.Range(key, EndOf(aBody, key))) {
+      deleted += mModel.Delete(entryKey) ? 1 : 0;
+    }
+    Json answer = { { "header", Header() } };
+    if (deleted > 0) {
+      answer["deleted"] = Text(deleted);
+    }
+    return answer;
+  }
+
+  bool Holds(const Json& aCompare) const
+  {
+    const std::string key = KeyOf(aCompare);
+    const ModelEntry* found = mModel.Find(key);
+    const ModelEntry entry = found ? *found : ModelEntry{};
+    const std::string target = aCompare.value("target", "VERSION");
+    int sign = 0;
+    if (target == "MOD") {
+      sign = Sign(entry.mModRevision, Integer(aCompare, "mod_revision"));
+    } else if (target == "CREATE") {
+      sign = Sign(entry.mCreateRevision, Integer(aCompare, "create_revision"));
+    } else if (target == "VERSION") {
+      sign = Sign(entry.mVersion, Integer(aCompare, "version"));
+    } else if (target == "VALUE") {
+      sign = found ? entry.mValue.compare(Bytes(aCompare, "value")) : 1;
+    } else {
+      throw Refusal{ GrpcCode::InvalidArgument, "unknown compare target " + target };
+    }
+    const std::string result = aCompare.value("result", "EQUAL");
+    return (result == "EQUAL" && sign == 0) || (result == "NOT_EQUAL" && sign != 0) ||
+           (result == "GREATER" && sign > 0) || (result == "LESS" && sign < 0);
+  }
+
+  Json Transaction(const Json& aBody)
+  {
+    bool succeeded = true;
+    for (const Json& compare : aBody.value("compare", Json::array())) {
+      succeeded = succeeded && Holds(compare);
+    }
+    const Json operations = aBody.value(succeeded ? "success" : "failure", Json::array());
+    // Writes of one transaction would share a revision, which the model does not have.
+    if (operations.size() > 1) {
+      throw Refusal{ GrpcCode::Unimplemented, "more than one operation in a transaction" };
+    }
+    Json responses = Json::array();
+    for (const Json& operation : operations) {
+      responses.push_back(Operation(operation));
+    }
+    Json answer = { { "header", Header() } };
+    if (succeeded) {
+      answer["succeeded"] = true;
+    }
+    if (!responses.empty()) {
+      answer["responses"] = std::move(responses);
+    }
+    return answer;
+  }
+
+  Json Operation(const Json& aOperation)
+  {
+    if (aOperation.contains("request_put")) {
+      return { { "response_put", Put(aOperation["request_put"]) } };
+    }
+    if (aOperation.contains("request_delete_range")) {
+      return { { "response_delete_range", DeleteRange(aOperation["request_delete_range"]) } };
+    }
+    if (aOperation.contains("request_range")) {
+      return { { "response_range", Range(aOperation["request_range"]) } };
+    }
+    throw Refusal{ GrpcCode::InvalidArgument, "unknown operation" };
+  }
+
+  // Leases.
+
+  Json LeaseGrant(const Json& aBody)
+  {
+    const int64_t timeToLive = Integer(aBody, "TTL");
+    if (timeToLive <= 0) {
+      throw Refusal{ GrpcCode::InvalidArgument, "etcdserver: too small lease TTL" };
+    }
+    const LeaseId lease = mModel.Grant(std::chrono::seconds(timeToLive), Integer(aBody, "ID"));
+    return { { "header", Header() }, { "ID", Text(lease) }, { "TTL", Text(timeToLive) } };
+  }
+
+  Json LeaseKeepAlive(const Json& aBody)
+  {
+    const LeaseId lease = Integer(aBody, "ID");
+    Json result = { { "header", Header() }, { "ID", Text(lease) } };
+    if (auto timeToLive = mModel.KeepAlive(lease)) {
+      result["TTL"] = Text(timeToLive->count());
+    }
+    return { { "result", std::move(result) } };
+  }
+
+  Json LeaseRevoke(const Json& aBody)
+  {
+    if (!mModel.Revoke(Integer(aBody, "ID"))) {
+      throw Refusal{ GrpcCode::NotFound, "etcdserver: requested lease not found" };
+    }
+    return { { "header", Header() } };
+  }
+
+  void CheckLeases()
+  {
+    mLeaseTimer.expires_after(kLeaseCheckInterval);
+    mLeaseTimer.async_wait([weak = weak_from_this()](const boost::system::error_code& aError) {
+      auto self = weak.lock();
+      if (aError || !self) {
+        return;
+      }
+      self->mModel.ExpireLeases();
+      self->NotifyWatches();
+      self->CheckLeases();
+    });
+  }
+
+  // Watches.
+
+  void StartWatch(const std::shared_ptr<HttpExchange>& aExchange, const Json& aBody)
+  {
+    const Json create = aBody.value("create_request", Json::object());
+    Watcher watcher;
+    watcher.mExchange = aExchange;
+    watcher.mKey = KeyOf(create);
+    watcher.mEnd = EndOf(create, watcher.mKey);
+    watcher.mNext = Integer(create, "start_revision");
+    if (watcher.mNext == 0) {
+      watcher.mNext = mModel.CurrentRevision() + 1;
+    }
+    HttpResponse head;
+    head.mHeaders.Set("Content-Type", "application/json");
+    aExchange->StartStream(std::move(head));
+    WriteLine(*aExchange, { { "header", Header() }, { "created", true } });
+    const auto place = mWatchers.insert(mWatchers.end(), std::move(watcher));
+    aExchange->OnCancel([this, weak = weak_from_this(), exchange = aExchange.get()] {
+      if (auto self = weak.lock()) {
+        std::erase_if(mWatchers, [exchange](const Watcher& aWatcher) {
+          return aWatcher.mExchange.get() == exchange;
+        });
+      }
+    });
+    Notify(*place);
+    NotifyWatches();
+  }
+
+  static bool WriteLine(HttpExchange& aExchange, Json aResult)
+  {
+    return aExchange.WritePiece(Json{ { "result", std::move(aResult) } }.dump() + "\n");
+  }
+
+  void NotifyWatches()
+  {
+    if (mFaults.mDelay.count() == 0) {
+      NotifyNow();
+      return;
+    }
+    AfterDelay([weak = weak_from_this()] {
+      if (auto self = weak.lock()) {
+        self->NotifyNow();
+      }
+    });
+  }
+
+  void NotifyNow()
+  {
+    std::erase_if(mWatchers, [this](Watcher& aWatcher) { return !Notify(aWatcher); });
+  }
+
+  // Reports what the watcher has not seen; false when the watch is over.
+  bool Notify(Watcher& aWatcher)
+  {
+    const auto events = mModel.EventsFrom(aWatcher.mNext);
+    if (!events) {
+      WriteLine(*aWatcher.mExchange, { { "header", Header() },
+                                       { "canceled", true },
+                                       { "compact_revision", Text(mModel.CompactRevision()) } });
+      aWatcher.mExchange->EndStream();
+      return false;
+    }
+    Json list = Json::array();
+    for (const ModelEvent& event : *events) {
+      if (event.mKey >= aWatcher.mKey && event.mKey < aWatcher.mEnd) {
+        list.push_back(EventJson(event));
+      }
+    }
+    // A start in the future is kept.
+    aWatcher.mNext = std::max(aWatcher.mNext, mModel.CurrentRevision() + 1);
+    return list.empty() || WriteLine(*aWatcher.mExchange,
+                                     { { "header", Header() }, { "events", std::move(list) } });
+  }
+
+  void CutWatches()
+  {
+    for (const Watcher& watcher : std::exchange(mWatchers, {})) {
+      watcher.mExchange->Abort();
+    }
+  }
+
+  asio::io_context& mContext;
+  KeyValueModel mModel;
+  asio::steady_timer mLeaseTimer;
+  StandinFaults mFaults;
+  StandinCounters mCounters;
+  std::list<Watcher> mWatchers;
+  std::unique_ptr<HttpServer> mServer;
+};
+
+StoreStandin::StoreStandin(asio::io_context& aContext, asio::ip::tcp::endpoint aEndpoint,
+                           const Clock& aClock)
+  : mState(std::make_shared<State>(aContext, aClock))
+{
+  HttpServerLimits limits;
+  limits.mMaxBodyBytes = kMaxRequestBytes;
+  mState->mServer = std::make_unique<HttpServer>(
+    aContext, std::move(aEndpoint), limits,
+    [weak = std::weak_ptr(mState)](const std::shared_ptr<Exchange>& aExchange) {
+      if (auto state = weak.lock()) {
+        state->Handle(aExchange);
+      }
+    });
+}
+
+StoreStandin::~StoreStandin()
+{
+  Stop();
+}
+
+Result<void> StoreStandin::Start()
+{
+  auto started = mState->mServer->Start();
+  if (started) {
+    mState->CheckLeases();
+  }
+  return started;
+}
+
+void StoreStandin::Stop()
+{
+  mState->mLeaseTimer.cancel();
+  mState->CutWatches();
+  mState->mServer->Stop();
+}
+
+uint16_t StoreStandin::Port() const
+{
+  return mState->mServer->Port();
+}
+
+void StoreStandin::SetFaults(const StandinFaults& aFaults)
+{
+  mState->SetFaults(aFaults);
+}
+
+void StoreStandin::CutWatches()
+{
+  mState->CutWatches();
+}
+
+void StoreStandin::NotifyWatches()
+{
+  mState->NotifyWatches();
+}
+
+KeyValueModel& StoreStandin::Model()
+{
+  return mState->mModel;
+}
+
+const StandinCounters& StoreStandin::Counters() const
+{
+  return mState->mCounters;
+}
+
+size_t StoreStandin::WaitingWatches() const
+{
+  return mState->mWatchers.size();
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/support/src/test_program.cpp
@@ -0,0 +1,80 @@
+#include "balsammount/test_program.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <charconv>
+#include <csignal>
+#include <iostream>
+#include <sstream>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+namespace po = boost::program_options;
+
+asio::ip::tcp::endpoint ParseEndpoint(const std::string& aText)
+{
+  const size_t colon = aText.rfind(':');
+  if (colon == std::string::npos) {
+    throw po::error("not IP:PORT: " + aText);
+  }
+  std::string host = aText.substr(0, colon);
+  if (host.size() > 1 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  uint16_t port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, portError] = std::from_chars(aText.data() + colon + 1, end, port);
+  if (error || portError != std::errc() || rest != end) {
+    throw po::error("not IP:PORT: " + aText);
+  }
+  return { address, port };
+}
+
+std::vector<std::string> SplitList(const std::string& aText, char aSeparator)
+{
+  std::vector<std::string> items;
+  std::istringstream stream(aText);
+  for (std::string item; std::getline(stream, item, aSeparator);) {
+    if (!item.empty()) {
+      items.push_back(item);
+    }
+  }
+  return items;
+}
+
+int RunProgram(int aCount, char** aArguments, const po::options_description& aOptions,
+               const StartProgram& aStart)
+{
+  asio::io_context context(1);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&context](const boost::system::error_code& aError, int) {
+    if (!aError) {
+      context.stop();
+    }
+  });
+  try {
+    po::options_description all(aOptions);
+    all.add_options()("help", "print this text");
+    po::variables_map values;
+    po::store(po::parse_command_line(aCount, aArguments, all), values);
+    if (values.contains("help")) {
+      std::cout << all;
+      return 0;
+    }
+    po::notify(values);
+    if (auto started = aStart(context, values); !started) {
+      std::cerr << Describe(started.error()) << "\n";
+      return 1;
+    }
+  } catch (const po::error& error) {
+    std::cerr << error.what() << "\n";
+    return 2;
+  }
+  context.run();
+  return 0;
+}
+
+} // namespace balsammount
