Add upstream selection and shedding at the entry

Cause: a node has to choose an upstream in under 1 us, keep to its data centre, leave failing and leaving upstreams, and shed by the levels that upstreams report. Change: Router chooses the better of two members of a stable subset by requests in flight times recent latency. Avoided, ejected and excluded members make it use the next data centre by cost. Ejections are bounded to a share of the subset, grow in time and end by single probes. New upstreams start slowly. The shed level of a service is the lower median of the fresh levels of its subset.

--- /dev/null
+++ b/packages/routing/include/balsammount/routing.h
@@ -0,0 +1,214 @@
+// Selection of an upstream for a request, and shedding at the entry by the levels that the
+// upstreams report.
+//
+// Not thread safe. Choose, ShouldShed and the On... methods allocate nothing.
+#pragma once
+
+#include "balsammount/clock.h"
+#include "balsammount/error.h"
+#include "balsammount/random.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <span>
+#include <unordered_map>
+#include <vector>
+
+namespace balsammount {
+
+enum class UpstreamId : uint64_t
+{
+};
+enum class ServiceId : uint32_t
+{
+};
+enum class DataCentreId : uint16_t
+{
+};
+enum class RankIndex : uint32_t
+{
+};
+
+enum class RoutingError
+{
+  UnknownService = 1, // no upstream of the service was ever announced
+  NoUpstream,         // every upstream has left
+  AllExcluded,        // every upstream was tried already
+};
+
+std::error_code make_error_code(RoutingError aError);
+
+struct DataCentreCost
+{
+  DataCentreId mDataCentre{};
+  double mCost = 0; // one-way delay in ms, plus what the loss of the link is worth in ms
+
+  bool operator==(const DataCentreCost&) const = default;
+};
+
+struct RoutingPolicy
+{
+  uint64_t mSelf = 0; // hash of this node's id; places the node's subsets
+  DataCentreId mDataCentre{};
+  std::vector<DataCentreCost> mCosts; // data centres that are not listed come last
+  double mCostTolerance = 0.2;        // costs within this share of each other count as equal
+  std::vector<double> mRankWorths;    // by rank; of equal worths the lower rank is shed later
+
+  size_t mLocalSubset = 24; // upstreams of a service in this data centre
+  size_t mRemoteSubset = 6; // upstreams of a service in each other data centre
+
+  Duration mInitialLatency = std::chrono::milliseconds(20); // of a service without a measurement
+  Duration mLatencyMemory =
+    std::chrono::seconds(10); // high latency without new samples is forgotten
+  Duration mSlowStart = std::chrono::seconds(10);
+  double mSlowStartWeight = 0.1; // share of a normal upstream's requests at the start
+
+  Duration mRefusedHold = std::chrono::milliseconds(200); // avoided after a refusal; up to 4 times
+  double mOverloadedAt = 1.0; // reported load that makes others preferred
+  Duration mLoadFresh = std::chrono::seconds(1);
+
+  uint32_t mFailuresInRow = 5; // failures in a row that eject
+  double mFailureRate = 0.5;   // recent share of failures that ejects, after 16 responses
+  double mMaxEjected = 0.3;    // share of a service's upstreams; one of two to four may go
+  Duration mEjection = std::chrono::seconds(5); // first ejection; doubles each time
+  Duration mMaxEjection = std::chrono::minutes(2);
+  Duration mEjectionMemory = std::chrono::minutes(5); // good behaviour that resets the doubling
+
+  Duration mShedLevelFresh = std::chrono::seconds(2);
+
+  bool operator==(const RoutingPolicy&) const = default;
+};
+
+struct UpstreamInfo
+{
+  UpstreamId mId{};
+  ServiceId mService{};
+  DataCentreId mDataCentre{};
+  uint64_t mIncarnation = 0;
+
+  bool operator==(const UpstreamInfo&) const = default;
+};
+
+struct ChooseHints
+{
+  std::span<const UpstreamId> mExcluded; // upstreams tried already, in any order
+  bool mMayProbe = true;                 // false keeps the request from an upstream on probation
+};
+
+// A response of the upstream's backend server.
+struct UpstreamAnswer
+{
+  Duration mLatency{};
+  std::optional<float> mLoad; // as reported by the upstream's node: 1 when at its limit
+  bool mServerError = false;  // the backend server reports a fault of its own (5xx)
+};
+
+enum class UpstreamState
+{
+  Normal,
+  SlowStart,
+  Avoided, // refused, overloaded or failed recently
+  Ejected,
+  Probation, // an ejection has ended; gets single requests until one succeeds
+  Leaving,
+};
+
+struct UpstreamView
+{
+  UpstreamInfo mInfo;
+  UpstreamState mState = UpstreamState::Normal;
+  bool mInSubset = false;
+  uint32_t mInFlight = 0;
+  Duration mLatency{};
+
+  bool operator==(const UpstreamView&) const = default;
+};
+
+// Chooses among a stable subset of each service's upstreams, picked by rendezvous hashing per data
+// centre, so that a change of the fleet changes at most one member per change. Two random members
+// are compared by requests in flight times recent latency. Members of other data centres are used
+// only when all local ones are avoided, ejected or excluded. When every member is avoided, the
+// nearest are used again: a refusal in the same data centre is cheaper than one across a link.
+//
+// Ejection is by failures, not by latency: a slow upstream loses the comparison and keeps a small
+// share by which its recovery is noticed.
+class Router
+{
+public:
+  Router(const Clock& aClock, Random& aRandom, RoutingPolicy aPolicy);
+  ~Router();
+  Router(const Router&) = delete;
+  Router& operator=(const Router&) = delete;
+
+  void SetPolicy(RoutingPolicy aPolicy);
+
+  // Adds or updates an upstream. A lower incarnation is ignored; a higher one ends leaving and
+  // ejection and starts slowly. Upstreams that are learned within one slow-start time after the
+  // router's construction are taken as warm: then the router is new, not they.
+  void UpsertUpstream(const UpstreamInfo& aInfo);
+  void RemoveUpstream(UpstreamId aUpstream);
+  // Final for the incarnation: the upstream gets no new request from now on.
+  void SetLeaving(UpstreamId aUpstream);
+
+  Result<UpstreamId> Choose(ServiceId aService, const ChooseHints& aHints = {});
+
+  // Every OnStart is followed by exactly one of the four others. Unknown upstreams are ignored.
+  void OnStart(UpstreamId aUpstream);
+  void OnAnswer(UpstreamId aUpstream, const UpstreamAnswer& aAnswer);
+  void OnRefused(UpstreamId aUpstream);                   // not-run
+  void OnFailure(UpstreamId aUpstream);                   // connection lost, no progress, deadline
+  void OnCancel(UpstreamId aUpstream, Duration aElapsed); // the caller went away
+
+  void OnShedLevel(ServiceId aService, UpstreamId aUpstream, uint32_t aLevel);
+
+  // The lower median of the fresh levels of the service's subset; 0 when there is none. The scale
+  // is 64 * (ranks of less worth) + cohort; the cohort is the request hash modulo 64.
+  uint32_t ShedLevel(ServiceId aService);
+  bool ShouldShed(ServiceId aService, RankIndex aRank, uint64_t aRequestHash);
+
+  // Known upstreams of a service, ordered by id. Allocates.
+  std::vector<UpstreamView> Upstreams(ServiceId aService) const;
+
+private:
+  struct Upstream;
+  struct Tier;
+  struct ServiceState;
+  struct Pick;
+
+  Upstream* Find(UpstreamId aUpstream);
+  void Rebuild(ServiceState& aService);
+  void EnforceEjectionBound(ServiceState& aService);
+  size_t EjectionBound(const ServiceState& aService) const;
+  void Eject(Upstream& aUpstream, SteadyTime aNow);
+  void Finish(Upstream& aUpstream);
+  void EraseIfUnused(UpstreamId aUpstream);
+  void CountFailure(Upstream& aUpstream, SteadyTime aNow);
+  void CountSuccess(Upstream& aUpstream, SteadyTime aNow);
+  void AddLatency(Upstream& aUpstream, Duration aLatency, SteadyTime aNow);
+  bool IsAvoided(const Upstream& aUpstream, SteadyTime aNow) const;
+  double Weight(const Upstream& aUpstream, SteadyTime aNow) const;
+  double Score(const Upstream& aUpstream, SteadyTime aNow) const;
+  double Latency(const Upstream& aUpstream, SteadyTime aNow) const;
+  bool IsCandidate(const Upstream& aUpstream, const Pick& aPick) const;
+  Upstream* ChooseIn(const Tier& aTier, const Pick& aPick);
+  Upstream* Better(Upstream* aLeft, Upstream* aRight, SteadyTime aNow) const;
+  double CostOf(DataCentreId aDataCentre) const;
+  uint32_t RanksBelow(RankIndex aRank) const;
+
+  const Clock& mClock;
+  Random& mRandom;
+  RoutingPolicy mPolicy;
+  std::vector<uint32_t> mRanksBelow;
+  SteadyTime mCreated;
+  std::unordered_map<UpstreamId, std::unique_ptr<Upstream>> mUpstreams;
+  std::unordered_map<ServiceId, std::unique_ptr<ServiceState>> mServices;
+};
+
+} // namespace balsammount
+
+template <>
+struct std::is_error_code_enum<balsammount::RoutingError> : std::true_type
+{
+};
--- /dev/null
+++ b/packages/routing/src/routing.cpp
@@ -0,0 +1,723 @@
+#include "balsammount/routing.h"
+
+#include "balsammount/hash.h"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace balsammount {
+
+namespace {
+
+// Same scale as the admission package's shed level.
+constexpr uint32_t kCohorts = 64;
+
+// A rise is followed faster than a fall, so that an upstream that slows down is left soon and one
+// short response does not bring it back.
+constexpr double kRise = 0.25;
+constexpr double kFall = 0.1;
+constexpr double kServiceLatency = 0.05;
+
+constexpr double kFailureWeight = 1.0 / 16;
+constexpr uint32_t kMinResponses = 16;
+// A score of 5 times the latency for an upstream whose requests all fail.
+constexpr double kFailurePenalty = 4;
+
+constexpr uint32_t kMaxHoldDoublings = 2;
+// Two failures in a row are rarely chance; the time lets a few other requests decide.
+constexpr uint32_t kAvoidAfterFailures = 2;
+constexpr Duration kFailureHold = std::chrono::seconds(1);
+
+// Random draws before the tier is scanned.
+constexpr int kDraws = 6;
+// Data centres of tried upstreams that a second retry avoids.
+constexpr size_t kMaxUsedDataCentres = 4;
+constexpr size_t kSecondRetry = 2;
+
+double Nanos(Duration aTime)
+{
+  return static_cast<double>(aTime.count());
+}
+
+} // namespace
+
+struct Router::Upstream
+{
+  UpstreamInfo mInfo;
+  ServiceState* mService = nullptr;
+  uint64_t mPlace = 0; // rendezvous weight
+  bool mLeaving = false;
+  bool mRemoved = false; // kept until its requests have ended
+  bool mInSubset = false;
+
+  uint32_t mInFlight = 0;
+  double mLatency = 0; // ns; 0 without a sample
+  SteadyTime mSampled{};
+  SteadyTime mWarmAt = SteadyTime::min();
+
+  SteadyTime mAvoidUntil = SteadyTime::min();
+  uint32_t mRefusedInRow = 0;
+  float mLoad = 0;
+  SteadyTime mLoadAt = SteadyTime::min();
+
+  uint32_t mFailedInRow = 0;
+  uint32_t mResponses = 0;
+  double mFailureRate = 0;
+  bool mEjected = false;
+  uint32_t mEjections = 0;
+  SteadyTime mEjectedUntil{};
+
+  uint32_t mShedLevel = 0;
+  SteadyTime mShedLevelUntil = SteadyTime::min();
+
+  bool OnProbation(SteadyTime aNow) const { return mEjected && aNow >= mEjectedUntil; }
+};
+
+struct Router::Tier
+{
+  double mCost = 0;
+  std::vector<Upstream*> mMembers;
+};
+
+struct Router::ServiceState
+{
+  ServiceId mId{};
+  std::vector<Upstream*> mAll;
+  std::vector<Tier> mTiers;
+  size_t mSubsetSize = 0;
+  double mLatency = 0; // ns; 0 without a sample
+
+  uint32_t mShedLevel = 0;
+  bool mShedLevelKnown = false;
+  SteadyTime mShedLevelUntil = SteadyTime::min();
+  std::vector<uint32_t> mScratch; // as large as the subset
+};
+
+// What one pass of Choose accepts.
+struct Router::Pick
+{
+  SteadyTime mNow;
+  const ChooseHints& mHints;
+  std::span<const DataCentreId> mUsed; // data centres to keep out of
+  bool mAvoided = false;               // accepts avoided upstreams
+  bool mEjected = false;               // accepts ejected upstreams
+};
+
+std::error_code make_error_code(RoutingError aError)
+{
+  static constexpr std::array<const char*, 4> kMessages = { "success", "unknown service",
+                                                            "no upstream",
+                                                            "every upstream was tried" };
+  static const EnumCategory sCategory("balsammount.routing", kMessages);
+  return { static_cast<int>(aError), sCategory };
+}
+
+Router::Router(const Clock& aClock, Random& aRandom, RoutingPolicy aPolicy)
+  : mClock(aClock)
+  , mRandom(aRandom)
+  , mCreated(aClock.Now())
+{
+  SetPolicy(std::move(aPolicy));
+}
+
+Router::~Router() = default;
+
+void Router::SetPolicy(RoutingPolicy aPolicy)
+{
+  mPolicy = std::move(aPolicy);
+  const auto& worths = mPolicy.mRankWorths;
+  mRanksBelow.assign(worths.size(), 0);
+  for (size_t rank = 0; rank < worths.size(); ++rank) {
+    for (size_t other = 0; other < worths.size(); ++other) {
+      const bool below =
+        worths[other] < worths[rank] || (worths[other] == worths[rank] && other > rank);
+      mRanksBelow[rank] += below ? 1 : 0;
+    }
+  }
+  for (auto& [id, upstream] : mUpstreams) {
+    upstream->mPlace = HashCombine(mPolicy.mSelf, static_cast<uint64_t>(id));
+  }
+  for (auto& [id, service] : mServices) {
+    Rebuild(*service);
+  }
+}
+
+Router::Upstream* Router::Find(UpstreamId aUpstream)
+{
+  const auto found = mUpstreams.find(aUpstream);
+  return found == mUpstreams.end() ? nullptr : found->second.get();
+}
+
+double Router::CostOf(DataCentreId aDataCentre) const
+{
+  if (aDataCentre == mPolicy.mDataCentre) {
+    return -1;
+  }
+  for (const DataCentreCost& cost : mPolicy.mCosts) {
+    if (cost.mDataCentre == aDataCentre) {
+      return std::max(0.0, cost.mCost);
+    }
+  }
+  return std::numeric_limits<double>::infinity();
+}
+
+void Router::UpsertUpstream(const UpstreamInfo& aInfo)
+{
+  const SteadyTime now = mClock.Now();
+  auto& entry = mUpstreams[aInfo.mId];
+  if (entry && aInfo.mIncarnation < entry->mInfo.mIncarnation) {
+    return;
+  }
+  if (entry && aInfo == entry->mInfo && !entry->mRemoved) {
+    return;
+  }
+  const bool cold = entry || now - mCreated >= mPolicy.mSlowStart;
+  const bool restarted = !entry || aInfo.mIncarnation > entry->mInfo.mIncarnation;
+  if (!entry) {
+    entry = std::make_unique<Upstream>();
+  }
+  if (ServiceState* old = entry->mService; old && old->mId != aInfo.mService) {
+    std::erase(old->mAll, entry.get());
+    Rebuild(*old);
+    entry->mService = nullptr;
+  }
+  auto& service = mServices[aInfo.mService];
+  if (!service) {
+    service = std::make_unique<ServiceState>();
+    service->mId = aInfo.mService;
+  }
+  if (restarted) {
+    Upstream fresh;
+    fresh.mService = entry->mService;
+    fresh.mInFlight = entry->mInFlight;
+    fresh.mRemoved = entry->mRemoved;
+    fresh.mWarmAt = cold ? now + mPolicy.mSlowStart : now;
+    *entry = fresh;
+  }
+  entry->mInfo = aInfo;
+  entry->mPlace = HashCombine(mPolicy.mSelf, static_cast<uint64_t>(aInfo.mId));
+  if (!entry->mService || entry->mRemoved) {
+    service->mAll.push_back(entry.get());
+  }
+  entry->mService = service.get();
+  entry->mRemoved = false;
+  Rebuild(*service);
+}
+
+void Router::RemoveUpstream(UpstreamId aUpstream)
+{
+  Upstream* upstream = Find(aUpstream);
+  if (!upstream || upstream->mRemoved) {
+    return;
+  }
+  upstream->mRemoved = true;
+  std::erase(upstream->mService->mAll, upstream);
+  Rebuild(*upstream->mService);
+  EraseIfUnused(aUpstream);
+}
+
+void Router::EraseIfUnused(UpstreamId aUpstream)
+{
+  const Upstream* upstream = Find(aUpstream);
+  if (upstream && upstream->mRemoved && upstream->mInFlight == 0) {
+    mUpstreams.erase(aUpstream);
+  }
+}
+
+void Router::SetLeaving(UpstreamId aUpstream)
+{
+  Upstream* upstream = Find(aUpstream);
+  if (upstream && !upstream->mLeaving) {
+    upstream->mLeaving = true;
+    Rebuild(*upstream->mService);
+  }
+}
+
+void Router::Rebuild(ServiceState& aService)
+{
+  std::vector<Upstream*> active;
+  active.reserve(aService.mAll.size());
+  for (Upstream* upstream : aService.mAll) {
+    upstream->mInSubset = false;
+    if (!upstream->mLeaving) {
+      active.push_back(upstream);
+    }
+  }
+  const auto order = [this](const Upstream* aUpstream) {
+    return std::make_tuple(CostOf(aUpstream->mInfo.mDataCentre), aUpstream->mInfo.mDataCentre,
+                           aUpstream->mPlace, aUpstream->mInfo.mId);
+  };
+  std::sort(active.begin(), active.end(),
+            [&](const auto* aLeft, const auto* aRight) { return order(aLeft) < order(aRight); });
+
+  aService.mTiers.clear();
+  aService.mSubsetSize = 0;
+  for (size_t begin = 0; begin < active.size();) {
+    const DataCentreId dataCentre = active[begin]->mInfo.mDataCentre;
+    size_t end = begin;
+    while (end < active.size() && active[end]->mInfo.mDataCentre == dataCentre) {
+      ++end;
+    }
+    const bool local = dataCentre == mPolicy.mDataCentre;
+    const size_t size = std::min(
+      end - begin, std::max<size_t>(1, local ? mPolicy.mLocalSubset : mPolicy.mRemoteSubset));
+    const double cost = CostOf(dataCentre);
+    const bool joins = !aService.mTiers.empty() && aService.mTiers.back().mCost >= 0 &&
+                       cost <= aService.mTiers.back().mCost * (1 + mPolicy.mCostTolerance);
+    if (!joins) {
+      aService.mTiers.push_back({ cost, {} });
+    }
+    auto& members = aService.mTiers.back().mMembers;
+    members.insert(members.end(), active.begin() + static_cast<ptrdiff_t>(begin),
+                   active.begin() + static_cast<ptrdiff_t>(begin + size));
+    aService.mSubsetSize += size;
+    begin = end;
+  }
+  for (const Tier& tier : aService.mTiers) {
+    for (Upstream* upstream : tier.mMembers) {
+      upstream->mInSubset = true;
+    }
+  }
+  aService.mScratch.reserve(aService.mSubsetSize);
+  aService.mShedLevelKnown = false;
+  EnforceEjectionBound(aService);
+}
+
+size_t Router::EjectionBound(const ServiceState& aService) const
+{
+  if (aService.mSubsetSize < 2) {
+    return 0;
+  }
+  const double share = mPolicy.mMaxEjected * static_cast<double>(aService.mSubsetSize);
+  return std::min(aService.mSubsetSize - 1, std::max<size_t>(1, static_cast<size_t>(share)));
+}
+
+// A smaller subset has a smaller bound; the ejections that would end first end now.
+void Router::EnforceEjectionBound(ServiceState& aService)
+{
+  for (;;) {
+    size_t ejected = 0;
+    Upstream* first = nullptr;
+    for (const Tier& tier : aService.mTiers) {
+      for (Upstream* upstream : tier.mMembers) {
+        if (upstream->mEjected) {
+          ++ejected;
+          first = first && first->mEjectedUntil <= upstream->mEjectedUntil ? first : upstream;
+        }
+      }
+    }
+    if (ejected <= EjectionBound(aService)) {
+      return;
+    }
+    first->mEjected = false;
+  }
+}
+
+void Router::Eject(Upstream& aUpstream, SteadyTime aNow)
+{
+  if (aNow - aUpstream.mEjectedUntil > mPolicy.mEjectionMemory) {
+    aUpstream.mEjections = 0;
+  }
+  Duration time = mPolicy.mEjection;
+  for (uint32_t i = 0; i < aUpstream.mEjections && time < mPolicy.mMaxEjection; ++i) {
+    time *= 2;
+  }
+  time = std::min(time, mPolicy.mMaxEjection);
+  // Nodes that eject the same upstream at the same time must not probe it at the same time.
+  time += std::chrono::duration_cast<Duration>(time * (0.2 * mRandom.Uniform()));
+  aUpstream.mEjected = true;
+  aUpstream.mEjectedUntil = aNow + time;
+  aUpstream.mEjections = std::min<uint32_t>(aUpstream.mEjections + 1, 32);
+  aUpstream.mFailedInRow = 0;
+  aUpstream.mResponses = 0;
+  aUpstream.mFailureRate = 0;
+  EnforceEjectionBound(*aUpstream.mService);
+}
+
+bool Router::IsAvoided(const Upstream& aUpstream, SteadyTime aNow) const
+{
+  if (aNow < aUpstream.mAvoidUntil) {
+    return true;
+  }
+  return aUpstream.mLoad >= mPolicy.mOverloadedAt && aUpstream.mLoadAt + mPolicy.mLoadFresh > aNow;
+}
+
+double Router::Weight(const Upstream& aUpstream, SteadyTime aNow) const
+{
+  if (aNow >= aUpstream.mWarmAt || mPolicy.mSlowStart <= Duration::zero()) {
+    return 1;
+  }
+  const double left = Nanos(aUpstream.mWarmAt - aNow) / Nanos(mPolicy.mSlowStart);
+  return std::max(mPolicy.mSlowStartWeight, 1 - left);
+}
+
+double Router::Latency(const Upstream& aUpstream, SteadyTime aNow) const
+{
+  const double typical = aUpstream.mService->mLatency > 0 ? aUpstream.mService->mLatency
+                                                          : Nanos(mPolicy.mInitialLatency);
+  if (aUpstream.mLatency <= 0) {
+    return typical;
+  }
+  if (aUpstream.mLatency <= typical) {
+    return aUpstream.mLatency;
+  }
+  const double age =
+    Nanos(aNow - aUpstream.mSampled) / std::max(1.0, Nanos(mPolicy.mLatencyMemory));
+  return typical + (aUpstream.mLatency - typical) * std::max(0.0, 1 - age);
+}
+
+double Router::Score(const Upstream& aUpstream, SteadyTime aNow) const
+{
+  return (static_cast<double>(aUpstream.mInFlight) / Weight(aUpstream, aNow) + 1) *
+         Latency(aUpstream, aNow) * (1 + kFailurePenalty * aUpstream.mFailureRate);
+}
+
+bool Router::IsCandidate(const Upstream& aUpstream, const Pick& aPick) const
+{
+  const auto& excluded = aPick.mHints.mExcluded;
+  if (std::find(excluded.begin(), excluded.end(), aUpstream.mInfo.mId) != excluded.end()) {
+    return false;
+  }
+  if (std::find(aPick.mUsed.begin(), aPick.mUsed.end(), aUpstream.mInfo.mDataCentre) !=
+      aPick.mUsed.end()) {
+    return false;
+  }
+  if (aUpstream.mEjected && !aPick.mEjected) {
+    // On probation one request at a time.
+    if (!aPick.mHints.mMayProbe || !aUpstream.OnProbation(aPick.mNow) || aUpstream.mInFlight > 0) {
+      return false;
+    }
+  }
+  return aPick.mAvoided || !IsAvoided(aUpstream, aPick.mNow);
+}
+
+Router::Upstream* Router::Better(Upstream* aLeft, Upstream* aRight, SteadyTime aNow) const
+{
+  return Score(*aRight, aNow) < Score(*aLeft, aNow) ? aRight : aLeft;
+}
+
+Router::Upstream* Router::ChooseIn(const Tier& aTier, const Pick& aPick)
+{
+  // An upstream that starts slowly or is on probation counts only in a share of the draws.
+  const auto accepted = [&](const Upstream& aUpstream) {
+    const double weight =
+      aUpstream.mEjected ? mPolicy.mSlowStartWeight : Weight(aUpstream, aPick.mNow);
+    return weight >= 1 || mRandom.Uniform() < weight;
+  };
+  const auto& members = aTier.mMembers;
+  Upstream* first = nullptr;
+  for (int draw = 0; draw < kDraws; ++draw) {
+    Upstream* drawn = members[mRandom.Below(members.size())];
+    if (drawn == first || !IsCandidate(*drawn, aPick) || !accepted(*drawn)) {
+      continue;
+    }
+    if (first) {
+      return Better(first, drawn, aPick.mNow);
+    }
+    first = drawn;
+  }
+  // Few candidates: reservoir sampling of two over all members, from a random start.
+  Upstream* one = nullptr;
+  Upstream* two = nullptr;
+  Upstream* reluctant = nullptr;
+  uint64_t seen = 0;
+  const size_t start = mRandom.Below(members.size());
+  for (size_t i = 0; i < members.size(); ++i) {
+    Upstream* member = members[(start + i) % members.size()];
+    if (!IsCandidate(*member, aPick)) {
+      continue;
+    }
+    if (!accepted(*member)) {
+      // A cold upstream is no reserve for the load that its overloaded neighbours refuse.
+      if (aPick.mAvoided || member->mInFlight == 0) {
+        reluctant = reluctant ? Better(reluctant, member, aPick.mNow) : member;
+      }
+      continue;
+    }
+    ++seen;
+    if (!one) {
+      one = member;
+    } else if (!two) {
+      two = member;
+    } else if (const uint64_t place = mRandom.Below(seen); place < 2) {
+      (place == 0 ? one : two) = member;
+    }
+  }
+  if (!one) {
+    return reluctant;
+  }
+  return two ? Better(one, two, aPick.mNow) : one;
+}
+
+Result<UpstreamId> Router::Choose(ServiceId aService, const ChooseHints& aHints)
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return Failure{ RoutingError::UnknownService, {} };
+  }
+  const ServiceState& service = *found->second;
+  if (service.mSubsetSize == 0) {
+    return Failure{ RoutingError::NoUpstream, {} };
+  }
+
+  std::array<DataCentreId, kMaxUsedDataCentres> used{};
+  size_t usedCount = 0;
+  if (aHints.mExcluded.size() >= kSecondRetry) {
+    for (const UpstreamId id : aHints.mExcluded) {
+      if (const Upstream* tried = Find(id); tried && usedCount < used.size()) {
+        used[usedCount++] = tried->mInfo.mDataCentre;
+      }
+    }
+  }
+
+  Pick pick{ mClock.Now(), aHints, { used.data(), usedCount }, false, false };
+  const auto search = [&]() -> Upstream* {
+    for (const Tier& tier : service.mTiers) {
+      if (Upstream* chosen = ChooseIn(tier, pick)) {
+        return chosen;
+      }
+    }
+    return nullptr;
+  };
+  // From the best to the last resort: another data centre if one is wanted, any upstream in good
+  // state, an avoided one, an ejected one.
+  Upstream* chosen = usedCount > 0 ? search() : nullptr;
+  pick.mUsed = {};
+  if (!chosen) {
+    chosen = search();
+  }
+  if (!chosen) {
+    pick.mAvoided = true;
+    chosen = search();
+  }
+  if (!chosen) {
+    pick.mEjected = true;
+    chosen = search();
+  }
+  if (!chosen) {
+    return Failure{ RoutingError::AllExcluded, {} };
+  }
+  return chosen->mInfo.mId;
+}
+
+void Router::OnStart(UpstreamId aUpstream)
+{
+  if (Upstream* upstream = Find(aUpstream)) {
+    ++upstream->mInFlight;
+  }
+}
+
+void Router::Finish(Upstream& aUpstream)
+{
+  aUpstream.mInFlight -= aUpstream.mInFlight > 0 ? 1 : 0;
+}
+
+void Router::AddLatency(Upstream& aUpstream, Duration aLatency, SteadyTime aNow)
+{
+  const double sample = std::max(1.0, Nanos(aLatency));
+  ServiceState& service = *aUpstream.mService;
+  const double current = aUpstream.mLatency > 0 ? Latency(aUpstream, aNow) : sample;
+  aUpstream.mLatency = current + (sample > current ? kRise : kFall) * (sample - current);
+  aUpstream.mSampled = aNow;
+  service.mLatency = service.mLatency > 0
+                       ? service.mLatency + kServiceLatency * (sample - service.mLatency)
+                       : sample;
+}
+
+void Router::CountSuccess(Upstream& aUpstream, SteadyTime aNow)
+{
+  aUpstream.mFailedInRow = 0;
+  aUpstream.mRefusedInRow = 0;
+  aUpstream.mAvoidUntil = SteadyTime::min();
+  aUpstream.mFailureRate -= kFailureWeight * aUpstream.mFailureRate;
+  aUpstream.mResponses = std::min(aUpstream.mResponses + 1, kMinResponses);
+  if (aUpstream.OnProbation(aNow)) {
+    aUpstream.mEjected = false;
+    aUpstream.mWarmAt = aNow + mPolicy.mSlowStart;
+  }
+}
+
+void Router::CountFailure(Upstream& aUpstream, SteadyTime aNow)
+{
+  ++aUpstream.mFailedInRow;
+  aUpstream.mFailureRate += kFailureWeight * (1 - aUpstream.mFailureRate);
+  aUpstream.mResponses = std::min(aUpstream.mResponses + 1, kMinResponses);
+  if (aUpstream.mFailedInRow >= kAvoidAfterFailures) {
+    aUpstream.mAvoidUntil = std::max(aUpstream.mAvoidUntil, aNow + kFailureHold);
+  }
+  if (aUpstream.mRemoved || aUpstream.mLeaving || !aUpstream.mInSubset) {
+    return;
+  }
+  if (aUpstream.mEjected) {
+    // Requests that started before the ejection may still fail; only a failed probe counts.
+    if (aUpstream.OnProbation(aNow)) {
+      Eject(aUpstream, aNow);
+    }
+    return;
+  }
+  const bool often =
+    aUpstream.mResponses >= kMinResponses && aUpstream.mFailureRate >= mPolicy.mFailureRate;
+  if (aUpstream.mFailedInRow < mPolicy.mFailuresInRow && !often) {
+    return;
+  }
+  size_t ejected = 0;
+  for (const Tier& tier : aUpstream.mService->mTiers) {
+    ejected += static_cast<size_t>(std::count_if(tier.mMembers.begin(), tier.mMembers.end(),
+                                                 [](const auto* aOne) { return aOne->mEjected; }));
+  }
+  if (ejected < EjectionBound(*aUpstream.mService)) {
+    Eject(aUpstream, aNow);
+  }
+}
+
+void Router::OnAnswer(UpstreamId aUpstream, const UpstreamAnswer& aAnswer)
+{
+  Upstream* upstream = Find(aUpstream);
+  if (!upstream) {
+    return;
+  }
+  const SteadyTime now = mClock.Now();
+  Finish(*upstream);
+  if (aAnswer.mLoad) {
+    upstream->mLoad = *aAnswer.mLoad;
+    upstream->mLoadAt = now;
+  }
+  if (aAnswer.mServerError) {
+    // Its latency is not counted: a server that fails at once must not look fast.
+    CountFailure(*upstream, now);
+  } else {
+    AddLatency(*upstream, aAnswer.mLatency, now);
+    CountSuccess(*upstream, now);
+  }
+  EraseIfUnused(aUpstream);
+}
+
+void Router::OnRefused(UpstreamId aUpstream)
+{
+  Upstream* upstream = Find(aUpstream);
+  if (!upstream) {
+    return;
+  }
+  Finish(*upstream);
+  const uint32_t doublings = std::min(upstream->mRefusedInRow, kMaxHoldDoublings);
+  upstream->mAvoidUntil =
+    std::max(upstream->mAvoidUntil, mClock.Now() + mPolicy.mRefusedHold * (1U << doublings));
+  upstream->mRefusedInRow = std::min(upstream->mRefusedInRow + 1, kMaxHoldDoublings);
+  EraseIfUnused(aUpstream);
+}
+
+void Router::OnFailure(UpstreamId aUpstream)
+{
+  if (Upstream* upstream = Find(aUpstream)) {
+    Finish(*upstream);
+    CountFailure(*upstream, mClock.Now());
+    EraseIfUnused(aUpstream);
+  }
+}
+
+void Router::OnCancel(UpstreamId aUpstream, Duration aElapsed)
+{
+  if (Upstream* upstream = Find(aUpstream)) {
+    Finish(*upstream);
+    // The response would have taken longer than this.
+    const SteadyTime now = mClock.Now();
+    if (Nanos(aElapsed) > Latency(*upstream, now)) {
+      AddLatency(*upstream, aElapsed, now);
+    }
+    EraseIfUnused(aUpstream);
+  }
+}
+
+void Router::OnShedLevel(ServiceId aService, UpstreamId aUpstream, uint32_t aLevel)
+{
+  Upstream* upstream = Find(aUpstream);
+  if (!upstream || upstream->mInfo.mService != aService) {
+    return;
+  }
+  const SteadyTime now = mClock.Now();
+  if (upstream->mShedLevel != aLevel || upstream->mShedLevelUntil <= now) {
+    upstream->mService->mShedLevelKnown = false;
+  }
+  upstream->mShedLevel = aLevel;
+  upstream->mShedLevelUntil = now + mPolicy.mShedLevelFresh;
+}
+
+uint32_t Router::ShedLevel(ServiceId aService)
+{
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return 0;
+  }
+  ServiceState& service = *found->second;
+  const SteadyTime now = mClock.Now();
+  if (service.mShedLevelKnown && now < service.mShedLevelUntil) {
+    return service.mShedLevel;
+  }
+  auto& levels = service.mScratch;
+  levels.clear();
+  service.mShedLevelUntil = SteadyTime::max();
+  for (const Tier& tier : service.mTiers) {
+    for (const Upstream* upstream : tier.mMembers) {
+      if (upstream->mShedLevelUntil > now) {
+        levels.push_back(upstream->mShedLevel);
+        service.mShedLevelUntil = std::min(service.mShedLevelUntil, upstream->mShedLevelUntil);
+      }
+    }
+  }
+  service.mShedLevelKnown = true;
+  service.mShedLevel = 0;
+  if (!levels.empty()) {
+    const auto middle = levels.begin() + static_cast<ptrdiff_t>((levels.size() - 1) / 2);
+    std::nth_element(levels.begin(), middle, levels.end());
+    service.mShedLevel = *middle;
+  }
+  return service.mShedLevel;
+}
+
+uint32_t Router::RanksBelow(RankIndex aRank) const
+{
+  const auto rank = static_cast<size_t>(aRank);
+  return rank < mRanksBelow.size() ? mRanksBelow[rank] : 0;
+}
+
+bool Router::ShouldShed(ServiceId aService, RankIndex aRank, uint64_t aRequestHash)
+{
+  const uint32_t level = ShedLevel(aService);
+  const auto cohort = static_cast<uint32_t>(aRequestHash % kCohorts);
+  return RanksBelow(aRank) * kCohorts + cohort < level;
+}
+
+std::vector<UpstreamView> Router::Upstreams(ServiceId aService) const
+{
+  std::vector<UpstreamView> views;
+  const auto found = mServices.find(aService);
+  if (found == mServices.end()) {
+    return views;
+  }
+  const SteadyTime now = mClock.Now();
+  views.reserve(found->second->mAll.size());
+  for (const Upstream* upstream : found->second->mAll) {
+    UpstreamState state = UpstreamState::Normal;
+    if (upstream->mLeaving) {
+      state = UpstreamState::Leaving;
+    } else if (upstream->mEjected) {
+      state = upstream->OnProbation(now) ? UpstreamState::Probation : UpstreamState::Ejected;
+    } else if (IsAvoided(*upstream, now)) {
+      state = UpstreamState::Avoided;
+    } else if (now < upstream->mWarmAt) {
+      state = UpstreamState::SlowStart;
+    }
+    views.push_back({ upstream->mInfo, state, upstream->mInSubset, upstream->mInFlight,
+                      Duration(static_cast<int64_t>(Latency(*upstream, now))) });
+  }
+  std::sort(views.begin(), views.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mInfo.mId < aRight.mInfo.mId;
+  });
+  return views;
+}
+
+} // namespace balsammount
