Add the configuration package

Cause: nodes and balsamctl need the operators' directory as a validated value, and a rule for accepting new revisions of it. Positions come from a cursor that follows the SAX events, because nlohmann-json reports none. Conclusion: usable by the node.

--- /dev/null
+++ b/packages/config/src/config_folder.cpp
@@ -0,0 +1,530 @@
+#include "balsammount/config_folder.h"
+
+#include "settings.h"
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <sstream>
+
+namespace balsammount {
+
+namespace {
+
+using detail::JsonKind;
+using detail::JsonNode;
+using detail::Position;
+using detail::Quoted;
+
+struct Place
+{
+  std::string mFile;
+  Position mAt;
+};
+
+struct LocatedValue
+{
+  Place mPlace;
+  JsonNode mNode;
+};
+
+struct Entry
+{
+  Place mPlace; // where it was first defined
+  std::map<std::string, LocatedValue> mSettings;
+};
+
+using Entries = std::map<std::string, Entry>;
+
+struct Section
+{
+  std::string_view mName;
+  std::span<const std::string_view> mSettings;
+};
+
+template <class T, size_t N>
+constexpr std::array<std::string_view, N> NamesOf(const detail::Setting<T> (&aSettings)[N])
+{
+  std::array<std::string_view, N> names;
+  for (size_t i = 0; i < N; ++i) {
+    names[i] = aSettings[i].mInfo.mName;
+  }
+  return names;
+}
+
+constexpr auto kServiceNames = NamesOf(detail::kServiceSettings);
+constexpr auto kRankNames = NamesOf(detail::kRankSettings);
+constexpr auto kRuleNames = NamesOf(detail::kRuleSettings);
+constexpr auto kLimitNames = NamesOf(detail::kLimitSettings);
+constexpr auto kRetryNames = NamesOf(detail::kRetrySettings);
+
+constexpr Section kSections[] = {
+  { "services", kServiceNames }, { "ranks", kRankNames },    { "rules", kRuleNames },
+  { "limits", kLimitNames },     { "retries", kRetryNames },
+};
+
+size_t EditDistance(std::string_view aLeft, std::string_view aRight)
+{
+  std::vector<size_t> row(aRight.size() + 1);
+  for (size_t j = 0; j < row.size(); ++j) {
+    row[j] = j;
+  }
+  for (size_t i = 1; i <= aLeft.size(); ++i) {
+    size_t diagonal = row[0];
+    row[0] = i;
+    for (size_t j = 1; j < row.size(); ++j) {
+      const size_t substituted = diagonal + (aLeft[i - 1] == aRight[j - 1] ? 0 : 1);
+      diagonal = row[j];
+      row[j] = std::min({ substituted, row[j] + 1, row[j - 1] + 1 });
+    }
+  }
+  return row.back();
+}
+
+// "; did you mean X?" for the nearest name, or nothing when there are no names. Only the start of a
+// long name is compared, which bounds the cost.
+template <class Names>
+std::string Suggestion(std::string_view aName, const Names& aKnown)
+{
+  constexpr size_t kMaxCompared = 64;
+  std::string_view nearest;
+  size_t best = std::string_view::npos;
+  for (const auto& known : aKnown) {
+    const size_t distance = EditDistance(aName.substr(0, kMaxCompared), known);
+    if (distance < best) {
+      best = distance;
+      nearest = known;
+    }
+  }
+  return nearest.empty() ? "" : "; did you mean " + Quoted(nearest) + "?";
+}
+
+std::vector<std::string_view> KeysOf(const Entries& aEntries)
+{
+  std::vector<std::string_view> keys;
+  for (const auto& [name, entry] : aEntries) {
+    keys.push_back(name);
+  }
+  return keys;
+}
+
+class FolderCheck
+{
+public:
+  FolderResult Run(const FileMap& aFiles)
+  {
+    size_t bytes = 0;
+    for (const auto& [name, text] : aFiles) {
+      bytes += name.size() + text.size();
+    }
+    if (bytes > kMaxConfigBytes) {
+      Report({}, "",
+             "the files have " + std::to_string(bytes) + " bytes; expected at most " +
+               std::to_string(kMaxConfigBytes));
+    } else {
+      for (const auto& [name, text] : aFiles) {
+        MergeFile(name, text);
+      }
+      ParseAll();
+    }
+    return Finish();
+  }
+
+private:
+  void Report(const Place& aPlace, std::string aPath, std::string aMessage)
+  {
+    // Twice the reported number is kept, because the final order is known only at the end.
+    if (mResult.mDiagnostics.size() < 2 * kMaxDiagnostics) {
+      mResult.mDiagnostics.push_back({ aPlace.mFile, aPlace.mAt.mLine, aPlace.mAt.mColumn,
+                                       std::move(aPath), std::move(aMessage) });
+    }
+  }
+
+  void MergeFile(const std::string& aFile, const std::string& aText)
+  {
+    if (!IsConfigFileName(aFile)) {
+      Report({ aFile, {} }, "",
+             "expected a file name of letters, digits, '_', '-' and '.' that ends in \".json\"");
+      return;
+    }
+    const detail::JsonParse parsed = detail::ParseJson(aText, detail::JsonComments::Ignore);
+    for (const detail::JsonProblem& problem : parsed.mProblems) {
+      Report({ aFile, problem.mAt }, "", problem.mMessage);
+    }
+    if (!parsed.mRoot) {
+      return;
+    }
+    if (parsed.mRoot->mKind != JsonKind::Object) {
+      Report({ aFile, parsed.mRoot->mAt }, "", "expected an object of sections");
+      return;
+    }
+    for (const JsonNode& member : parsed.mRoot->mItems) {
+      MergeSection(aFile, member);
+    }
+  }
+
+  void MergeSection(const std::string& aFile, const JsonNode& aMember)
+  {
+    const auto* section = std::ranges::find(kSections, aMember.mName, &Section::mName);
+    if (section == std::end(kSections)) {
+      std::vector<std::string_view> names;
+      for (const Section& known : kSections) {
+        names.push_back(known.mName);
+      }
+      Report({ aFile, aMember.mNameAt }, "",
+             "unknown section " + Quoted(aMember.mName) + Suggestion(aMember.mName, names));
+      return;
+    }
+    if (aMember.mKind != JsonKind::Object) {
+      Report({ aFile, aMember.mAt }, aMember.mName, "expected an object of entries by name");
+      return;
+    }
+    for (const JsonNode& entry : aMember.mItems) {
+      MergeEntry(aFile, *section, entry);
+    }
+  }
+
+  void MergeEntry(const std::string& aFile, const Section& aSection, const JsonNode& aMember)
+  {
+    Entries& entries = mSections[std::string(aSection.mName)];
+    const std::string section(aSection.mName);
+    if (!detail::IsName(aMember.mName)) {
+      Report({ aFile, aMember.mNameAt }, section,
+             "name " + Quoted(aMember.mName) + ": expected " +
+               std::string(detail::kNameForm.mDescription));
+      return;
+    }
+    const std::string path = section + "." + aMember.mName;
+    if (aMember.mKind == JsonKind::Null) {
+      if (entries.erase(aMember.mName) == 0) {
+        Report({ aFile, aMember.mNameAt }, path,
+               "null removes an entry, but no earlier file has one of this name" +
+                 Suggestion(aMember.mName, KeysOf(entries)));
+      }
+      return;
+    }
+    if (aMember.mKind != JsonKind::Object) {
+      Report({ aFile, aMember.mAt }, path,
+             "expected an object of settings, or null to remove the entry");
+      return;
+    }
+    Entry& entry =
+      entries.try_emplace(aMember.mName, Entry{ { aFile, aMember.mNameAt }, {} }).first->second;
+    for (const JsonNode& setting : aMember.mItems) {
+      MergeSetting(aFile, aSection, path, setting, entry);
+    }
+  }
+
+  void MergeSetting(const std::string& aFile, const Section& aSection, const std::string& aPath,
+                    const JsonNode& aMember, Entry& aEntry)
+  {
+    if (std::ranges::find(aSection.mSettings, aMember.mName) == aSection.mSettings.end()) {
+      Report({ aFile, aMember.mNameAt }, aPath,
+             "unknown setting " + Quoted(aMember.mName) +
+               Suggestion(aMember.mName, aSection.mSettings));
+    } else if (aMember.mKind == JsonKind::Null) {
+      aEntry.mSettings.erase(aMember.mName);
+    } else {
+      aEntry.mSettings.insert_or_assign(aMember.mName,
+                                        LocatedValue{ { aFile, aMember.mAt }, aMember });
+    }
+  }
+
+  // Fills an object from an entry, then from a fallback entry, then from the table's defaults.
+  template <class T>
+  void Fill(const std::string& aPath, std::span<const detail::Setting<T>> aSettings,
+            const Entry* aEntry, const Entry* aFallback, T& aObject)
+  {
+    detail::ForEachSetting(aSettings, aObject, [&](const auto& aInfo, auto& aValue) {
+      const std::string name(aInfo.mName);
+      const std::string path = std::string(aPath).append(".").append(name);
+      for (const Entry* entry : { aEntry, aFallback }) {
+        if (!entry) {
+          continue;
+        }
+        if (const auto found = entry->mSettings.find(name); found != entry->mSettings.end()) {
+          const Place& place = found->second.mPlace;
+          if (auto expected = detail::ReadValue(found->second.mNode, aInfo, aValue)) {
+            Report(place, path, std::move(*expected));
+          }
+          mResult.mOrigins[path] = { place.mFile, place.mAt.mLine, place.mAt.mColumn };
+          return;
+        }
+      }
+      if (std::holds_alternative<detail::Required>(aInfo.mDefault)) {
+        Report(aEntry->mPlace, aPath, "setting " + Quoted(name) + " is required");
+      } else {
+        detail::AssignDefault(aInfo, aValue);
+      }
+    });
+  }
+
+  template <class T>
+  std::vector<T> ParseSection(std::string_view aSection,
+                              std::span<const detail::Setting<T>> aSettings)
+  {
+    std::vector<T> objects;
+    for (const auto& [name, entry] : mSections[std::string(aSection)]) {
+      T object;
+      object.mName = name;
+      Fill<T>(std::string(aSection) + "." + name, aSettings, &entry, nullptr, object);
+      objects.push_back(std::move(object));
+    }
+    return objects;
+  }
+
+  // Fills one policy of every service from a section keyed by service.
+  template <class T>
+  void ParsePerService(std::string_view aSection, std::span<const detail::Setting<T>> aSettings,
+                       T ServicePolicy::*aMember)
+  {
+    const Entries& entries = mSections[std::string(aSection)];
+    const auto fallback = entries.find(std::string(detail::kDefaultEntry));
+    for (const auto& [name, entry] : entries) {
+      T unused;
+      const std::string path = std::string(aSection) + "." + name;
+      if (name == detail::kDefaultEntry) {
+        Fill<T>(path, aSettings, &entry, nullptr, unused);
+        std::erase_if(mResult.mOrigins,
+                      [&](const auto& aOrigin) { return aOrigin.first.starts_with(path + "."); });
+      } else if (!mSections["services"].contains(name)) {
+        Report(entry.mPlace, path,
+               "expected the name of a service or \"default\"" +
+                 Suggestion(name, KeysOf(mSections["services"])));
+      }
+    }
+    for (ServicePolicy& service : mValues.mServices) {
+      const auto own = entries.find(service.mName);
+      Fill<T>(std::string(aSection) + "." + service.mName, aSettings,
+              own == entries.end() ? nullptr : &own->second,
+              fallback == entries.end() ? nullptr : &fallback->second, service.*aMember);
+    }
+  }
+
+  void ParseAll()
+  {
+    mValues.mServices = ParseSection<ServicePolicy>("services", detail::kServiceSettings);
+    mValues.mRanks = ParseSection<RankPolicy>("ranks", detail::kRankSettings);
+    mValues.mRules = ParseSection<RankRule>("rules", detail::kRuleSettings);
+    ParsePerService<LimitPolicy>("limits", detail::kLimitSettings, &ServicePolicy::mLimits);
+    ParsePerService<RetryPolicy>("retries", detail::kRetrySettings, &ServicePolicy::mRetries);
+    CheckServices();
+    CheckRanks();
+    CheckRules();
+  }
+
+  // The place of a setting, or of its entry when the setting has its default.
+  Place PlaceOf(const std::string& aSection, const std::string& aEntry,
+                const std::string& aSetting) const
+  {
+    const std::string path = aSection + "." + aEntry + "." + aSetting;
+    if (const auto found = mResult.mOrigins.find(path); found != mResult.mOrigins.end()) {
+      return { found->second.mFile, { found->second.mLine, found->second.mColumn } };
+    }
+    const auto section = mSections.find(aSection);
+    if (section != mSections.end()) {
+      if (const auto entry = section->second.find(aEntry); entry != section->second.end()) {
+        return entry->second.mPlace;
+      }
+    }
+    return {};
+  }
+
+  void ReportSetting(const std::string& aSection, const std::string& aEntry,
+                     const std::string& aSetting, std::string aMessage)
+  {
+    Report(PlaceOf(aSection, aEntry, aSetting), aSection + "." + aEntry + "." + aSetting,
+           std::move(aMessage));
+  }
+
+  void CheckServices()
+  {
+    if (mValues.mServices.empty()) {
+      // An empty directory is more likely a wrong argument than a wish to stop all services.
+      Report({}, "services", "expected at least one service");
+    }
+    std::map<std::string, std::string> owners;
+    for (const ServicePolicy& service : mValues.mServices) {
+      if (service.mName == detail::kDefaultEntry) {
+        Report(PlaceOf("services", service.mName, ""), "services.default",
+               "expected another name: \"default\" is reserved for limits and retries");
+      }
+      for (const std::string& path : service.mPaths) {
+        const auto [owner, added] = owners.emplace(path, service.mName);
+        if (!added) {
+          ReportSetting("services", service.mName, "paths",
+                        "expected unique paths: " + Quoted(path) + " also belongs to service " +
+                          Quoted(owner->second));
+        }
+      }
+      if (service.mSlots > service.mMaxConnections && service.mMaxConnections > 0) {
+        ReportSetting("services", service.mName, "slots",
+                      "expected at most max_connections (" +
+                        std::to_string(service.mMaxConnections) +
+                        "): every running request holds a connection");
+      }
+      if (service.mLimits.mMinConcurrency > service.mSlots && service.mSlots > 0) {
+        ReportSetting("limits", service.mName, "min_concurrency",
+                      "expected at most the slots of the service (" +
+                        std::to_string(service.mSlots) + ")");
+      }
+    }
+  }
+
+  void CheckRanks()
+  {
+    if (mValues.mRanks.empty()) {
+      Report({}, "ranks", "expected at least one rank");
+    }
+    // Leaves room for the rounding of sums such as 0.7 + 0.2 + 0.1.
+    constexpr double kTolerance = 1e-9;
+    double sum = 0;
+    std::map<uint32_t, std::string> ranks;
+    for (const RankPolicy& rank : mValues.mRanks) {
+      sum += rank.mFloor;
+      const auto [other, added] = ranks.emplace(rank.mWorth, rank.mName);
+      if (!added && mResult.mOrigins.contains("ranks." + rank.mName + ".worth")) {
+        ReportSetting("ranks", rank.mName, "worth",
+                      "expected a unique worth: rank " + Quoted(other->second) + " has the same");
+      }
+    }
+    if (sum > 1 + kTolerance) {
+      for (const RankPolicy& rank : mValues.mRanks) {
+        if (rank.mFloor > 0) {
+          ReportSetting("ranks", rank.mName, "floor",
+                        "expected floors that sum to at most 1, but they sum to " +
+                          nlohmann::json(sum).dump());
+        }
+      }
+    }
+  }
+
+  void CheckRules()
+  {
+    const Entries& services = mSections["services"];
+    const Entries& ranks = mSections["ranks"];
+    for (const RankRule& rule : mValues.mRules) {
+      if (!rule.mRank.empty() && !ranks.contains(rule.mRank)) {
+        ReportSetting("rules", rule.mName, "rank",
+                      "unknown rank " + Quoted(rule.mRank) + Suggestion(rule.mRank, KeysOf(ranks)));
+      }
+      if (rule.mService.empty()) {
+        continue;
+      }
+      const auto service =
+        std::ranges::find(mValues.mServices, rule.mService, &ServicePolicy::mName);
+      if (service == mValues.mServices.end()) {
+        ReportSetting("rules", rule.mName, "service",
+                      "unknown service " + Quoted(rule.mService) +
+                        Suggestion(rule.mService, KeysOf(services)));
+      } else if (!service->mPaths.empty() &&
+                 std::ranges::none_of(service->mPaths, [&](const std::string& aPath) {
+                   return MatchesPrefix(aPath, rule.mPathPrefix) ||
+                          MatchesPrefix(rule.mPathPrefix, aPath);
+                 })) {
+        ReportSetting("rules", rule.mName, "path",
+                      "expected a path under or above one of service " + Quoted(rule.mService) +
+                        "; no request of it can match " + Quoted(rule.mPathPrefix));
+      }
+    }
+  }
+
+  FolderResult Finish()
+  {
+    auto& diagnostics = mResult.mDiagnostics;
+    const auto key = [](const Diagnostic& aDiagnostic) {
+      return std::tie(aDiagnostic.mFile, aDiagnostic.mLine, aDiagnostic.mColumn, aDiagnostic.mPath,
+                      aDiagnostic.mMessage);
+    };
+    std::ranges::sort(diagnostics, {}, key);
+    diagnostics.erase(std::unique(diagnostics.begin(), diagnostics.end()), diagnostics.end());
+    if (diagnostics.size() > kMaxDiagnostics) {
+      diagnostics.resize(kMaxDiagnostics);
+      diagnostics.push_back({ "", 0, 0, "", "further diagnostics are not shown" });
+    }
+    if (diagnostics.empty()) {
+      mResult.mConfig = std::make_shared<const Config>(std::move(mValues));
+    }
+    return std::move(mResult);
+  }
+
+  std::map<std::string, Entries, std::less<>> mSections;
+  ConfigValues mValues;
+  FolderResult mResult;
+};
+
+} // namespace
+
+std::string Describe(const Diagnostic& aDiagnostic)
+{
+  std::string text = aDiagnostic.mFile.empty() ? "(directory)" : aDiagnostic.mFile;
+  if (aDiagnostic.mLine > 0) {
+    text += ":" + std::to_string(aDiagnostic.mLine) + ":" + std::to_string(aDiagnostic.mColumn);
+  }
+  text += ": ";
+  if (!aDiagnostic.mPath.empty()) {
+    text += aDiagnostic.mPath + ": ";
+  }
+  return text + aDiagnostic.mMessage;
+}
+
+FolderResult CheckFiles(const FileMap& aFiles)
+{
+  return FolderCheck().Run(aFiles);
+}
+
+bool IsConfigFileName(std::string_view aName)
+{
+  constexpr size_t kMaxLength = 128;
+  constexpr std::string_view kSuffix = ".json";
+  return aName.size() > kSuffix.size() && aName.size() <= kMaxLength && aName.front() != '.' &&
+         aName.ends_with(kSuffix) && std::ranges::all_of(aName, [](char aByte) {
+           return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
+                  (aByte >= '0' && aByte <= '9') || aByte == '_' || aByte == '-' || aByte == '.';
+         });
+}
+
+Result<FileMap> ReadFolder(const std::filesystem::path& aFolder)
+{
+  namespace fs = std::filesystem;
+  std::error_code error;
+  if (!fs::is_directory(aFolder, error)) {
+    return Failure{ ConfigError::NotAFolder, aFolder.string() };
+  }
+  FileMap files;
+  size_t bytes = 0;
+  fs::directory_iterator entry(aFolder, error);
+  for (; !error && entry != fs::directory_iterator(); entry.increment(error)) {
+    const std::string name = entry->path().filename().string();
+    if (name.starts_with('.')) {
+      continue;
+    }
+    std::error_code ignored;
+    if (!entry->is_regular_file(ignored)) {
+      files.emplace(name + "/", "");
+      continue;
+    }
+    bytes += entry->file_size(ignored);
+    if (bytes > kMaxConfigBytes) {
+      return Failure{ ConfigError::TooLarge, aFolder.string() + " has over " +
+                                               std::to_string(kMaxConfigBytes) + " bytes" };
+    }
+    std::ifstream stream(entry->path(), std::ios::binary);
+    std::ostringstream text;
+    text << stream.rdbuf();
+    if (!stream || (text.fail() && entry->file_size(ignored) > 0)) {
+      return Failure{ ConfigError::Unreadable, entry->path().string() };
+    }
+    files.emplace(name, text.str());
+    if (files.size() > kMaxConfigFiles) {
+      return Failure{ ConfigError::TooLarge, aFolder.string() + " has over " +
+                                               std::to_string(kMaxConfigFiles) + " files" };
+    }
+  }
+  if (error) {
+    return Failure{ ConfigError::Unreadable, aFolder.string() + ": " + error.message() };
+  }
+  return files;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/config/src/json_tree.cpp
@@ -0,0 +1,284 @@
+#include "json_tree.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace balsammount::detail {
+
+namespace {
+
+// Walks the text one token per SAX event. The events of the parser arrive in the order of the text
+// but carry no position, and its lexer reads one character ahead after numbers, so that counting
+// the characters it consumed does not give the start of a token.
+class TokenCursor
+{
+public:
+  explicit TokenCursor(std::string_view aText)
+    : mText(aText)
+  {
+    if (mText.starts_with("\xEF\xBB\xBF")) {
+      mMarkBytes = 3;
+      mText.remove_prefix(mMarkBytes);
+    }
+  }
+
+  // Moves to the next token, past separators and comments, and returns its place.
+  Position Start()
+  {
+    while (mOffset < mText.size()) {
+      if (mText.substr(mOffset, 2) == "//") {
+        SkipTo(mText.find('\n', mOffset));
+      } else if (mText.substr(mOffset, 2) == "/*") {
+        const size_t end = mText.find("*/", mOffset + 2);
+        SkipTo(end == std::string_view::npos ? end : end + 2);
+      } else if (std::string_view(" \t\r\n,:").find(mText[mOffset]) != std::string_view::npos) {
+        Step();
+      } else {
+        break;
+      }
+    }
+    return mAt;
+  }
+
+  void SkipBracket() { Step(); }
+
+  void SkipString()
+  {
+    Step();
+    while (mOffset < mText.size() && mText[mOffset] != '"') {
+      if (mText[mOffset] == '\\') {
+        Step();
+      }
+      Step();
+    }
+    Step();
+  }
+
+  void SkipWord()
+  {
+    const size_t end = mText.find_first_of(" \t\r\n,:]}/", mOffset);
+    SkipTo(end);
+  }
+
+  // The place of a byte offset in the whole text, at most its end.
+  Position At(size_t aOffset) const
+  {
+    TokenCursor cursor(mText);
+    cursor.SkipTo(aOffset - std::min(aOffset, mMarkBytes));
+    return cursor.mAt;
+  }
+
+private:
+  void SkipTo(size_t aOffset)
+  {
+    const size_t end = std::min(aOffset, mText.size());
+    while (mOffset < end) {
+      Step();
+    }
+  }
+
+  void Step()
+  {
+    if (mOffset >= mText.size()) {
+      return;
+    }
+    const auto byte = static_cast<unsigned char>(mText[mOffset++]);
+    if (byte == '\n') {
+      ++mAt.mLine;
+      mAt.mColumn = 1;
+    } else if (mOffset >= mText.size() ||
+               (static_cast<unsigned char>(mText[mOffset]) & 0xC0U) != 0x80U) {
+      // The column grows at the last byte of a UTF-8 sequence.
+      ++mAt.mColumn;
+    }
+  }
+
+  std::string_view mText; // without the byte order mark
+  size_t mMarkBytes = 0;
+  size_t mOffset = 0;
+  Position mAt{ 1, 1 };
+};
+
+// Keeps the part of the library's message that follows its error number and position.
+std::string Explanation(std::string_view aWhat)
+{
+  for (const std::string_view mark : { "syntax error ", "] " }) {
+    if (const size_t at = aWhat.find(mark); at != std::string_view::npos) {
+      aWhat.remove_prefix(mark == "] " ? at + mark.size() : at);
+      break;
+    }
+  }
+  constexpr size_t kMaxLength = 200;
+  return nlohmann::json(std::string(aWhat.substr(0, kMaxLength)))
+    .dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+class TreeBuilder final : public nlohmann::json_sax<nlohmann::json>
+{
+public:
+  explicit TreeBuilder(std::string_view aText)
+    : mCursor(aText)
+  {
+  }
+
+  bool null() override { return AddWord({ .mKind = JsonKind::Null }); }
+  bool boolean(bool aValue) override
+  {
+    return AddWord({ .mKind = JsonKind::Boolean, .mBoolean = aValue });
+  }
+  bool number_integer(number_integer_t aValue) override
+  {
+    return AddNumber(static_cast<double>(aValue), true);
+  }
+  bool number_unsigned(number_unsigned_t aValue) override
+  {
+    return AddNumber(static_cast<double>(aValue), true);
+  }
+  bool number_float(number_float_t aValue, const string_t& /*aText*/) override
+  {
+    return AddNumber(aValue, false);
+  }
+  bool string(string_t& aValue) override
+  {
+    const Position at = mCursor.Start();
+    mCursor.SkipString();
+    return Add({ .mKind = JsonKind::String, .mAt = at, .mString = std::move(aValue) }) != nullptr;
+  }
+  bool binary(binary_t& /*aValue*/) override { return false; }
+
+  bool start_object(size_t /*aSize*/) override { return Open(JsonKind::Object); }
+  bool end_object() override { return Close(); }
+  bool start_array(size_t /*aSize*/) override { return Open(JsonKind::Array); }
+  bool end_array() override { return Close(); }
+
+  bool key(string_t& aName) override
+  {
+    const Position at = mCursor.Start();
+    mCursor.SkipString();
+    Frame& frame = mOpen.back();
+    if (!frame.mNames.insert(aName).second) {
+      mResult.mProblems.push_back(
+        { JsonFault::DuplicateKey, at, "duplicate key " + Quoted(aName) });
+    }
+    mName = std::move(aName);
+    mNameAt = at;
+    return true;
+  }
+
+  bool parse_error(size_t aOffset, const std::string& /*aToken*/,
+                   const nlohmann::json::exception& aError) override
+  {
+    return Stop(JsonFault::Syntax, mCursor.At(aOffset == 0 ? 0 : aOffset - 1),
+                "not valid JSON: " + Explanation(aError.what()));
+  }
+
+  JsonParse Take() { return std::move(mResult); }
+
+private:
+  struct Frame
+  {
+    JsonNode* mNode = nullptr;
+    std::unordered_set<std::string> mNames;
+  };
+
+  bool Stop(JsonFault aFault, Position aAt, std::string aMessage)
+  {
+    mOpen.clear();
+    mResult.mRoot.reset();
+    mResult.mProblems.push_back({ aFault, aAt, std::move(aMessage) });
+    return false;
+  }
+
+  bool AddWord(JsonNode aNode)
+  {
+    aNode.mAt = mCursor.Start();
+    mCursor.SkipWord();
+    return Add(std::move(aNode)) != nullptr;
+  }
+
+  bool AddNumber(double aValue, bool aIsInteger)
+  {
+    return AddWord({ .mKind = JsonKind::Number, .mIsInteger = aIsInteger, .mNumber = aValue });
+  }
+
+  // Returns where the node is kept. A container does not move while one of its values is open.
+  JsonNode* Add(JsonNode aNode)
+  {
+    if (++mCount > kMaxJsonValues) {
+      Stop(JsonFault::TooManyValues, aNode.mAt,
+           "expected at most " + std::to_string(kMaxJsonValues) + " values");
+      return nullptr;
+    }
+    if (mOpen.empty()) {
+      return &mResult.mRoot.emplace(std::move(aNode));
+    }
+    JsonNode& parent = *mOpen.back().mNode;
+    if (parent.mKind == JsonKind::Object) {
+      aNode.mName = std::move(mName);
+      aNode.mNameAt = mNameAt;
+    }
+    return &parent.mItems.emplace_back(std::move(aNode));
+  }
+
+  bool Open(JsonKind aKind)
+  {
+    const Position at = mCursor.Start();
+    mCursor.SkipBracket();
+    if (mOpen.size() >= kMaxJsonDepth) {
+      return Stop(JsonFault::TooDeep, at,
+                  "expected at most " + std::to_string(kMaxJsonDepth) + " nested levels");
+    }
+    JsonNode* node = Add({ .mKind = aKind, .mAt = at });
+    if (!node) {
+      return false;
+    }
+    mOpen.push_back({ node, {} });
+    return true;
+  }
+
+  bool Close()
+  {
+    mCursor.Start();
+    mCursor.SkipBracket();
+    mOpen.pop_back();
+    return true;
+  }
+
+  TokenCursor mCursor;
+  std::vector<Frame> mOpen;
+  std::string mName; // of the member whose value comes next
+  Position mNameAt;
+  JsonParse mResult;
+  size_t mCount = 0;
+};
+
+} // namespace
+
+const JsonNode* JsonNode::Find(std::string_view aName) const
+{
+  const auto found = std::ranges::find(mItems, aName, &JsonNode::mName);
+  return found == mItems.end() ? nullptr : &*found;
+}
+
+JsonParse ParseJson(std::string_view aText, JsonComments aComments)
+{
+  TreeBuilder builder(aText);
+  nlohmann::json::sax_parse(aText.begin(), aText.end(), &builder,
+                            nlohmann::json::input_format_t::json, true,
+                            aComments == JsonComments::Ignore);
+  return builder.Take();
+}
+
+std::string Quoted(std::string_view aName)
+{
+  constexpr size_t kMaxLength = 64;
+  std::string name(aName.substr(0, kMaxLength));
+  if (aName.size() > kMaxLength) {
+    name += "...";
+  }
+  return nlohmann::json(name).dump(-1, ' ', true, nlohmann::json::error_handler_t::replace);
+}
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/config/src/settings.cpp
@@ -0,0 +1,155 @@
+#include "settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsammount::detail {
+
+namespace {
+
+bool IsAlphanumeric(char aByte)
+{
+  return (aByte >= 'a' && aByte <= 'z') || (aByte >= 'A' && aByte <= 'Z') ||
+         (aByte >= '0' && aByte <= '9');
+}
+
+std::string ExpectedNumber(const SettingInfo& aInfo, bool aIsInteger)
+{
+  std::string text = aIsInteger ? "expected an integer from " : "expected a number from ";
+  text += nlohmann::json(aInfo.mMin == std::floor(aInfo.mMin)
+                           ? nlohmann::json(static_cast<int64_t>(aInfo.mMin))
+                           : nlohmann::json(aInfo.mMin))
+            .dump();
+  text += " to " + nlohmann::json(static_cast<int64_t>(aInfo.mMax)).dump();
+  if (!aInfo.mUnit.empty()) {
+    text += " (" + std::string(aInfo.mUnit) + ")";
+  }
+  return text;
+}
+
+std::optional<std::string> ReadInteger(const JsonNode& aNode, const SettingInfo& aInfo,
+                                       uint64_t& aValue)
+{
+  if (aNode.mKind != JsonKind::Number || !aNode.mIsInteger || aNode.mNumber < aInfo.mMin ||
+      aNode.mNumber > aInfo.mMax) {
+    return ExpectedNumber(aInfo, true);
+  }
+  aValue = static_cast<uint64_t>(aNode.mNumber);
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadText(const JsonNode& aNode, const SettingInfo& aInfo,
+                                    std::string& aValue)
+{
+  if (aNode.mKind != JsonKind::String || !aInfo.mForm->mMatches(aNode.mString)) {
+    return "expected " + std::string(aInfo.mForm->mDescription);
+  }
+  aValue = aNode.mString;
+  return std::nullopt;
+}
+
+} // namespace
+
+bool IsName(std::string_view aText)
+{
+  constexpr size_t kMaxLength = 63;
+  return !aText.empty() && aText.size() <= kMaxLength && IsAlphanumeric(aText.front()) &&
+         std::ranges::all_of(
+           aText, [](char aByte) { return IsAlphanumeric(aByte) || aByte == '-' || aByte == '_'; });
+}
+
+bool IsPath(std::string_view aText)
+{
+  if (aText == "/") {
+    return true;
+  }
+  if (!aText.starts_with('/') || aText.ends_with('/') || aText.size() > kMaxPathBytes) {
+    return false;
+  }
+  const bool plain = std::ranges::all_of(aText, [](char aByte) {
+    return aByte > ' ' && aByte < '\x7F' && aByte != '?' && aByte != '#' && aByte != '%' &&
+           aByte != ';';
+  });
+  const std::string path = std::string(aText) + "/";
+  return plain && path.find("//") == std::string::npos && path.find("/./") == std::string::npos &&
+         path.find("/../") == std::string::npos;
+}
+
+bool IsMethod(std::string_view aText)
+{
+  constexpr size_t kMaxLength = 32;
+  return aText == "*" || (!aText.empty() && aText.size() <= kMaxLength &&
+                          std::ranges::all_of(aText, [](char aByte) {
+                            return (aByte >= 'A' && aByte <= 'Z') || aByte == '-';
+                          }));
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     uint64_t& aValue)
+{
+  return ReadInteger(aNode, aInfo, aValue);
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     uint32_t& aValue)
+{
+  uint64_t value = aValue;
+  auto error = ReadInteger(aNode, aInfo, value);
+  aValue = static_cast<uint32_t>(value);
+  return error;
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::chrono::milliseconds& aValue)
+{
+  auto value = static_cast<uint64_t>(aValue.count());
+  auto error = ReadInteger(aNode, aInfo, value);
+  aValue = std::chrono::milliseconds(value);
+  return error;
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     double& aValue)
+{
+  if (aNode.mKind != JsonKind::Number || aNode.mNumber < aInfo.mMin || aNode.mNumber > aInfo.mMax) {
+    return ExpectedNumber(aInfo, false);
+  }
+  aValue = aNode.mNumber;
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& /*aInfo*/,
+                                     bool& aValue)
+{
+  if (aNode.mKind != JsonKind::Boolean) {
+    return "expected true or false";
+  }
+  aValue = aNode.mBoolean;
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::string& aValue)
+{
+  return ReadText(aNode, aInfo, aValue);
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::vector<std::string>& aValue)
+{
+  const auto count = static_cast<double>(aNode.mItems.size());
+  if (aNode.mKind != JsonKind::Array || count < aInfo.mMin || count > aInfo.mMax) {
+    return "expected an array of " + std::to_string(static_cast<int>(aInfo.mMin)) + " to " +
+           std::to_string(static_cast<int>(aInfo.mMax)) + " " + std::string(aInfo.mUnit);
+  }
+  std::vector<std::string> values(aNode.mItems.size());
+  for (size_t i = 0; i < values.size(); ++i) {
+    if (auto error = ReadText(aNode.mItems[i], aInfo, values[i])) {
+      return "item " + std::to_string(i) + ": " + *error;
+    }
+  }
+  aValue = std::move(values);
+  return std::nullopt;
+}
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/config/src/settings.h
@@ -0,0 +1,166 @@
+// Tables of settings: name, member, range, unit and default of each, from which entries are parsed
+// and printed.
+#pragma once
+
+#include "balsammount/config.h"
+#include "json_tree.h"
+
+#include <nlohmann/json.hpp>
+
+#include <optional>
+#include <span>
+#include <variant>
+
+namespace balsammount::detail {
+
+struct Required
+{};
+
+// What a text value has to look like, and its description.
+struct TextForm
+{
+  bool (*mMatches)(std::string_view) = nullptr;
+  std::string_view mDescription;
+};
+
+struct SettingInfo
+{
+  std::string_view mName;
+  double mMin = 0;
+  double mMax = 0;
+  std::string_view mUnit;
+  std::variant<Required, double, bool, std::string_view> mDefault;
+  const TextForm* mForm = nullptr;
+};
+
+template <class T>
+using Member = std::variant<uint32_t T::*, uint64_t T::*, double T::*, bool T::*, std::string T::*,
+                            std::chrono::milliseconds T::*, std::vector<std::string> T::*>;
+
+template <class T>
+struct Setting
+{
+  SettingInfo mInfo;
+  Member<T> mMember;
+};
+
+bool IsName(std::string_view aText);
+bool IsPath(std::string_view aText);
+bool IsMethod(std::string_view aText);
+
+inline constexpr size_t kMaxPathBytes = 256;
+inline constexpr TextForm kNameForm{ IsName,
+                                     "a name of 1 to 63 letters, digits, '-' and '_' that starts "
+                                     "with a letter or digit" };
+inline constexpr TextForm kPathForm{
+  IsPath, "a path that starts with '/', has no trailing '/', empty or dot segment, query, "
+          "parameter or percent-encoding, and at most 256 bytes"
+};
+inline constexpr TextForm kMethodForm{ IsMethod, "an upper-case HTTP method or \"*\"" };
+
+// One hour bounds all times: none of them is meant to outlive a request.
+inline constexpr double kMaxMs = 3'600'000;
+inline constexpr double kMaxCount = 100'000;
+inline constexpr double kMaxBody = 1'073'741'824;
+inline constexpr double kMaxPaths = 64;
+
+inline constexpr Setting<ServicePolicy> kServiceSettings[] = {
+  { { "paths", 1, kMaxPaths, "paths", Required{}, &kPathForm }, &ServicePolicy::mPaths },
+  { { "slots", 1, kMaxCount, "requests", Required{} }, &ServicePolicy::mSlots },
+  { { "max_connections", 1, kMaxCount, "connections", Required{} },
+    &ServicePolicy::mMaxConnections },
+  { { "max_body_bytes", 0, kMaxBody, "bytes", 1'048'576.0 }, &ServicePolicy::mMaxBodyBytes },
+  { { "default_deadline_ms", 1, kMaxMs, "ms", 10'000.0 }, &ServicePolicy::mDefaultDeadline },
+};
+
+inline constexpr Setting<RankPolicy> kRankSettings[] = {
+  { { "target_ms", 1, kMaxMs, "ms", Required{} }, &RankPolicy::mTarget },
+  { { "worth", 0, 1'000'000, "", Required{} }, &RankPolicy::mWorth },
+  { { "floor", 0, 1, "share of slots", 0.0 }, &RankPolicy::mFloor },
+};
+
+inline constexpr Setting<RankRule> kRuleSettings[] = {
+  { { "service", 0, 0, "", Required{}, &kNameForm }, &RankRule::mService },
+  { { "method", 0, 0, "", std::string_view("*"), &kMethodForm }, &RankRule::mMethod },
+  { { "path", 0, 0, "", std::string_view("/"), &kPathForm }, &RankRule::mPathPrefix },
+  { { "rank", 0, 0, "", Required{}, &kNameForm }, &RankRule::mRank },
+  { { "idempotent", 0, 0, "", false }, &RankRule::mIdempotent },
+};
+
+inline constexpr Setting<LimitPolicy> kLimitSettings[] = {
+  { { "min_concurrency", 1, kMaxCount, "requests", 1.0 }, &LimitPolicy::mMinConcurrency },
+  { { "max_queue", 0, kMaxCount, "requests", 128.0 }, &LimitPolicy::mMaxQueue },
+  { { "queue_target_ms", 1, kMaxMs, "ms", 20.0 }, &LimitPolicy::mQueueTarget },
+};
+
+// The ratio's default keeps retries within 10% of the offered load.
+inline constexpr Setting<RetryPolicy> kRetrySettings[] = {
+  { { "attempts", 1, 100, "attempts", 3.0 }, &RetryPolicy::mAttempts },
+  { { "ratio", 0, 1, "retries per first attempt", 0.1 }, &RetryPolicy::mRatio },
+};
+
+// Entry of `limits` and `retries` that applies to services without an own value.
+inline constexpr std::string_view kDefaultEntry = "default";
+
+// Reads the value of a setting; the message says what was expected.
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     uint32_t& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     uint64_t& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     double& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo, bool& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::string& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::chrono::milliseconds& aValue);
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::vector<std::string>& aValue);
+
+inline void AssignDefault(const SettingInfo& aInfo, uint32_t& aValue)
+{
+  aValue = static_cast<uint32_t>(std::get<double>(aInfo.mDefault));
+}
+inline void AssignDefault(const SettingInfo& aInfo, uint64_t& aValue)
+{
+  aValue = static_cast<uint64_t>(std::get<double>(aInfo.mDefault));
+}
+inline void AssignDefault(const SettingInfo& aInfo, double& aValue)
+{
+  aValue = std::get<double>(aInfo.mDefault);
+}
+inline void AssignDefault(const SettingInfo& aInfo, bool& aValue)
+{
+  aValue = std::get<bool>(aInfo.mDefault);
+}
+inline void AssignDefault(const SettingInfo& aInfo, std::string& aValue)
+{
+  aValue = std::get<std::string_view>(aInfo.mDefault);
+}
+inline void AssignDefault(const SettingInfo& aInfo, std::chrono::milliseconds& aValue)
+{
+  aValue = std::chrono::milliseconds(static_cast<int64_t>(std::get<double>(aInfo.mDefault)));
+}
+// Lists have no default.
+inline void AssignDefault(const SettingInfo& /*aInfo*/, std::vector<std::string>& /*aValue*/) {}
+
+inline nlohmann::json ToJson(std::chrono::milliseconds aValue)
+{
+  return aValue.count();
+}
+template <class T>
+nlohmann::json ToJson(const T& aValue)
+{
+  return aValue;
+}
+
+// Calls aFunction(info, value) for each setting of an object.
+template <class T, class Object, class Function>
+void ForEachSetting(std::span<const Setting<T>> aSettings, Object& aObject, Function aFunction)
+{
+  for (const Setting<T>& setting : aSettings) {
+    std::visit([&](auto aMember) { aFunction(setting.mInfo, aObject.*aMember); }, setting.mMember);
+  }
+}
+
+} // namespace balsammount::detail
