--- /dev/null
+++ b/packages/node/include/balsammount/node_settings.h
@@ -0,0 +1,63 @@
+// Settings of one node: its addresses, data centre, store and backend server. They come from a file
+// on the instance and are separate from the operators' configuration, which comes from the store.
+#pragma once
+
+#include "balsammount/error.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsammount {
+
+enum class SettingsError
+{
+  Unreadable = 1,
+  MalformedJson,
+  UnknownSetting,
+  MissingSetting,
+  WrongType,
+  BadAddress,
+  BadValue,
+};
+
+std::error_code make_error_code(SettingsError aError);
+
+struct NodeSettings
+{
+  using Endpoint = boost::asio::ip::tcp::endpoint;
+
+  std::string mNodeId;     // unique in the fleet
+  std::string mService;    // the service of the backend server beside this node
+  std::string mDataCentre; // name, as in other nodes' settings
+  std::string mRegion;
+  Endpoint mCallerListen;          // callers, HTTP/1.1
+  Endpoint mEgressListen;          // the backend server's own calls, HTTP/1.1
+  Endpoint mPeerListen;            // other nodes, HTTP/2; its UDP port carries gossip
+  Endpoint mAdminListen;           // operators and metrics, HTTP/1.1
+  Endpoint mBackend;               // the backend server, HTTP/1.1
+  std::vector<Endpoint> mStore;    // tried in turn
+  std::vector<Endpoint> mContacts; // other nodes' peer addresses, used when the store is down
+  std::string mLogLevel = "info";
+  std::string mLogFormat = "text"; // or "json"
+  uint32_t mDrainSeconds = 30;     // a planned stop waits this long for requests in flight
+
+  bool operator==(const NodeSettings&) const = default;
+};
+
+// "ADDRESS:PORT" or "[IPV6]:PORT"; names are not resolved.
+Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText);
+
+// Reads JSON with comments. The detail of a failure names the setting and what was expected.
+Result<NodeSettings> ParseNodeSettings(std::string_view aText);
+Result<NodeSettings> ReadNodeSettings(const std::string& aPath);
+
+} // namespace balsammount
+
+template <>
+struct std::is_error_code_enum<balsammount::SettingsError> : std::true_type
+{
+};
--- /dev/null
+++ b/packages/node/src/admin.cpp
@@ -0,0 +1,176 @@
+#include "admin.h"
+
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+using Json = nlohmann::json;
+
+HttpResponse JsonResponse(const Json& aJson)
+{
+  HttpResponse response;
+  response.mHeaders.Set("Content-Type", "application/json");
+  response.mBody = aJson.dump() + "\n";
+  return response;
+}
+
+HttpResponse ErrorResponse(unsigned aStatus, std::string_view aMessage)
+{
+  HttpResponse response = JsonResponse(Json{ { "error", aMessage } });
+  response.mStatus = aStatus;
+  return response;
+}
+
+double Milliseconds(Duration aDuration)
+{
+  return std::chrono::duration<double, std::milli>(aDuration).count();
+}
+
+constexpr std::array kUpstreamStates = { "normal",  "slow-start", "avoided",
+                                         "ejected", "probation",  "leaving" };
+
+} // namespace
+
+void Admin::Handle(const std::shared_ptr<Exchange>& aExchange)
+{
+  struct Route
+  {
+    std::string_view mMethod;
+    std::string_view mTarget;
+    std::function<HttpResponse()> mRun;
+  };
+  const HttpRequest& request = aExchange->Request();
+  const std::array routes = {
+    Route{ "GET", "/state", [this] { return State(); } },
+    Route{ "GET", "/services", [this] { return Services(); } },
+    Route{ "GET", "/members", [this] { return Members(); } },
+    Route{ "GET", "/config", [this] { return ConfigValue(); } },
+    Route{ "GET", "/metrics", [this] { return MetricsText(); } },
+    Route{ "POST", "/drain", [this] { return Drain(); } },
+    Route{ "PUT", "/log-level", [&] { return LogLevel(request); } },
+  };
+  bool known = false;
+  for (const Route& route : routes) {
+    if (route.mTarget != request.mTarget) {
+      continue;
+    }
+    known = true;
+    if (route.mMethod == request.mMethod) {
+      aExchange->Respond(route.mRun());
+      return;
+    }
+  }
+  aExchange->Respond(known ? ErrorResponse(405, "method not allowed")
+                           : ErrorResponse(404, "no such page"));
+}
+
+HttpResponse Admin::State() const
+{
+  const AdmissionStats stats = mParts.mExecutor.Admission().Stats();
+  const auto& config = mParts.mConfig.Holder();
+  Json ranks = Json::array();
+  for (size_t i = 0; config.Current() && i < stats.mRankCount; ++i) {
+    const RankStats& rank = stats.mRanks[i];
+    ranks.push_back({ { "rank", config.Current()->Ranks()[i].mName },
+                      { "offered", rank.mOffered },
+                      { "dispatched", rank.mDispatched },
+                      { "refused", rank.mRefused },
+                      { "cancelled", rank.mCancelled },
+                      { "completed", rank.mCompleted },
+                      { "queued", rank.mQueued },
+                      { "typical_service_ms", Milliseconds(rank.mTypicalService) } });
+  }
+  return JsonResponse({ { "node", mParts.mSettings.mNodeId },
+                        { "service", mParts.mSettings.mService },
+                        { "data_centre", mParts.mSettings.mDataCentre },
+                        { "version", BM_VERSION },
+                        { "backend_available", mParts.mExecutor.Available() },
+                        { "draining", mParts.mExecutor.Draining() },
+                        { "requests_here", mParts.mGateway.Pending() },
+                        { "config",
+                          { { "revision", config.Revision() },
+                            { "source", config.Source() },
+                            { "age_ms", Milliseconds(mParts.mConfig.Age()) },
+                            { "last_refusal", mParts.mConfig.LastRefusal() } } },
+                        { "admission",
+                          { { "in_flight", stats.mInFlight },
+                            { "queued", stats.mQueued },
+                            { "limit", stats.mLimit },
+                            { "shed_level", stats.mShedLevel },
+                            { "queue_delay_ms", Milliseconds(stats.mQueueDelay) },
+                            { "ranks", ranks } } } });
+}
+
+HttpResponse Admin::Services() const
+{
+  Json services = Json::object();
+  for (const std::string& service : mParts.mUpstreams.Services()) {
+    Json upstreams = Json::array();
+    for (const UpstreamView& view : mParts.mUpstreams.View(service)) {
+      upstreams.push_back({ { "node", mParts.mUpstreams.NodeOf(view.mInfo.mId) },
+                            { "state", kUpstreamStates[static_cast<size_t>(view.mState)] },
+                            { "in_subset", view.mInSubset },
+                            { "in_flight", view.mInFlight },
+                            { "latency_ms", Milliseconds(view.mLatency) } });
+    }
+    services[service] = std::move(upstreams);
+  }
+  return JsonResponse(services);
+}
+
+HttpResponse Admin::Members() const
+{
+  Json members = Json::array();
+  for (const auto& [id, record] : mParts.mUpstreams.Records()) {
+    members.push_back({ { "node", id },
+                        { "service", record.mService },
+                        { "data_centre", record.mDataCentre },
+                        { "incarnation", record.mIncarnation },
+                        { "leaving", record.mLeaving } });
+  }
+  return JsonResponse(members);
+}
+
+HttpResponse Admin::ConfigValue() const
+{
+  const auto& value = mParts.mConfig.Holder().Value();
+  if (!value) {
+    return ErrorResponse(404, "no configuration is in force");
+  }
+  HttpResponse response;
+  response.mHeaders.Set("Content-Type", "application/json");
+  response.mBody = *value;
+  return response;
+}
+
+HttpResponse Admin::MetricsText() const
+{
+  HttpResponse response;
+  response.mHeaders.Set("Content-Type", "text/plain; version=0.0.4");
+  response.mBody = mParts.mMetrics.Serialize();
+  return response;
+}
+
+HttpResponse Admin::Drain() const
+{
+  mParts.mDrain();
+  HttpResponse response = JsonResponse({ { "draining", true } });
+  response.mStatus = 202;
+  return response;
+}
+
+HttpResponse Admin::LogLevel(const HttpRequest& aRequest) const
+{
+  if (!SetLogLevel(aRequest.mBody)) {
+    return ErrorResponse(400, "one of trace, debug, info, warning, error is expected");
+  }
+  return JsonResponse({ { "log_level", aRequest.mBody } });
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/call_context.cpp
@@ -0,0 +1,259 @@
+#include "call_context.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <limits>
+
+namespace balsammount {
+
+namespace {
+
+constexpr std::array kReasons = { "none",        "overload",       "deadline",
+                                  "draining",    "unavailable",    "quarantined",
+                                  "parent-gone", "retry-budget",   "connection-lost",
+                                  "key-unknown", "key-mismatch",   "key-memory-full",
+                                  "no-right",    "config-missing", "too-large" };
+
+constexpr std::array kOutcomes = { "backend", "not-run", "not-run-everywhere", "unknown" };
+
+constexpr std::string_view kRequestId = "bm-request-id";
+constexpr std::string_view kService = "bm-service";
+constexpr std::string_view kRank = "bm-rank";
+constexpr std::string_view kDeadline = "bm-deadline-us";
+constexpr std::string_view kAttempts = "bm-attempts";
+constexpr std::string_view kCaller = "bm-caller";
+constexpr std::string_view kHash = "bm-hash";
+constexpr std::string_view kFingerprint = "bm-fingerprint";
+constexpr std::string_view kKey = "bm-key";
+constexpr std::string_view kIdempotent = "bm-idempotent";
+constexpr std::string_view kOutcome = "bm-outcome";
+constexpr std::string_view kReason = "bm-reason";
+constexpr std::string_view kRetryAfter = "bm-retry-after-ms";
+constexpr std::string_view kShedLevel = "bm-shed-level";
+constexpr std::string_view kServiceTime = "bm-service-us";
+constexpr std::string_view kAttemptsLeft = "bm-attempts-left";
+constexpr std::string_view kLeaving = "bm-leaving";
+
+// A deadline further away than this is malformed: it would overflow the clock's arithmetic.
+constexpr uint64_t kMaxDeadlineUs = 3'600'000'000;
+
+std::optional<uint64_t> ParseNumber(std::string_view aText)
+{
+  uint64_t value = 0;
+  const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
+  if (error != std::errc() || end != aText.data() + aText.size()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+uint64_t Microseconds(Duration aDuration)
+{
+  const auto count = std::chrono::duration_cast<std::chrono::microseconds>(aDuration).count();
+  return count > 0 ? static_cast<uint64_t>(count) : 0;
+}
+
+template <class Names>
+std::optional<size_t> IndexOf(const Names& aNames, std::string_view aName)
+{
+  const auto found = std::find(aNames.begin(), aNames.end(), aName);
+  if (found == aNames.end()) {
+    return std::nullopt;
+  }
+  return static_cast<size_t>(found - aNames.begin());
+}
+
+struct StatusRule
+{
+  CallReason mReason;
+  unsigned mNotRun;
+  unsigned mUnknown;
+};
+
+// Reasons that are not listed have status 503 before dispatch and 502 after it.
+constexpr std::array kStatusRules = {
+  StatusRule{ CallReason::Deadline, 504, 504 },   StatusRule{ CallReason::RetryBudget, 429, 429 },
+  StatusRule{ CallReason::KeyUnknown, 409, 409 }, StatusRule{ CallReason::KeyMismatch, 422, 422 },
+  StatusRule{ CallReason::TooLarge, 413, 502 },
+};
+
+unsigned StatusOf(const Answer& aAnswer)
+{
+  const bool unknown = aAnswer.mOutcome == AttemptOutcome::Unknown;
+  for (const StatusRule& rule : kStatusRules) {
+    if (rule.mReason == aAnswer.mReason) {
+      return unknown ? rule.mUnknown : rule.mNotRun;
+    }
+  }
+  return unknown ? 502 : 503;
+}
+
+} // namespace
+
+const char* ToString(CallReason aReason)
+{
+  return kReasons[static_cast<size_t>(aReason)];
+}
+
+std::optional<CallReason> ParseCallReason(std::string_view aName)
+{
+  const auto index = IndexOf(kReasons, aName);
+  return index ? std::optional(static_cast<CallReason>(*index)) : std::nullopt;
+}
+
+Answer Refused(CallReason aReason, RequestBudget aBudget, Duration aRetryAfter)
+{
+  Answer answer;
+  answer.mOutcome = aReason == CallReason::Quarantined || aReason == CallReason::ParentGone ||
+                        aReason == CallReason::RetryBudget || aReason == CallReason::KeyMismatch
+                      ? AttemptOutcome::NotRunEverywhere
+                      : AttemptOutcome::NotRun;
+  answer.mReason = aReason;
+  answer.mRetryAfter = aRetryAfter;
+  answer.mBudget = std::move(aBudget);
+  return answer;
+}
+
+Answer Unknown(CallReason aReason, RequestBudget aBudget)
+{
+  Answer answer;
+  answer.mOutcome = AttemptOutcome::Unknown;
+  answer.mReason = aReason;
+  answer.mBudget = std::move(aBudget);
+  return answer;
+}
+
+void WriteContext(const CallContext& aContext, uint32_t aRetries, SteadyTime aNow,
+                  Headers& aHeaders)
+{
+  aHeaders.Add(kRequestId, aContext.mRequestId);
+  aHeaders.Add(kService, aContext.mService);
+  aHeaders.Add(kRank, aContext.mRank);
+  aHeaders.Add(kDeadline, std::to_string(Microseconds(aContext.mDeadline - aNow)));
+  aHeaders.Add(kAttempts, std::to_string(aRetries));
+  aHeaders.Add(kCaller, std::to_string(aContext.mCallerHash));
+  aHeaders.Add(kHash, std::to_string(aContext.mRequestHash));
+  aHeaders.Add(kFingerprint, std::to_string(aContext.mFingerprint));
+  aHeaders.Add(kIdempotent, aContext.mIdempotent ? "1" : "0");
+  if (!aContext.mKey.empty()) {
+    aHeaders.Add(kKey, aContext.mKey);
+  }
+}
+
+std::optional<ReceivedContext> ReadContext(const HttpRequest& aRequest, SteadyTime aNow)
+{
+  const Headers& headers = aRequest.mHeaders;
+  const auto deadline = ParseNumber(headers.Find(kDeadline));
+  const auto attempts = ParseNumber(headers.Find(kAttempts));
+  const auto caller = ParseNumber(headers.Find(kCaller));
+  const auto hash = ParseNumber(headers.Find(kHash));
+  const auto fingerprint = ParseNumber(headers.Find(kFingerprint));
+  if (!deadline || *deadline > kMaxDeadlineUs || !attempts ||
+      *attempts > std::numeric_limits<uint32_t>::max() || !caller || !hash || !fingerprint) {
+    return std::nullopt;
+  }
+  ReceivedContext received;
+  CallContext& context = received.mContext;
+  context.mRequestId = headers.Find(kRequestId);
+  context.mService = headers.Find(kService);
+  context.mRank = headers.Find(kRank);
+  context.mKey = headers.Find(kKey);
+  context.mIdempotent = headers.Find(kIdempotent) == "1";
+  context.mCallerHash = *caller;
+  context.mRequestHash = *hash;
+  context.mFingerprint = *fingerprint;
+  context.mDeadline = aNow + std::chrono::microseconds(*deadline);
+  received.mRetries = static_cast<uint32_t>(*attempts);
+  if (context.mRequestId.empty() || context.mService.empty() || context.mRank.empty()) {
+    return std::nullopt;
+  }
+  return received;
+}
+
+void RemoveInternalHeaders(Headers& aHeaders)
+{
+  std::vector<std::string> names;
+  for (const Header& header : aHeaders.All()) {
+    const std::string_view name = header.mName;
+    if ((name.size() > 3 && EqualsIgnoringCase(name.substr(0, 3), "bm-")) ||
+        (name.size() > 7 && EqualsIgnoringCase(name.substr(0, 7), "balsam-"))) {
+      names.emplace_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    aHeaders.Remove(name);
+  }
+}
+
+HttpResponse EncodeAnswer(Answer aAnswer)
+{
+  HttpResponse response = std::move(aAnswer.mResponse);
+  RemoveInternalHeaders(response.mHeaders);
+  if (aAnswer.mOutcome != AttemptOutcome::Complete) {
+    response = {};
+    response.mStatus = 503;
+    response.mHeaders.Add(kReason, ToString(aAnswer.mReason));
+    response.mHeaders.Add(kRetryAfter, std::to_string(Microseconds(aAnswer.mRetryAfter) / 1000));
+  }
+  response.mHeaders.Add(kOutcome, kOutcomes[static_cast<size_t>(aAnswer.mOutcome)]);
+  response.mHeaders.Add(kShedLevel, std::to_string(aAnswer.mShedLevel));
+  response.mHeaders.Add(kServiceTime, std::to_string(Microseconds(aAnswer.mServiceTime)));
+  response.mHeaders.Add(kAttemptsLeft, std::to_string(aAnswer.mBudget.Left()));
+  if (aAnswer.mLeaving) {
+    response.mHeaders.Add(kLeaving, "1");
+  }
+  return response;
+}
+
+Answer DecodeAnswer(HttpResponse aResponse)
+{
+  Answer answer;
+  const Headers& headers = aResponse.mHeaders;
+  const auto outcome = IndexOf(kOutcomes, headers.Find(kOutcome));
+  // A peer that does not state an outcome may have run the request.
+  answer.mOutcome = outcome ? static_cast<AttemptOutcome>(*outcome) : AttemptOutcome::Unknown;
+  answer.mReason = ParseCallReason(headers.Find(kReason)).value_or(CallReason::None);
+  if (!outcome) {
+    answer.mReason = CallReason::ConnectionLost;
+  }
+  constexpr uint64_t kMaxRetryAfterMs = 3'600'000;
+  answer.mRetryAfter = std::chrono::milliseconds(
+    std::min(ParseNumber(headers.Find(kRetryAfter)).value_or(0), kMaxRetryAfterMs));
+  answer.mShedLevel = static_cast<uint32_t>(
+    std::min<uint64_t>(ParseNumber(headers.Find(kShedLevel)).value_or(0), UINT32_MAX));
+  answer.mServiceTime = std::chrono::microseconds(
+    std::min(ParseNumber(headers.Find(kServiceTime)).value_or(0), kMaxDeadlineUs));
+  answer.mBudget = RequestBudget(static_cast<uint32_t>(
+    std::min<uint64_t>(ParseNumber(headers.Find(kAttemptsLeft)).value_or(0), UINT32_MAX)));
+  answer.mLeaving = headers.Has(kLeaving);
+  answer.mResponse = std::move(aResponse);
+  RemoveInternalHeaders(answer.mResponse.mHeaders);
+  return answer;
+}
+
+HttpResponse CallerResponse(Answer aAnswer)
+{
+  if (aAnswer.mOutcome == AttemptOutcome::Complete) {
+    HttpResponse response = std::move(aAnswer.mResponse);
+    response.mHeaders.Set("Balsam-Outcome", "backend");
+    return response;
+  }
+  const bool unknown = aAnswer.mOutcome == AttemptOutcome::Unknown;
+  HttpResponse response;
+  response.mStatus = StatusOf(aAnswer);
+  response.mHeaders.Set("Content-Type", "text/plain");
+  response.mHeaders.Set("Balsam-Outcome", unknown ? "unknown" : "not-run");
+  response.mHeaders.Set("Balsam-Reason", ToString(aAnswer.mReason));
+  if (aAnswer.mRetryAfter > Duration::zero()) {
+    // Retry-After counts whole seconds; at least one.
+    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aAnswer.mRetryAfter).count();
+    response.mHeaders.Set("Retry-After", std::to_string(seconds));
+  }
+  response.mBody =
+    std::string(unknown ? "the request may have run: " : "the request did not run: ") +
+    ToString(aAnswer.mReason) + "\n";
+  return response;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/call_context.h
@@ -0,0 +1,90 @@
+// What travels with a request from the entry node to every hop, and how a call ends.
+#pragma once
+
+#include "balsammount/clock.h"
+#include "balsammount/exchange.h"
+#include "balsammount/retry.h"
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace balsammount {
+
+struct CallContext
+{
+  std::string mRequestId; // of this hop; the backend server repeats it on its own calls
+  std::string mService;
+  std::string mRank;
+  std::string mKey; // idempotency key of the caller; empty when none
+  bool mIdempotent = false;
+  uint64_t mCallerHash = 0;
+  uint64_t mRequestHash = 0; // of the root request, so that every hop sheds the same requests
+  uint64_t mFingerprint = 0; // of this hop's method, path, key and body
+  SteadyTime mDeadline{};
+};
+
+// Why a call was not run or its end is not known. Sent in the Balsam-Reason header.
+enum class CallReason : uint8_t
+{
+  None,
+  Overload,       // refused by admission or by the shed level
+  Deadline,       // cannot finish, or did not finish, before the deadline
+  Draining,       // the backend server or its node is leaving
+  Unavailable,    // no upstream, or the backend server is down
+  Quarantined,    // the request has crashed backend servers
+  ParentGone,     // the request that this call belongs to is no longer in flight
+  RetryBudget,    // the caller has resent the request too often
+  ConnectionLost, // after dispatch
+  KeyUnknown,     // an earlier attempt with this key may have run
+  KeyMismatch,    // the key was used with another request
+  KeyMemoryFull,  // no new keyed request can be recorded
+  NoRight,        // the node cannot confirm that it owns the key's shard
+  ConfigMissing,  // the node has no configuration yet
+  TooLarge,
+};
+
+const char* ToString(CallReason aReason);
+std::optional<CallReason> ParseCallReason(std::string_view aName);
+
+// How a call ended at one hop.
+struct Answer
+{
+  AttemptOutcome mOutcome = AttemptOutcome::NotRun;
+  CallReason mReason = CallReason::None;
+  HttpResponse mResponse;  // set when the outcome is Complete
+  Duration mRetryAfter{};  // zero: no advice
+  RequestBudget mBudget;   // retries that were not spent
+  uint32_t mShedLevel = 0; // of the node that executed or refused it
+  Duration mServiceTime{}; // measured by the executing node
+  bool mLeaving = false;   // the executing node takes no new work
+};
+
+using AnswerCallback = std::function<void(Answer)>;
+
+Answer Refused(CallReason aReason, RequestBudget aBudget, Duration aRetryAfter = {});
+Answer Unknown(CallReason aReason, RequestBudget aBudget);
+
+// Metadata headers between nodes.
+void WriteContext(const CallContext& aContext, uint32_t aRetries, SteadyTime aNow,
+                  Headers& aHeaders);
+
+struct ReceivedContext
+{
+  CallContext mContext;
+  uint32_t mRetries = 0;
+};
+// Nothing when a header is missing or malformed.
+std::optional<ReceivedContext> ReadContext(const HttpRequest& aRequest, SteadyTime aNow);
+
+// Removes every header that only the nodes may set.
+void RemoveInternalHeaders(Headers& aHeaders);
+
+// Between nodes.
+HttpResponse EncodeAnswer(Answer aAnswer);
+Answer DecodeAnswer(HttpResponse aResponse);
+
+// Towards callers and backend servers: status, Balsam-Outcome, Balsam-Reason, Retry-After.
+HttpResponse CallerResponse(Answer aAnswer);
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/call_target.h
@@ -0,0 +1,18 @@
+// Something that takes a call and answers it: this node's own side, a remote node, a router.
+#pragma once
+
+#include "call_context.h"
+
+namespace balsammount {
+
+class CallTarget
+{
+public:
+  virtual ~CallTarget() = default;
+
+  // The callback is called exactly once, perhaps before this returns, unless the call is cancelled.
+  virtual std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest aRequest,
+                                       RequestBudget aBudget, AnswerCallback aCallback) = 0;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/config_service.cpp
@@ -0,0 +1,124 @@
+#include "config_service.h"
+
+#include "log.h"
+#include "store_keys.h"
+
+namespace balsammount {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// Pause before a failed read of the store is repeated.
+constexpr auto kReadRetry = 500ms;
+
+std::string DescribeRefusal(const OfferResult& aResult)
+{
+  if (aResult.mFailure) {
+    return Describe(*aResult.mFailure);
+  }
+  if (!aResult.mDiagnostics.empty()) {
+    return Describe(aResult.mDiagnostics.front());
+  }
+  return "revision " + std::to_string(aResult.mRevision) +
+         " has other content than the one in force";
+}
+
+} // namespace
+
+ConfigService::ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore)
+  : mClock(aClock)
+  , mStore(aStore)
+  , mTimer(aContext)
+{
+}
+
+void ConfigService::AddListener(Listener aListener)
+{
+  if (mHolder.Current()) {
+    aListener(mHolder.Current());
+  }
+  mListeners.push_back(std::move(aListener));
+}
+
+Result<void> ConfigService::Start()
+{
+  Read();
+  return {};
+}
+
+void ConfigService::Stop()
+{
+  mStopped = true;
+  mTimer.cancel();
+  mWatch.reset();
+}
+
+OfferOutcome ConfigService::Offer(std::string_view aValue, std::string_view aSource)
+{
+  const OfferResult result = mHolder.Offer(aValue, aSource);
+  switch (result.mOutcome) {
+    case OfferOutcome::Applied:
+      mApplied = mClock.Now();
+      mLastRefusal.clear();
+      Log("config").info("revision {} from {} is in force", result.mRevision, aSource);
+      for (const Listener& listener : mListeners) {
+        listener(mHolder.Current());
+      }
+      break;
+    case OfferOutcome::RefusedInvalid:
+    case OfferOutcome::RefusedConflicting:
+      mLastRefusal = DescribeRefusal(result);
+      Log("config").error("refused a value from {}: {}", aSource, mLastRefusal);
+      break;
+    case OfferOutcome::RefusedLower:
+      Log("config").warn("refused revision {} from {}, {} is in force", result.mRevision, aSource,
+                         mHolder.Revision());
+      break;
+    case OfferOutcome::AlreadyKnown:
+      break;
+  }
+  return result.mOutcome;
+}
+
+Duration ConfigService::Age() const
+{
+  return mHolder.Current() ? mClock.Now() - mApplied : Duration::zero();
+}
+
+void ConfigService::Read()
+{
+  mStore.Get(kConfigKey, [this](StoreResult<StoreRead> aResult) { OnRead(std::move(aResult)); });
+}
+
+void ConfigService::OnRead(StoreResult<StoreRead> aResult)
+{
+  if (mStopped) {
+    return;
+  }
+  if (!aResult) {
+    Log("config").warn("cannot read the store: {}", Describe(aResult.error()));
+    ReadLater();
+    return;
+  }
+  if (aResult->mEntry) {
+    Offer(aResult->mEntry->mValue, "store");
+  }
+  mWatch = mStore.Watch(kConfigKey, aResult->mRevision + 1, [this](const WatchEvent& aEvent) {
+    if (aEvent.mValue) {
+      Offer(*aEvent.mValue, "store");
+    }
+  });
+}
+
+void ConfigService::ReadLater()
+{
+  mTimer.expires_after(kReadRetry);
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Read();
+    }
+  });
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/config_service.h
@@ -0,0 +1,55 @@
+// Keeps the configuration of this node up to date from the store and from other nodes.
+#pragma once
+
+#include "balsammount/config_revision.h"
+#include "balsammount/kernel.h"
+#include "balsammount/store.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace balsammount {
+
+class ConfigService final : public Service
+{
+public:
+  using Listener = std::function<void(const std::shared_ptr<const Config>&)>;
+
+  ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore);
+
+  // Called whenever a configuration comes into force, and at once if there is one.
+  void AddListener(Listener aListener);
+
+  Result<void> Start() override;
+  void Stop() override;
+
+  // A value from a peer or the store. Notifies the listeners when it is applied.
+  OfferOutcome Offer(std::string_view aValue, std::string_view aSource);
+
+  const ConfigHolder& Holder() const { return mHolder; }
+  // Time since the configuration in force was applied; zero when there is none.
+  Duration Age() const;
+  // Why the latest refused value was refused; empty when none was.
+  const std::string& LastRefusal() const { return mLastRefusal; }
+
+private:
+  void Read();
+  void OnRead(StoreResult<StoreRead> aResult);
+  void ReadLater();
+
+  const Clock& mClock;
+  Store& mStore;
+  boost::asio::steady_timer mTimer;
+  ConfigHolder mHolder;
+  std::vector<Listener> mListeners;
+  std::unique_ptr<StoreWatch> mWatch;
+  SteadyTime mApplied{};
+  std::string mLastRefusal;
+  bool mStopped = false;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/executor.cpp
@@ -0,0 +1,383 @@
+#include "executor.h"
+
+#include "log.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+// How often the backend server is probed while it is down and while it is up. A connection attempt
+// is cheap, and its failure is the only sign of death that does not lag.
+constexpr auto kProbeWhileDown = 100ms;
+constexpr auto kProbeWhileUp = 1000ms;
+
+HttpClientLimits BackendLimits()
+{
+  HttpClientLimits limits;
+  limits.mConnectTimeout = 1000ms;
+  limits.mMaxBodyBytes = 8 * 1024 * 1024;
+  return limits;
+}
+
+CallReason ReasonOf(RefusalReason aReason)
+{
+  switch (aReason) {
+    case RefusalReason::DeadlineTooClose:
+      return CallReason::Deadline;
+    case RefusalReason::Draining:
+      return CallReason::Draining;
+    case RefusalReason::Unavailable:
+      return CallReason::Unavailable;
+    default:
+      return CallReason::Overload;
+  }
+}
+
+Outcome AdmissionOutcome(const Result<HttpResponse>& aResult)
+{
+  if (aResult) {
+    return aResult->mStatus == 503 || aResult->mStatus == 429 ? Outcome::Overloaded
+                                                              : Outcome::Success;
+  }
+  return aResult.error().mCode == TransportError::TimedOut ? Outcome::TimedOut : Outcome::Failed;
+}
+
+} // namespace
+
+struct Executor::Job
+{
+  uint64_t mNumber = 0;
+  AdmissionId mAdmissionId = 0;
+  std::shared_ptr<InFlightRequest> mRequest = std::make_shared<InFlightRequest>();
+  HttpRequest mHttp;
+  AnswerCallback mCallback;
+  std::function<bool()> mBeforeDispatch;
+  std::shared_ptr<Call> mBackendCall;
+  SteadyTime mDispatched{};
+  bool mRunning = false;
+};
+
+class Executor::JobCall final : public Call
+{
+public:
+  JobCall(Executor& aExecutor, std::weak_ptr<Job> aJob)
+    : mExecutor(aExecutor)
+    , mJob(std::move(aJob))
+  {
+  }
+  void Cancel() override
+  {
+    if (const auto job = mJob.lock()) {
+      mExecutor.CancelJob(job);
+    }
+  }
+
+private:
+  Executor& mExecutor;
+  std::weak_ptr<Job> mJob;
+};
+
+Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings)
+  : mContext(aContext)
+  , mClock(aClock)
+  , mSettings(aSettings)
+  , mBackend(aContext, aSettings.mBackend, BackendLimits())
+  , mAdmission(aClock, {})
+  , mAdmissionTimer(aContext)
+  , mProbeTimer(aContext)
+{
+  mAdmission.SetAvailable(false);
+}
+
+Executor::~Executor() = default;
+
+Result<void> Executor::Start()
+{
+  ProbeBackend();
+  return {};
+}
+
+void Executor::Stop()
+{
+  mStopped = true;
+  mAdmissionTimer.cancel();
+  mProbeTimer.cancel();
+}
+
+std::shared_ptr<Call> Executor::Execute(CallContext aContext, HttpRequest aRequest,
+                                        RequestBudget aBudget, AnswerCallback aCallback,
+                                        std::function<bool()> aBeforeDispatch)
+{
+  auto job = std::make_shared<Job>();
+  job->mNumber = mNextJob++;
+  job->mRequest->mContext = std::move(aContext);
+  job->mRequest->mBudget = std::move(aBudget);
+  job->mHttp = std::move(aRequest);
+  job->mCallback = std::move(aCallback);
+  job->mBeforeDispatch = std::move(aBeforeDispatch);
+
+  const CallContext& context = job->mRequest->mContext;
+  balsammount::Offer offer;
+  offer.mRank = RankIndex(context.mRank);
+  offer.mCallerHash = context.mCallerHash;
+  offer.mRequestHash = context.mRequestHash;
+  offer.mDeadline = context.mDeadline;
+  offer.mContext = job->mNumber;
+  const Verdict verdict = mAdmission.Offer(offer);
+  if (verdict.mDecision == Decision::Refused) {
+    auto answer =
+      Refused(ReasonOf(verdict.mReason), std::move(job->mRequest->mBudget), verdict.mRetryAfter);
+    answer.mShedLevel = mAdmission.ShedLevel();
+    answer.mLeaving = mAdmission.Draining();
+    PollAdmission();
+    job->mCallback(std::move(answer));
+    return std::make_shared<JobCall>(*this, std::weak_ptr<Job>());
+  }
+  job->mAdmissionId = verdict.mId;
+  mJobs.emplace(job->mNumber, job);
+  auto call = std::make_shared<JobCall>(*this, job);
+  if (verdict.mDecision == Decision::Dispatch) {
+    Dispatch(job);
+  }
+  PollAdmission();
+  return call;
+}
+
+std::shared_ptr<InFlightRequest> Executor::FindInFlight(const std::string& aRequestId)
+{
+  const auto found = mRunning.find(aRequestId);
+  return found == mRunning.end() ? nullptr : found->second->mRequest;
+}
+
+void Executor::Dispatch(const std::shared_ptr<Job>& aJob)
+{
+  if (aJob->mBeforeDispatch && !aJob->mBeforeDispatch()) {
+    mAdmission.Cancel(aJob->mAdmissionId);
+    Finish(aJob, Refused(CallReason::NoRight, std::move(aJob->mRequest->mBudget)));
+    return;
+  }
+  aJob->mRunning = true;
+  aJob->mDispatched = mClock.Now();
+  mRunning.emplace(aJob->mRequest->mContext.mRequestId, aJob);
+  if (mObserver) {
+    mObserver->OnDispatch(aJob->mRequest->mContext.mFingerprint);
+  }
+  const Duration remaining =
+    std::max<Duration>(aJob->mRequest->mContext.mDeadline - aJob->mDispatched, 1ms);
+  aJob->mBackendCall =
+    mBackend.Send(BackendRequest(*aJob), remaining, [this, aJob](Result<HttpResponse> aResult) {
+      OnResult(aJob, std::move(aResult));
+    });
+}
+
+void Executor::OnResult(const std::shared_ptr<Job>& aJob, Result<HttpResponse> aResult)
+{
+  const Duration service = mClock.Now() - aJob->mDispatched;
+  mAdmission.Complete(aJob->mAdmissionId, AdmissionOutcome(aResult), service);
+  RequestBudget budget = std::move(aJob->mRequest->mBudget);
+  Answer answer;
+  if (aResult) {
+    if (mObserver) {
+      mObserver->OnComplete(aJob->mRequest->mContext.mFingerprint);
+    }
+    answer.mOutcome = AttemptOutcome::Complete;
+    answer.mResponse = std::move(*aResult);
+    answer.mBudget = std::move(budget);
+  } else if (ProvesNotRun(aResult.error().mCode)) {
+    SetAvailable(false);
+    answer = Refused(CallReason::Unavailable, std::move(budget));
+  } else if (aResult.error().mCode == TransportError::TimedOut) {
+    answer = Unknown(CallReason::Deadline, std::move(budget));
+  } else {
+    answer = Unknown(aResult.error().mCode == TransportError::TooLarge ? CallReason::TooLarge
+                                                                       : CallReason::ConnectionLost,
+                     std::move(budget));
+    ProbeBackend();
+  }
+  answer.mServiceTime = service;
+  answer.mShedLevel = mAdmission.ShedLevel();
+  answer.mLeaving = mAdmission.Draining();
+  Finish(aJob, std::move(answer));
+  PollAdmission();
+}
+
+void Executor::Finish(const std::shared_ptr<Job>& aJob, Answer aAnswer)
+{
+  mJobs.erase(aJob->mNumber);
+  if (aJob->mRunning) {
+    mRunning.erase(aJob->mRequest->mContext.mRequestId);
+  }
+  if (auto callback = std::exchange(aJob->mCallback, nullptr)) {
+    callback(std::move(aAnswer));
+  }
+}
+
+void Executor::CancelJob(const std::shared_ptr<Job>& aJob)
+{
+  if (!aJob->mCallback) {
+    return;
+  }
+  aJob->mCallback = nullptr;
+  mAdmission.Cancel(aJob->mAdmissionId);
+  if (aJob->mBackendCall) {
+    aJob->mBackendCall->Cancel();
+  }
+  Finish(aJob, {});
+  PollAdmission();
+}
+
+void Executor::PollAdmission()
+{
+  std::array<Action, 32> actions;
+  size_t count = actions.size();
+  while (count == actions.size()) {
+    count = mAdmission.Poll(actions);
+    for (size_t i = 0; i < count; ++i) {
+      const auto found = mJobs.find(actions[i].mContext);
+      if (found == mJobs.end()) {
+        continue;
+      }
+      const auto job = found->second;
+      if (actions[i].mDecision == Decision::Dispatch) {
+        Dispatch(job);
+      } else {
+        auto answer = Refused(ReasonOf(actions[i].mReason), std::move(job->mRequest->mBudget),
+                              actions[i].mRetryAfter);
+        answer.mShedLevel = mAdmission.ShedLevel();
+        answer.mLeaving = mAdmission.Draining();
+        Finish(job, std::move(answer));
+      }
+    }
+  }
+  ArmTimer();
+}
+
+void Executor::ArmTimer()
+{
+  const SteadyTime next = mAdmission.NextDeadline();
+  if (next == SteadyTime::max() || mStopped) {
+    mAdmissionTimer.cancel();
+    return;
+  }
+  if (mAdmissionTimer.expiry() == next) {
+    return;
+  }
+  mAdmissionTimer.expires_at(next);
+  mAdmissionTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      mAdmissionTimer.expires_at(SteadyTime::min());
+      PollAdmission();
+    }
+  });
+}
+
+void Executor::ApplyConfig(const std::shared_ptr<const Config>& aConfig)
+{
+  mConfig = aConfig;
+  const ServicePolicy* service = aConfig->FindService(mSettings.mService);
+  if (!service) {
+    Log("admission").warn("service {} is not in the configuration", mSettings.mService);
+    return;
+  }
+  AdmissionPolicy policy;
+  policy.mRankCount = std::min(aConfig->Ranks().size(), kMaxRanks);
+  for (size_t i = 0; i < policy.mRankCount; ++i) {
+    policy.mRanks[i] = { static_cast<double>(aConfig->Ranks()[i].mWorth),
+                         aConfig->Ranks()[i].mFloor };
+  }
+  policy.mSlots = service->mSlots;
+  policy.mMinConcurrency = service->mLimits.mMinConcurrency;
+  policy.mMaxQueue = service->mLimits.mMaxQueue;
+  policy.mQueueTarget = service->mLimits.mQueueTarget;
+  if (policy != mAdmission.Policy()) {
+    mAdmission.SetPolicy(policy);
+    PollAdmission();
+  }
+}
+
+void Executor::SetDraining(bool aDraining)
+{
+  mAdmission.SetDraining(aDraining);
+  PollAdmission();
+}
+
+void Executor::SetAvailabilityCallback(std::function<void(bool)> aCallback)
+{
+  mOnAvailability = std::move(aCallback);
+}
+
+void Executor::SetAvailable(bool aAvailable)
+{
+  if (mAvailable == aAvailable) {
+    return;
+  }
+  mAvailable = aAvailable;
+  Log("backend").info("the backend server is {}", aAvailable ? "available" : "not available");
+  mAdmission.SetAvailable(aAvailable);
+  if (!aAvailable && mObserver) {
+    std::vector<uint64_t> running;
+    for (const auto& [id, job] : mRunning) {
+      running.push_back(job->mRequest->mContext.mFingerprint);
+    }
+    mObserver->OnServerDeath(running);
+  }
+  if (mOnAvailability) {
+    mOnAvailability(aAvailable);
+  }
+  PollAdmission();
+}
+
+// Connects to the backend server to learn whether it listens. Repeats itself.
+void Executor::ProbeBackend()
+{
+  if (mStopped) {
+    return;
+  }
+  auto socket = std::make_shared<asio::ip::tcp::socket>(mContext);
+  socket->async_connect(mSettings.mBackend, [this, socket](const auto& aError) {
+    if (mStopped) {
+      return;
+    }
+    // A server whose accept queue is full does not refuse; only a refusal proves that it is gone.
+    SetAvailable(!aError);
+    mProbeTimer.expires_after(mAvailable ? kProbeWhileUp : kProbeWhileDown);
+    mProbeTimer.async_wait([this](const auto& aWaitError) {
+      if (!aWaitError) {
+        ProbeBackend();
+      }
+    });
+  });
+}
+
+size_t Executor::RankIndex(const std::string& aRank) const
+{
+  if (!mConfig) {
+    return 0;
+  }
+  const RankPolicy* rank = mConfig->FindRank(aRank);
+  // An unknown rank, from a node with another configuration, counts as the one of least worth.
+  return rank ? static_cast<size_t>(rank - mConfig->Ranks().data()) : mConfig->Ranks().size();
+}
+
+HttpRequest Executor::BackendRequest(const Job& aJob) const
+{
+  const CallContext& context = aJob.mRequest->mContext;
+  HttpRequest request = aJob.mHttp;
+  RemoveInternalHeaders(request.mHeaders);
+  const auto remaining =
+    std::chrono::duration_cast<std::chrono::milliseconds>(context.mDeadline - aJob.mDispatched);
+  request.mHeaders.Set("Balsam-Request-Id", context.mRequestId);
+  request.mHeaders.Set("Balsam-Deadline-Ms",
+                       std::to_string(std::max<int64_t>(remaining.count(), 0)));
+  request.mHeaders.Set("Balsam-Rank", context.mRank);
+  return request;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/forwarder.cpp
@@ -0,0 +1,176 @@
+#include "forwarder.h"
+
+#include <vector>
+
+namespace balsammount {
+
+class Forwarder::ForwardedCall final
+  : public Call
+  , public std::enable_shared_from_this<ForwardedCall>
+{
+public:
+  ForwardedCall(Forwarder& aForwarder, CallContext aContext, HttpRequest aRequest,
+                RequestBudget aBudget, AnswerCallback aCallback)
+    : mForwarder(aForwarder)
+    , mContext(std::move(aContext))
+    , mRequest(std::move(aRequest))
+    , mBudget(std::move(aBudget))
+    , mCallback(std::move(aCallback))
+  {
+  }
+
+  void Start()
+  {
+    const Config& config = *mForwarder.mConfig;
+    const RankPolicy* rank = config.FindRank(mContext.mRank);
+    const size_t rankIndex =
+      rank ? static_cast<size_t>(rank - config.Ranks().data()) : config.Ranks().size();
+    Upstreams& upstreams = mForwarder.mUpstreams;
+    if (upstreams.ShouldShed(mContext.mService, rankIndex, mContext.mRequestHash)) {
+      // A request that the upstreams would refuse anyway is refused before it costs them anything.
+      Answer answer = Refused(CallReason::Overload, std::move(mBudget), std::chrono::seconds(1));
+      answer.mShedLevel = upstreams.ShedLevel(mContext.mService);
+      Finish(std::move(answer));
+      return;
+    }
+    mForwarder.RatioOf(mContext.mService).OnRequest();
+    Attempt();
+  }
+
+  void Cancel() override
+  {
+    mCallback = nullptr;
+    if (mAttempt) {
+      mForwarder.mUpstreams.OnCancel(mUpstream, mForwarder.mClock.Now() - mAttemptStart);
+      std::exchange(mAttempt, nullptr)->Cancel();
+    }
+  }
+
+private:
+  void Attempt()
+  {
+    const SteadyTime now = mForwarder.mClock.Now();
+    if (now >= mContext.mDeadline) {
+      Finish(Refused(CallReason::Deadline, std::move(mBudget)));
+      return;
+    }
+    const auto chosen = mForwarder.mUpstreams.Choose(mContext.mService, mTried);
+    if (!chosen) {
+      Finish(mLastRefusal
+               ? std::move(*mLastRefusal)
+               : Refused(CallReason::Unavailable, std::move(mBudget), std::chrono::seconds(1)));
+      return;
+    }
+    mUpstream = *chosen;
+    mTried.push_back(mUpstream);
+    mAttemptStart = now;
+    mForwarder.mUpstreams.OnStart(mUpstream);
+    // One retry stays here, so that a lost connection to the next hop does not lose them all.
+    const uint32_t passedOn = mBudget.Left() > 0 ? mBudget.Left() - 1 : 0;
+    RequestBudget budget = mBudget.Split(passedOn);
+    mWaiting = true;
+    auto onAnswer = [self = shared_from_this()](Answer aAnswer) {
+      self->OnAnswer(std::move(aAnswer));
+    };
+    auto attempt =
+      mForwarder.mUpstreams.IsSelf(mUpstream)
+        ? mForwarder.mLocal.Handle(mContext, mRequest, std::move(budget), std::move(onAnswer))
+        : mForwarder.mPeers.Forward(mForwarder.mUpstreams.NodeOf(mUpstream), mContext, mRequest,
+                                    std::move(budget), now, std::move(onAnswer));
+    if (mWaiting) {
+      mAttempt = std::move(attempt);
+    }
+  }
+
+  void OnAnswer(Answer aAnswer)
+  {
+    mWaiting = false;
+    mAttempt = nullptr;
+    if (!mCallback) {
+      return;
+    }
+    const SteadyTime now = mForwarder.mClock.Now();
+    mForwarder.mUpstreams.OnEnd(mContext.mService, mUpstream, aAnswer, now - mAttemptStart);
+    mBudget.Return(std::move(aAnswer.mBudget));
+    const auto reason = TakeRetry(aAnswer.mOutcome, mContext.mIdempotent, mBudget,
+                                  mForwarder.RatioOf(mContext.mService), mContext.mDeadline - now);
+    if (reason != RetryReason::Retry) {
+      aAnswer.mBudget = std::move(mBudget);
+      Finish(std::move(aAnswer));
+      return;
+    }
+    mForwarder.mMetrics.OnRetry(mContext.mService);
+    mLastRefusal = std::move(aAnswer);
+    Attempt();
+  }
+
+  void Finish(Answer aAnswer)
+  {
+    if (auto callback = std::exchange(mCallback, nullptr)) {
+      // The level of a service called from here raises the level of this node's own service.
+      mForwarder.mOnLevel(mForwarder.mUpstreams.ShedLevel(mContext.mService));
+      callback(std::move(aAnswer));
+    }
+  }
+
+  Forwarder& mForwarder;
+  CallContext mContext;
+  HttpRequest mRequest;
+  RequestBudget mBudget;
+  AnswerCallback mCallback;
+  std::vector<UpstreamId> mTried;
+  std::optional<Answer> mLastRefusal;
+  std::shared_ptr<Call> mAttempt;
+  UpstreamId mUpstream{};
+  SteadyTime mAttemptStart{};
+  bool mWaiting = false;
+};
+
+Forwarder::Forwarder(const Clock& aClock, Upstreams& aUpstreams, Peers& aPeers, CallTarget& aLocal,
+                     Metrics& aMetrics)
+  : mClock(aClock)
+  , mUpstreams(aUpstreams)
+  , mPeers(aPeers)
+  , mLocal(aLocal)
+  , mMetrics(aMetrics)
+  , mConfig(std::make_shared<const Config>())
+  , mOnLevel([](uint32_t) {})
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+std::shared_ptr<Call> Forwarder::Handle(CallContext aContext, HttpRequest aRequest,
+                                        RequestBudget aBudget, AnswerCallback aCallback)
+{
+  auto call = std::make_shared<ForwardedCall>(*this, std::move(aContext), std::move(aRequest),
+                                              std::move(aBudget), std::move(aCallback));
+  call->Start();
+  return call;
+}
+
+void Forwarder::SetLevelCallback(std::function<void(uint32_t)> aCallback)
+{
+  mOnLevel = std::move(aCallback);
+}
+
+void Forwarder::ApplyConfig(const std::shared_ptr<const Config>& aConfig)
+{
+  mConfig = aConfig;
+  for (const ServicePolicy& service : aConfig->Services()) {
+    RetryRatioPolicy policy;
+    policy.mRatio = service.mRetries.mRatio;
+    RatioOf(service.mName).SetPolicy(policy);
+  }
+}
+
+RetryRatio& Forwarder::RatioOf(const std::string& aService)
+{
+  auto& ratio = mRatios[aService];
+  if (!ratio) {
+    ratio = std::make_unique<RetryRatio>(mClock, RetryRatioPolicy{});
+  }
+  return *ratio;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/forwarder.h
@@ -0,0 +1,49 @@
+// Sends a call to an upstream of its service and tries again within the budgets.
+#pragma once
+
+#include "call_target.h"
+#include "metrics.h"
+#include "peers.h"
+#include "upstreams.h"
+
+#include "balsammount/config.h"
+#include "balsammount/retry.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace balsammount {
+
+class Forwarder final : public CallTarget
+{
+public:
+  // aLocal takes the calls for this node's own backend server.
+  Forwarder(const Clock& aClock, Upstreams& aUpstreams, Peers& aPeers, CallTarget& aLocal,
+            Metrics& aMetrics);
+  ~Forwarder() override;
+
+  std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest aRequest, RequestBudget aBudget,
+                               AnswerCallback aCallback) override;
+
+  void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
+
+  // Called with the shed level of a service that this node's backend server calls.
+  void SetLevelCallback(std::function<void(uint32_t)> aCallback);
+
+private:
+  class ForwardedCall;
+
+  RetryRatio& RatioOf(const std::string& aService);
+
+  const Clock& mClock;
+  Upstreams& mUpstreams;
+  Peers& mPeers;
+  CallTarget& mLocal;
+  Metrics& mMetrics;
+  std::shared_ptr<const Config> mConfig;
+  std::map<std::string, std::unique_ptr<RetryRatio>> mRatios;
+  std::function<void(uint32_t)> mOnLevel;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/log.h
@@ -0,0 +1,19 @@
+// Log lines with a fixed prefix per part.
+#pragma once
+
+#include <spdlog/spdlog.h>
+
+#include <string_view>
+
+namespace balsammount {
+
+// The logger of one part, for example "admission". Created on first use with the current level.
+spdlog::logger& Log(std::string_view aPart);
+
+// "text" or "json" lines on standard error.
+void SetLogFormat(std::string_view aFormat);
+
+// For every part; can be changed while running. False when the level is unknown.
+bool SetLogLevel(std::string_view aLevel);
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/metrics.h
@@ -0,0 +1,35 @@
+// Prometheus metrics of one node, by service and rank.
+#pragma once
+
+#include "call_context.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace balsammount {
+
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+
+  void OnOffered(const std::string& aService, const std::string& aRank);
+  void OnAnswered(const std::string& aService, const std::string& aRank, const Answer& aAnswer,
+                  Duration aLatency);
+  void OnRefused(const std::string& aService, const std::string& aRank, CallReason aReason);
+  void OnRetry(const std::string& aService);
+
+  // A value that is read when the metrics are scraped.
+  void AddGauge(const std::string& aName, const std::string& aHelp, std::function<double()> aRead);
+
+  // The text format of a scrape.
+  std::string Serialize() const;
+
+private:
+  struct State;
+  std::unique_ptr<State> mState;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/node.cpp
@@ -0,0 +1,233 @@
+#include "balsammount/node.h"
+
+#include "admin.h"
+#include "config_service.h"
+#include "executor.h"
+#include "forwarder.h"
+#include "gateway.h"
+#include "local_target.h"
+#include "log.h"
+#include "member_service.h"
+#include "metrics.h"
+#include "peer_handler.h"
+#include "peers.h"
+#include "upstreams.h"
+
+#include "balsammount/etcd_store.h"
+#include "balsammount/http_server.h"
+#include "balsammount/peer_server.h"
+
+#include <random>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+// How often a draining node looks whether its requests are finished.
+constexpr auto kDrainCheck = 20ms;
+// A draining node keeps its listeners open at least this long, so that other nodes learn that it
+// leaves before they meet a closed port.
+constexpr auto kMinDrain = 1000ms;
+
+EtcdStoreSettings StoreSettings(const NodeSettings& aSettings, Random& aRandom)
+{
+  EtcdStoreSettings settings;
+  settings.mEndpoints = aSettings.mStore;
+  settings.mSeed = aRandom.Next();
+  return settings;
+}
+
+} // namespace
+
+struct Node::Parts
+{
+  Parts(asio::io_context& aContext, NodeSettings aSettings)
+    : mContext(aContext)
+    , mSettings(std::move(aSettings))
+    , mRandom(std::random_device()() ^ (static_cast<uint64_t>(std::random_device()()) << 32))
+    , mStore(aContext, StoreSettings(mSettings, mRandom))
+    , mPeers(aContext)
+    , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
+    , mConfig(std::make_shared<ConfigService>(aContext, mClock, mStore))
+    , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings))
+    , mLocal(mSettings, *mExecutor)
+    , mForwarder(mClock, mUpstreams, mPeers, mLocal, mMetrics)
+    , mMembers(std::make_shared<MemberService>(aContext, mClock, mSettings, mUpstreams, mPeers))
+    , mGateway(
+        std::make_shared<Gateway>(mClock, mRandom, mSettings, *mExecutor, mForwarder, mMetrics))
+    , mPeerHandler(mClock, mLocal, *mMembers, *mConfig)
+    , mDrainTimer(aContext)
+  {
+  }
+
+  Result<void> RegisterParts();
+  void Wire();
+  void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
+  void SetLeaving(bool aLeaving);
+  void CheckDrained();
+
+  asio::io_context& mContext;
+  NodeSettings mSettings;
+  SystemClock mClock;
+  Random mRandom;
+  Metrics mMetrics;
+  EtcdStore mStore;
+  Peers mPeers;
+  Upstreams mUpstreams;
+  std::shared_ptr<ConfigService> mConfig;
+  std::shared_ptr<Executor> mExecutor;
+  LocalTarget mLocal;
+  Forwarder mForwarder;
+  std::shared_ptr<MemberService> mMembers;
+  std::shared_ptr<Gateway> mGateway;
+  PeerHandler mPeerHandler;
+  Kernel mKernel;
+  asio::steady_timer mDrainTimer;
+  std::function<void()> mOnDrained;
+  std::function<void()> mOnDrainRequest = [] {};
+  SteadyTime mDrainStarted{};
+};
+
+Result<void> Node::Parts::RegisterParts()
+{
+  HttpServerLimits callerLimits;
+  callerLimits.mMaxBodyBytes = 8 * 1024 * 1024;
+  const auto gateway = mGateway;
+  const auto admin =
+    std::make_shared<Admin>(AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams,
+                                        *mGateway, mMetrics, [this] { mOnDrainRequest(); } });
+  const std::vector<std::pair<std::string, std::shared_ptr<Service>>> services = {
+    { "config", mConfig },
+    { "executor", mExecutor },
+    { "members", mMembers },
+    { "gateway", mGateway },
+    { "admin", admin },
+    { "peer-listener",
+      std::make_shared<PeerServer>(
+        mContext, mSettings.mPeerListen, PeerServerLimits{},
+        [this](std::shared_ptr<Exchange> aExchange) { mPeerHandler.Handle(aExchange); }) },
+    { "egress-listener",
+      std::make_shared<HttpServer>(
+        mContext, mSettings.mEgressListen, callerLimits,
+        [this](const std::shared_ptr<Exchange>& aExchange) { HandleEgress(aExchange); }) },
+    { "caller-listener",
+      std::make_shared<HttpServer>(mContext, mSettings.mCallerListen, callerLimits,
+                                   [gateway](const std::shared_ptr<Exchange>& aExchange) {
+                                     gateway->HandleCaller(aExchange);
+                                   }) },
+    { "admin-listener",
+      std::make_shared<HttpServer>(
+        mContext, mSettings.mAdminListen, HttpServerLimits{},
+        [admin](const std::shared_ptr<Exchange>& aExchange) { admin->Handle(aExchange); }) },
+  };
+  for (const auto& [name, service] : services) {
+    if (auto result = mKernel.Register(name, service); !result) {
+      return result;
+    }
+  }
+  return {};
+}
+
+void Node::Parts::Wire()
+{
+  mConfig->AddListener([this](const std::shared_ptr<const Config>& aConfig) {
+    mUpstreams.ApplyConfig(*aConfig);
+    mForwarder.ApplyConfig(aConfig);
+    mExecutor->ApplyConfig(aConfig);
+    mGateway->ApplyConfig(aConfig);
+  });
+  mExecutor->SetAvailabilityCallback(
+    [this](bool aAvailable) { mMembers->SetAvailable(aAvailable); });
+  mForwarder.SetLevelCallback(
+    [this](uint32_t aLevel) { mExecutor->ReportDownstreamLevel(aLevel); });
+}
+
+// The backend server announces by POST that it is leaving, or that it takes work again. Everything
+// else on this listener is a call to another service.
+void Node::Parts::HandleEgress(const std::shared_ptr<Exchange>& aExchange)
+{
+  const HttpRequest& request = aExchange->Request();
+  const bool leaving = request.mTarget == "/balsammount/backend/leaving";
+  if (!leaving && request.mTarget != "/balsammount/backend/ready") {
+    mGateway->HandleEgress(aExchange);
+    return;
+  }
+  HttpResponse response;
+  response.mStatus = request.mMethod == "POST" ? 204 : 405;
+  if (response.mStatus == 204 && !mOnDrained) {
+    Log("backend").info("the backend server announced that it is {}",
+                        leaving ? "leaving" : "ready");
+    SetLeaving(leaving);
+  }
+  aExchange->Respond(std::move(response));
+}
+
+void Node::Parts::SetLeaving(bool aLeaving)
+{
+  mMembers->SetLeaving(aLeaving);
+  mExecutor->SetDraining(aLeaving);
+}
+
+void Node::Parts::CheckDrained()
+{
+  const Duration waited = mClock.Now() - mDrainStarted;
+  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0;
+  const bool expired = waited >= std::chrono::seconds(mSettings.mDrainSeconds);
+  if ((idle && waited >= kMinDrain) || expired) {
+    Log("node").info("drained after {} ms with {} requests left",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(waited).count(),
+                     mExecutor->Pending() + mGateway->Pending());
+    mOnDrained();
+    return;
+  }
+  mDrainTimer.expires_after(kDrainCheck);
+  mDrainTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      CheckDrained();
+    }
+  });
+}
+
+Node::Node(asio::io_context& aContext, NodeSettings aSettings)
+  : mParts(std::make_unique<Parts>(aContext, std::move(aSettings)))
+{
+}
+
+Node::~Node() = default;
+
+Result<void> Node::Start()
+{
+  mParts->Wire();
+  if (auto result = mParts->RegisterParts(); !result) {
+    return result;
+  }
+  return mParts->mKernel.StartAll();
+}
+
+void Node::SetDrainRequestCallback(std::function<void()> aCallback)
+{
+  mParts->mOnDrainRequest = std::move(aCallback);
+}
+
+void Node::Drain(std::function<void()> aDone)
+{
+  if (mParts->mOnDrained) {
+    return;
+  }
+  Log("node").info("draining");
+  mParts->mOnDrained = std::move(aDone);
+  mParts->mDrainStarted = mParts->mClock.Now();
+  mParts->SetLeaving(true);
+  mParts->CheckDrained();
+}
+
+void Node::Stop()
+{
+  mParts->mDrainTimer.cancel();
+  mParts->mKernel.StopAll();
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/node_settings.cpp
@@ -0,0 +1,199 @@
+#include "balsammount/node_settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include <array>
+#include <charconv>
+#include <fstream>
+#include <functional>
+#include <iterator>
+#include <variant>
+
+namespace balsammount {
+
+namespace {
+
+using Json = nlohmann::json;
+using Endpoint = NodeSettings::Endpoint;
+
+// One setting: its name, where it goes, and whether it has to be given.
+struct Setting
+{
+  const char* mName;
+  std::variant<std::string NodeSettings::*, Endpoint NodeSettings::*,
+               std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*>
+    mMember;
+  bool mRequired;
+};
+
+constexpr std::array kSettings = {
+  Setting{ "node_id", &NodeSettings::mNodeId, true },
+  Setting{ "service", &NodeSettings::mService, true },
+  Setting{ "data_centre", &NodeSettings::mDataCentre, true },
+  Setting{ "region", &NodeSettings::mRegion, false },
+  Setting{ "caller_listen", &NodeSettings::mCallerListen, true },
+  Setting{ "egress_listen", &NodeSettings::mEgressListen, true },
+  Setting{ "peer_listen", &NodeSettings::mPeerListen, true },
+  Setting{ "admin_listen", &NodeSettings::mAdminListen, true },
+  Setting{ "backend", &NodeSettings::mBackend, true },
+  Setting{ "store", &NodeSettings::mStore, true },
+  Setting{ "contacts", &NodeSettings::mContacts, false },
+  Setting{ "log_level", &NodeSettings::mLogLevel, false },
+  Setting{ "log_format", &NodeSettings::mLogFormat, false },
+  Setting{ "drain_seconds", &NodeSettings::mDrainSeconds, false },
+};
+
+Failure Fail(SettingsError aError, const std::string& aName, const std::string& aDetail)
+{
+  return Failure{ aError, aName + ": " + aDetail };
+}
+
+Result<void> Assign(std::string& aTarget, const std::string& aName, const Json& aValue)
+{
+  if (!aValue.is_string() || aValue.get_ref<const std::string&>().empty()) {
+    return Fail(SettingsError::WrongType, aName, "a string that is not empty is expected");
+  }
+  aTarget = aValue.get<std::string>();
+  return {};
+}
+
+Result<void> Assign(uint32_t& aTarget, const std::string& aName, const Json& aValue)
+{
+  constexpr uint32_t kMax = 3600;
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() > kMax) {
+    return Fail(SettingsError::WrongType, aName, "a whole number from 0 to 3600 is expected");
+  }
+  aTarget = aValue.get<uint32_t>();
+  return {};
+}
+
+Result<void> Assign(Endpoint& aTarget, const std::string& aName, const Json& aValue)
+{
+  if (!aValue.is_string()) {
+    return Fail(SettingsError::WrongType, aName, "a string \"ADDRESS:PORT\" is expected");
+  }
+  auto endpoint = ParseEndpoint(aValue.get_ref<const std::string&>());
+  if (!endpoint) {
+    return Fail(SettingsError::BadAddress, aName, endpoint.error().mDetail);
+  }
+  aTarget = *endpoint;
+  return {};
+}
+
+Result<void> Assign(std::vector<Endpoint>& aTarget, const std::string& aName, const Json& aValue)
+{
+  if (!aValue.is_array()) {
+    return Fail(SettingsError::WrongType, aName, "a list of \"ADDRESS:PORT\" is expected");
+  }
+  for (size_t i = 0; i < aValue.size(); ++i) {
+    Endpoint endpoint;
+    if (auto result = Assign(endpoint, aName + "[" + std::to_string(i) + "]", aValue[i]); !result) {
+      return result;
+    }
+    aTarget.push_back(endpoint);
+  }
+  return {};
+}
+
+Result<void> CheckValues(const NodeSettings& aSettings)
+{
+  if (aSettings.mLogFormat != "text" && aSettings.mLogFormat != "json") {
+    return Fail(SettingsError::BadValue, "log_format", "\"text\" or \"json\" is expected");
+  }
+  constexpr std::array kLevels = { "trace", "debug", "info", "warning", "error" };
+  if (std::find(kLevels.begin(), kLevels.end(), aSettings.mLogLevel) == kLevels.end()) {
+    return Fail(SettingsError::BadValue, "log_level",
+                "one of trace, debug, info, warning, error is expected");
+  }
+  return {};
+}
+
+} // namespace
+
+std::error_code make_error_code(SettingsError aError)
+{
+  static constexpr std::array<const char*, 8> kMessages = {
+    "success",         "cannot read settings", "malformed JSON",    "unknown setting",
+    "missing setting", "wrong type",           "malformed address", "value not allowed"
+  };
+  static const EnumCategory sCategory("balsammount.settings", kMessages);
+  return { static_cast<int>(aError), sCategory };
+}
+
+Result<Endpoint> ParseEndpoint(std::string_view aText)
+{
+  const size_t colon = aText.rfind(':');
+  const Failure malformed{ SettingsError::BadAddress,
+                           "\"" + std::string(aText) +
+                             "\" is not ADDRESS:PORT with an IP address" };
+  if (colon == std::string_view::npos) {
+    return malformed;
+  }
+  std::string host(aText.substr(0, colon));
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  const std::string_view portText = aText.substr(colon + 1);
+  uint16_t port = 0;
+  const auto [end, portError] =
+    std::from_chars(portText.data(), portText.data() + portText.size(), port);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(host, error);
+  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
+    return malformed;
+  }
+  return Endpoint(address, port);
+}
+
+Result<NodeSettings> ParseNodeSettings(std::string_view aText)
+{
+  Json document;
+  try {
+    document = Json::parse(aText, nullptr, true, true);
+  } catch (const Json::parse_error& error) {
+    return Failure{ SettingsError::MalformedJson, error.what() };
+  }
+  if (!document.is_object()) {
+    return Failure{ SettingsError::WrongType, "the file must hold one object" };
+  }
+  NodeSettings settings;
+  for (const Setting& setting : kSettings) {
+    const auto found = document.find(setting.mName);
+    if (found == document.end()) {
+      if (setting.mRequired) {
+        return Failure{ SettingsError::MissingSetting, setting.mName };
+      }
+      continue;
+    }
+    const auto result =
+      std::visit([&](auto aMember) { return Assign(settings.*aMember, setting.mName, *found); },
+                 setting.mMember);
+    if (!result) {
+      return result.error();
+    }
+    document.erase(found);
+  }
+  if (!document.empty()) {
+    return Failure{ SettingsError::UnknownSetting, document.begin().key() };
+  }
+  if (auto result = CheckValues(settings); !result) {
+    return result.error();
+  }
+  return settings;
+}
+
+Result<NodeSettings> ReadNodeSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    return Failure{ SettingsError::Unreadable, aPath };
+  }
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  auto settings = ParseNodeSettings(text);
+  if (!settings) {
+    return Failure{ settings.error().mCode, aPath + ": " + settings.error().mDetail };
+  }
+  return settings;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/peer_handler.cpp
@@ -0,0 +1,55 @@
+#include "peer_handler.h"
+
+namespace balsammount {
+
+namespace {
+
+HttpResponse BodyResponse(unsigned aStatus, std::string aBody)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mBody = std::move(aBody);
+  return response;
+}
+
+} // namespace
+
+void PeerHandler::Handle(const std::shared_ptr<Exchange>& aExchange)
+{
+  // Forwarded calls carry the caller's own path, which may be any; the context tells them apart.
+  if (aExchange->Request().mHeaders.Has("bm-request-id")) {
+    HandleCall(aExchange);
+    return;
+  }
+  const std::string& target = aExchange->Request().mTarget;
+  if (target == "/balsammount/member") {
+    aExchange->Respond(BodyResponse(200, mMembers.SelfRecord()));
+  } else if (target == "/balsammount/config" && mConfig.Holder().Value()) {
+    aExchange->Respond(BodyResponse(200, *mConfig.Holder().Value()));
+  } else {
+    aExchange->Respond(BodyResponse(404, {}));
+  }
+}
+
+void PeerHandler::HandleCall(const std::shared_ptr<Exchange>& aExchange)
+{
+  auto received = ReadContext(aExchange->Request(), mClock.Now());
+  if (!received) {
+    HttpResponse response = BodyResponse(400, "malformed call context\n");
+    response.mHeaders.Set("bm-outcome", "not-run");
+    aExchange->Respond(std::move(response));
+    return;
+  }
+  auto answered = std::make_shared<bool>(false);
+  const auto call =
+    mLocal.Handle(std::move(received->mContext), aExchange->Request(),
+                  RequestBudget(received->mRetries), [aExchange, answered](Answer aAnswer) {
+                    *answered = true;
+                    aExchange->Respond(EncodeAnswer(std::move(aAnswer)));
+                  });
+  if (!*answered) {
+    aExchange->OnCancel([call] { call->Cancel(); });
+  }
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/peers.cpp
@@ -0,0 +1,78 @@
+#include "peers.h"
+
+namespace balsammount {
+
+namespace {
+
+class NoCall final : public Call
+{
+public:
+  void Cancel() override {}
+};
+
+} // namespace
+
+Answer AnswerOfFailure(const std::error_code& aError, RequestBudget aBudget)
+{
+  if (ProvesNotRun(aError)) {
+    return Refused(CallReason::Unavailable, std::move(aBudget));
+  }
+  const bool late = aError == TransportError::TimedOut;
+  return Unknown(late ? CallReason::Deadline : CallReason::ConnectionLost, std::move(aBudget));
+}
+
+void Peers::Upsert(const std::string& aNodeId, const boost::asio::ip::tcp::endpoint& aEndpoint)
+{
+  Peer& peer = mPeers[aNodeId];
+  if (!peer.mClient || peer.mEndpoint != aEndpoint) {
+    peer.mEndpoint = aEndpoint;
+    peer.mClient = std::make_shared<PeerClient>(mContext, aEndpoint);
+  }
+}
+
+void Peers::Remove(const std::string& aNodeId)
+{
+  mPeers.erase(aNodeId);
+}
+
+std::shared_ptr<Call> Peers::Forward(const std::string& aNodeId, const CallContext& aContext,
+                                     HttpRequest aRequest, RequestBudget aBudget, SteadyTime aNow,
+                                     AnswerCallback aCallback)
+{
+  RemoveInternalHeaders(aRequest.mHeaders);
+  WriteContext(aContext, aBudget.Left(), aNow, aRequest.mHeaders);
+  auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
+  return Send(aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
+              [budget, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+                if (!aResult) {
+                  // What the peer spent before the connection was lost is not known.
+                  if (!ProvesNotRun(aResult.error().mCode)) {
+                    budget->LimitTo(0);
+                  }
+                  callback(AnswerOfFailure(aResult.error().mCode, std::move(*budget)));
+                  return;
+                }
+                Answer answer = DecodeAnswer(std::move(*aResult));
+                budget->LimitTo(answer.mBudget.Left());
+                answer.mBudget = std::move(*budget);
+                callback(std::move(answer));
+              });
+}
+
+std::shared_ptr<Call> Peers::Send(const std::string& aNodeId, HttpRequest aRequest,
+                                  Duration aTimeout, ResponseCallback aCallback)
+{
+  const auto found = mPeers.find(aNodeId);
+  if (found == mPeers.end() || aTimeout <= Duration::zero()) {
+    aCallback(Failure{ TransportError::ConnectFailed, aNodeId });
+    return std::make_shared<NoCall>();
+  }
+  // The client must outlive its calls, even when the peer is removed meanwhile.
+  auto client = found->second.mClient;
+  return client->Send(std::move(aRequest), aTimeout,
+                      [client, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+                        callback(std::move(aResult));
+                      });
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/peers.h
@@ -0,0 +1,53 @@
+// Connections to other nodes, by node id.
+#pragma once
+
+#include "call_context.h"
+
+#include "balsammount/peer_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+
+namespace balsammount {
+
+class Peers
+{
+public:
+  explicit Peers(boost::asio::io_context& aContext)
+    : mContext(aContext)
+  {
+  }
+
+  // Adds a node or changes its address. A changed address closes the old connection.
+  void Upsert(const std::string& aNodeId, const boost::asio::ip::tcp::endpoint& aEndpoint);
+  // Calls in flight go on; the connection closes with the last of them.
+  void Remove(const std::string& aNodeId);
+  bool Has(const std::string& aNodeId) const { return mPeers.contains(aNodeId); }
+
+  // Forwards a call to a node. An unknown node is a refusal.
+  std::shared_ptr<Call> Forward(const std::string& aNodeId, const CallContext& aContext,
+                                HttpRequest aRequest, RequestBudget aBudget, SteadyTime aNow,
+                                AnswerCallback aCallback);
+
+  // Sends a plain request, for control messages.
+  std::shared_ptr<Call> Send(const std::string& aNodeId, HttpRequest aRequest, Duration aTimeout,
+                             ResponseCallback aCallback);
+
+private:
+  struct Peer
+  {
+    boost::asio::ip::tcp::endpoint mEndpoint;
+    std::shared_ptr<PeerClient> mClient;
+  };
+
+  boost::asio::io_context& mContext;
+  std::map<std::string, Peer> mPeers;
+};
+
+// The answer for a call that ended without a response of the peer.
+Answer AnswerOfFailure(const std::error_code& aError, RequestBudget aBudget);
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/store_keys.h
@@ -0,0 +1,12 @@
+// Names of the keys in the store.
+#pragma once
+
+#include <string>
+
+namespace balsammount {
+
+inline const std::string kConfigKey = "/balsammount/config";
+inline const std::string kContactsPrefix = "/balsammount/contacts/";
+inline const std::string kOwnersPrefix = "/balsammount/owners/";
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/upstreams.cpp
@@ -0,0 +1,128 @@
+#include "upstreams.h"
+
+#include "balsammount/hash.h"
+
+namespace balsammount {
+
+namespace {
+
+UpstreamId IdOf(const std::string& aNodeId)
+{
+  return static_cast<UpstreamId>(Hash64(aNodeId));
+}
+
+} // namespace
+
+Upstreams::Upstreams(const Clock& aClock, Random& aRandom, const std::string& aSelf,
+                     const std::string& aDataCentre)
+  : mSelf(IdOf(aSelf))
+  , mPolicy([&] {
+    RoutingPolicy policy;
+    policy.mSelf = Hash64(aSelf);
+    policy.mDataCentre = DataCentreNumber(aDataCentre);
+    return policy;
+  }())
+  , mRouter(aClock, aRandom, mPolicy)
+{
+}
+
+ServiceId Upstreams::ServiceNumber(const std::string& aService)
+{
+  return mServices.try_emplace(aService, static_cast<ServiceId>(mServices.size())).first->second;
+}
+
+DataCentreId Upstreams::DataCentreNumber(const std::string& aDataCentre)
+{
+  return mDataCentres.try_emplace(aDataCentre, static_cast<DataCentreId>(mDataCentres.size()))
+    .first->second;
+}
+
+void Upstreams::Upsert(const UpstreamRecord& aRecord)
+{
+  const UpstreamId id = IdOf(aRecord.mNodeId);
+  mRecords[aRecord.mNodeId] = aRecord;
+  mNodes[id] = aRecord.mNodeId;
+  mRouter.UpsertUpstream({ id, ServiceNumber(aRecord.mService),
+                           DataCentreNumber(aRecord.mDataCentre), aRecord.mIncarnation });
+  if (aRecord.mLeaving) {
+    mRouter.SetLeaving(id);
+  }
+}
+
+void Upstreams::Remove(const std::string& aNodeId)
+{
+  // The name stays: requests in flight still refer to it.
+  mRecords.erase(aNodeId);
+  mRouter.RemoveUpstream(IdOf(aNodeId));
+}
+
+void Upstreams::ApplyConfig(const Config& aConfig)
+{
+  mPolicy.mRankWorths.clear();
+  for (const RankPolicy& rank : aConfig.Ranks()) {
+    mPolicy.mRankWorths.push_back(rank.mWorth);
+  }
+  mRouter.SetPolicy(mPolicy);
+}
+
+Result<UpstreamId> Upstreams::Choose(const std::string& aService,
+                                     std::span<const UpstreamId> aExcluded)
+{
+  return mRouter.Choose(ServiceNumber(aService), { aExcluded, true });
+}
+
+const std::string& Upstreams::NodeOf(UpstreamId aUpstream) const
+{
+  return mNodes.at(aUpstream);
+}
+
+void Upstreams::OnEnd(const std::string& aService, UpstreamId aUpstream, const Answer& aAnswer,
+                      Duration aElapsed)
+{
+  switch (aAnswer.mOutcome) {
+    case AttemptOutcome::Complete:
+      mRouter.OnAnswer(aUpstream, { aElapsed, std::nullopt, aAnswer.mResponse.mStatus >= 500 });
+      break;
+    case AttemptOutcome::Unknown:
+      mRouter.OnFailure(aUpstream);
+      return;
+    case AttemptOutcome::NotRunEverywhere:
+      // Says nothing about this upstream.
+      mRouter.OnCancel(aUpstream, aElapsed);
+      break;
+    case AttemptOutcome::NotRun:
+      mRouter.OnRefused(aUpstream);
+      break;
+  }
+  if (aAnswer.mLeaving) {
+    mRouter.SetLeaving(aUpstream);
+  }
+  mRouter.OnShedLevel(ServiceNumber(aService), aUpstream, aAnswer.mShedLevel);
+}
+
+uint32_t Upstreams::ShedLevel(const std::string& aService)
+{
+  return mRouter.ShedLevel(ServiceNumber(aService));
+}
+
+bool Upstreams::ShouldShed(const std::string& aService, size_t aRank, uint64_t aRequestHash)
+{
+  return mRouter.ShouldShed(ServiceNumber(aService), static_cast<RankIndex>(aRank), aRequestHash);
+}
+
+std::vector<std::string> Upstreams::Services() const
+{
+  std::vector<std::string> names;
+  for (const auto& [name, number] : mServices) {
+    names.push_back(name);
+  }
+  return names;
+}
+
+std::vector<UpstreamView> Upstreams::View(const std::string& aService) const
+{
+  const auto found = mServices.find(aService);
+  return found == mServices.end() ? std::vector<UpstreamView>{} : mRouter.Upstreams(found->second);
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/upstreams.h
@@ -0,0 +1,69 @@
+// The upstreams of the fleet as the router sees them: names mapped to the router's numbers.
+#pragma once
+
+#include "call_context.h"
+
+#include "balsammount/config.h"
+#include "balsammount/routing.h"
+
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace balsammount {
+
+// A node with its backend server, as other nodes know it.
+struct UpstreamRecord
+{
+  std::string mNodeId;
+  std::string mService;
+  std::string mDataCentre;
+  uint64_t mIncarnation = 0;
+  bool mLeaving = false;
+
+  bool operator==(const UpstreamRecord&) const = default;
+};
+
+class Upstreams
+{
+public:
+  Upstreams(const Clock& aClock, Random& aRandom, const std::string& aSelf,
+            const std::string& aDataCentre);
+
+  void Upsert(const UpstreamRecord& aRecord);
+  void Remove(const std::string& aNodeId);
+  void ApplyConfig(const Config& aConfig);
+
+  Result<UpstreamId> Choose(const std::string& aService, std::span<const UpstreamId> aExcluded);
+  const std::string& NodeOf(UpstreamId aUpstream) const;
+  bool IsSelf(UpstreamId aUpstream) const { return aUpstream == mSelf; }
+
+  // Accounting of one attempt; OnEnd follows every OnStart.
+  void OnStart(UpstreamId aUpstream) { mRouter.OnStart(aUpstream); }
+  void OnEnd(const std::string& aService, UpstreamId aUpstream, const Answer& aAnswer,
+             Duration aElapsed);
+  void OnCancel(UpstreamId aUpstream, Duration aElapsed) { mRouter.OnCancel(aUpstream, aElapsed); }
+
+  uint32_t ShedLevel(const std::string& aService);
+  bool ShouldShed(const std::string& aService, size_t aRank, uint64_t aRequestHash);
+
+  std::vector<std::string> Services() const;
+  std::vector<UpstreamView> View(const std::string& aService) const;
+  const std::map<std::string, UpstreamRecord>& Records() const { return mRecords; }
+
+private:
+  ServiceId ServiceNumber(const std::string& aService);
+  DataCentreId DataCentreNumber(const std::string& aDataCentre);
+
+  UpstreamId mSelf;
+  std::map<std::string, ServiceId> mServices;
+  std::map<std::string, DataCentreId> mDataCentres;
+  std::map<std::string, UpstreamRecord> mRecords;
+  std::unordered_map<UpstreamId, std::string> mNodes;
+  RoutingPolicy mPolicy;
+  Router mRouter;
+};
+
+} // namespace balsammount
