Search the knee of the limit and test admission under load

Cause: a limit that followed the latency gradient alone stayed at 45 of 50 when the server ran 17 requests at once: the reference was measured while the server was still becoming slower, and the baseline was then raised. The deadline check let requests start that had the mean service time left, which half of them exceed. Change: the limit is stepped down until service time stops falling, and that service time becomes the baseline. A request that waited needs the mean plus two mean deviations. Tests for floods, floors, callers, deadlines, slower and fewer slots, recovery, replaced policy, drain, random calls and allocations.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -208,6 +208,7 @@
     uint8_t mBucket = 0;
     uint64_t mContext = 0;
     SteadyTime mDeadline{};
+    double mBudget = 0; // seconds to the deadline when offered
     SteadyTime mLatestStart{};
     SteadyTime mDispatched{};
   };
@@ -227,11 +228,12 @@
     uint32_t mActiveHead = 0;
     uint32_t mActiveCount = 0;
     uint32_t mQueued = 0;
-    uint32_t mPlaces = 0; // queue places that other ranks cannot take
-    uint32_t mBelow = 0;  // ranks of less worth
-    double mFloor = 0;    // normalised: the sum over the ranks is at most 1
-    double mCredit = 0;   // unpaid share of the server's time, in typical requests
-    double mService = 0;  // seconds, moving average
+    uint32_t mPlaces = 0;  // queue places that other ranks cannot take
+    uint32_t mBelow = 0;   // ranks of less worth
+    double mFloor = 0;     // normalised: the sum over the ranks is at most 1
+    double mCredit = 0;    // unpaid share of the server's time, in typical requests
+    double mService = 0;   // seconds, moving average
+    double mDeviation = 0; // seconds, moving average of the absolute difference
     SteadyTime mLastDispatch{};
     RankStats mStats;
   };
@@ -263,7 +265,8 @@
   void HeapSet(size_t aPlace, uint32_t aIndex);
 
   // Estimates, in seconds.
-  bool CanFinish(const Rank& aRank, SteadyTime aNow, double aWait, SteadyTime aDeadline) const;
+  bool CanFinish(const Rank& aRank, SteadyTime aNow, double aNeed, SteadyTime aDeadline) const;
+  static double NeedAfterWait(const Rank& aRank, double aBudget);
   double Cost(const Rank& aRank) const;
   double SecondsPerDispatch() const;
   double QueueWait(size_t aRank) const;
--- a/packages/admission/include/balsammount/concurrency_limit.h
+++ b/packages/admission/include/balsammount/concurrency_limit.h
@@ -11,10 +11,12 @@
 
 inline constexpr size_t kMaxRanks = 16;
 
-// Follows the gradient of recent against baseline service time, in epochs of about two limits of
-// completed requests. Service time that does not fall when the limit falls is not caused by
-// concurrency: the server has become slower as a whole, so the baseline is raised and the limit
-// restored. Service times are compared per rank, so that a change of mix is not taken for load.
+// Compares recent with baseline service time in epochs of about two limits of completed requests,
+// and grows or eases the limit. When the ratio is high, and now and then, it searches the knee: it
+// steps the limit down until service time no longer falls with it. The service time there is the
+// new baseline. A server whose slots are all slower thus keeps its limit, and one that runs fewer
+// requests at once gets a lower one. Service times are compared per rank, so that a change of mix
+// is not taken for load.
 class ConcurrencyLimit
 {
 public:
@@ -48,10 +50,12 @@
 
   void EndEpoch(SteadyTime aNow);
   double Ratio();
-  void FollowBaselines(double aRatio, bool aSaturated);
+  void FollowBaselines(bool aSaturated);
   void ScaleBaselines(double aFactor);
-  bool JudgeDescent(double aRatio);
-  void StartDescent(double aRatio, double aFactor);
+  void StartDescent(double aRatio, SteadyTime aNow);
+  void TakeStep(double aRatio);
+  void Descend(double aRatio);
+  void FollowGradient(double aRatio, SteadyTime aNow);
   void SetLimit(double aLimit);
   void StartEpoch(SteadyTime aNow);
 
@@ -64,11 +68,12 @@
   uint32_t mPeakInFlight = 0;
   SteadyTime mEpochStart;
   SteadyTime mLastProbe;
-  bool mStarting = true;    // doubles until the first sign of saturation
-  bool mDescending = false; // the limit was lowered and the effect is not known yet
-  bool mProbing = false;    // the descent is a periodic check, not a reaction
-  double mDescentLimit = 0;
-  double mDescentRatio = 0;
+  Duration mProbeInterval{};
+  bool mStarting = true;      // doubles until the first sign of saturation
+  bool mDescending = false;   // searching the knee
+  double mReferenceLimit = 0; // of the previous step of the search
+  double mReferenceRatio = 0;
+  uint32_t mEasing = 0; // epochs in a row above the tolerance
   uint32_t mEpochsAtMinimum = 0;
   bool mOverloaded = false;
 };
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -15,6 +15,10 @@
 // Bounds of a rank's service time relative to the average, as the cost of one dispatch.
 constexpr double kMinCost = 1.0 / 16;
 constexpr double kMaxCost = 16;
+// Mean absolute deviations above the mean service time: the maximum of a uniform distribution, the
+// 91st percentile of an exponential one.
+constexpr double kDeviations = 2;
+constexpr double kBudgetAfterWait = 0.8;
 // A rank whose typical service time exceeds every deadline gets one request through per period, or
 // the estimate could never be corrected.
 constexpr auto kProbePeriod = std::chrono::seconds(1);
@@ -270,9 +274,9 @@
     if (rank.mQueued + (own ? 1 : 0) <= rank.mPlaces) {
       continue;
     }
-    const auto longest =
-      std::max_element(rank.mBuckets.begin(), rank.mBuckets.end(),
-                       [](const List& a, const List& b) { return a.mCount < b.mCount; });
+    const auto longest = std::max_element(
+      rank.mBuckets.begin(), rank.mBuckets.end(),
+      [](const List& aLeft, const List& aRight) { return aLeft.mCount < aRight.mCount; });
     if (own && longest->mCount <= rank.mBuckets[aBucket].mCount + 1) {
       return kNone;
     }
@@ -392,7 +396,7 @@
 
 // Estimates.
 
-bool AdmissionController::CanFinish(const Rank& aRank, SteadyTime aNow, double aWait,
+bool AdmissionController::CanFinish(const Rank& aRank, SteadyTime aNow, double aNeed,
                                     SteadyTime aDeadline) const
 {
   if (!mPolicy.mDeadlineCheck) {
@@ -402,10 +406,16 @@
     return false;
   }
   const double left = Seconds(aDeadline - aNow);
-  if (left >= aWait + aRank.mService) {
-    return true;
-  }
-  return left > aWait && left < aRank.mService && aNow - aRank.mLastDispatch >= kProbePeriod;
+  return left >= aNeed || (left < aRank.mService && aNow - aRank.mLastDispatch >= kProbePeriod);
+}
+
+// The time that a request must have left when it leaves the queue. Others wait for the slot that it
+// would take, so it must finish in all but unlucky cases. A deadline too short for that margin may
+// spend a fifth of its time waiting, or no rank could wait and arrival order would decide.
+double AdmissionController::NeedAfterWait(const Rank& aRank, double aBudget)
+{
+  const double margin = aRank.mService + kDeviations * aRank.mDeviation;
+  return std::max(aRank.mService, std::min(margin, kBudgetAfterWait * aBudget));
 }
 
 double AdmissionController::Cost(const Rank& aRank) const
@@ -474,11 +484,14 @@
   if (!mAvailable) {
     return Refuse(rankIndex, RefusalReason::Unavailable);
   }
-  if (!CanFinish(rank, now, QueueWait(rankIndex), aOffer.mDeadline)) {
+  const bool direct = mInFlight < Limit() && mQueued == 0;
+  const bool bounded = aOffer.mDeadline != SteadyTime::max();
+  const double need =
+    direct || !bounded ? rank.mService : NeedAfterWait(rank, Seconds(aOffer.mDeadline - now));
+  if (bounded && !CanFinish(rank, now, need + QueueWait(rankIndex), aOffer.mDeadline)) {
     return Refuse(rankIndex, RefusalReason::DeadlineTooClose);
   }
   const auto bucket = static_cast<uint8_t>(aOffer.mCallerHash % kBuckets);
-  const bool direct = mInFlight < Limit() && mQueued == 0;
   if (!direct && mQueued >= mPolicy.mMaxQueue && !MakePlace(rankIndex, bucket)) {
     return Refuse(rankIndex, RefusalReason::QueueFull);
   }
@@ -495,9 +508,10 @@
     StartDispatch(index, now);
     return { Decision::Dispatch, IdOf(index), RefusalReason::None, {} };
   }
-  entry.mLatestStart = aOffer.mDeadline == SteadyTime::max() || !mPolicy.mDeadlineCheck
-                         ? SteadyTime::max()
-                         : std::max(now, aOffer.mDeadline - FromSeconds(rank.mService));
+  entry.mBudget = bounded ? Seconds(aOffer.mDeadline - now) : 0;
+  entry.mLatestStart = bounded && mPolicy.mDeadlineCheck
+                         ? std::max(now, aOffer.mDeadline - FromSeconds(need))
+                         : SteadyTime::max();
   Enqueue(index);
   return { Decision::Queued, IdOf(index), RefusalReason::None, {} };
 }
@@ -531,12 +545,13 @@
     const uint32_t index = mHeap[0];
     Entry& entry = mEntries[index];
     const Rank& rank = mRanks[entry.mRank];
-    if (!CanFinish(rank, aNow, 0, entry.mDeadline)) {
+    const double need = NeedAfterWait(rank, entry.mBudget);
+    if (!CanFinish(rank, aNow, need, entry.mDeadline)) {
       RefuseQueued(index, RefusalReason::DeadlineTooClose);
       continue;
     }
     // The estimate has fallen since the request was queued, or it is a probe.
-    entry.mLatestStart = std::max(aNow, entry.mDeadline - FromSeconds(rank.mService));
+    entry.mLatestStart = std::max(aNow, entry.mDeadline - FromSeconds(need));
     HeapDown(0);
   }
 }
@@ -575,7 +590,8 @@
     Rank& rank = mRanks[NextRank()];
     const uint32_t index = FirstOf(rank);
     const Entry& entry = mEntries[index];
-    if (!CanFinish(rank, now, 0, entry.mDeadline)) {
+    if (entry.mDeadline != SteadyTime::max() &&
+        !CanFinish(rank, now, NeedAfterWait(rank, entry.mBudget), entry.mDeadline)) {
       RefuseQueued(index, RefusalReason::DeadlineTooClose);
       continue;
     }
@@ -621,7 +637,9 @@
   }
   if (aOutcome == Outcome::Success || aOutcome == Outcome::TimedOut) {
     const Duration service = std::max(Duration(1), aService.value_or(now - entry.mDispatched));
-    rank.mService += (Seconds(service) - rank.mService) * kSampleWeight;
+    const double difference = Seconds(service) - rank.mService;
+    rank.mService += difference * kSampleWeight;
+    rank.mDeviation += (std::abs(difference) - rank.mDeviation) * kSampleWeight;
     mService += (Seconds(service) - mService) * kSampleWeight;
     mLimit.OnSample(entry.mRank, entry.mDispatched, service, now);
   } else if (aOutcome == Outcome::Overloaded) {
--- a/packages/admission/src/concurrency_limit.cpp
+++ b/packages/admission/src/concurrency_limit.cpp
@@ -10,17 +10,24 @@
 // Service time over baseline that counts as queueing inside the server. Means of about 100
 // exponential samples vary by 10%; 1.5 keeps noise out.
 constexpr double kTolerance = 1.5;
-// The smallest factor of one step down. A quarter is the least change whose effect on the mean
-// stands out from its noise.
+// The limit grows below this ratio; the gap to the tolerance keeps it from hunting.
+constexpr double kGrowRatio = 1.3;
+// Above this ratio, or when easing the limit so many times had no effect, the knee is searched.
+constexpr double kSearchRatio = 2;
+constexpr uint32_t kMaxEasing = 3;
+// A quarter is the least change whose effect on the mean stands out from its noise.
 constexpr double kStep = 0.75;
+// The server became slower during the search: what was measured before is no reference.
+constexpr double kSlowing = 1.25;
 constexpr uint32_t kMinSamples = 32;
 constexpr auto kMinEpoch = std::chrono::milliseconds(10);
 // A slow server may not deliver the samples of an epoch; after this time a few are enough.
 constexpr auto kMaxEpoch = std::chrono::seconds(2);
 constexpr uint32_t kFewSamples = 4;
-// The baseline may have been raised by mistake. A probe at three quarters of the limit for one
-// epoch in 15 s costs under 1% of the throughput.
-constexpr auto kProbeInterval = std::chrono::seconds(15);
+// The knee is searched now and then, soon after a change and later at doubled intervals: at the
+// longest interval, a quarter less for one or two epochs costs under 1% of the throughput.
+constexpr auto kFirstProbe = std::chrono::seconds(2);
+constexpr auto kLastProbe = std::chrono::seconds(16);
 // A server that is slow at the minimum limit gives no gradient; after so many epochs try above.
 constexpr uint32_t kEpochsAtMinimum = 8;
 
@@ -45,6 +52,7 @@
   mDescending = false;
   mEpochsAtMinimum = 0;
   mLastProbe = aNow;
+  mProbeInterval = kLastProbe;
   // A quarter of the slots lets a warm server start without a visible loss.
   SetLimit(std::max(mMinimum, mMaximum / 4));
   StartEpoch(aNow);
@@ -122,7 +130,7 @@
   return count == 0 ? 1.0 : sum / count;
 }
 
-void ConcurrencyLimit::FollowBaselines(double aRatio, bool aSaturated)
+void ConcurrencyLimit::FollowBaselines(bool aSaturated)
 {
   for (RankSamples& rank : mRanks) {
     if (rank.mCount == 0) {
@@ -130,14 +138,9 @@
     }
     const double mean = rank.mSum / rank.mCount;
     // Below the limit, service time is not caused by concurrency and is the new baseline. At the
-    // limit the baseline only drifts, so that a server that slowly saturates is still noticed.
-    double weight = aSaturated ? 0.01 : 0.2;
-    if (mean < rank.mBaseline) {
-      weight = 0.3;
-    } else if (aSaturated && aRatio > kTolerance) {
-      weight = 0;
-    }
-    rank.mBaseline += (mean - rank.mBaseline) * weight;
+    // limit only a descent can raise the baseline.
+    const double rise = aSaturated ? 0 : 0.2;
+    rank.mBaseline += (mean - rank.mBaseline) * (mean < rank.mBaseline ? 0.3 : rise);
   }
 }
 
@@ -148,76 +151,78 @@
   }
 }
 
-void ConcurrencyLimit::StartDescent(double aRatio, double aFactor)
+void ConcurrencyLimit::StartDescent(double aRatio, SteadyTime aNow)
 {
   mDescending = true;
-  mDescentLimit = mExact;
-  mDescentRatio = aRatio;
-  SetLimit(mExact * std::clamp(aFactor, kStep, 0.95));
+  mLastProbe = aNow;
+  mEasing = 0;
+  TakeStep(aRatio);
+}
+
+void ConcurrencyLimit::TakeStep(double aRatio)
+{
+  mReferenceLimit = mExact;
+  mReferenceRatio = aRatio;
+  SetLimit(mExact * kStep);
 }
 
-// After a descent: true when the service time fell with the limit. Otherwise the baseline is raised
-// and the limit restored.
-bool ConcurrencyLimit::JudgeDescent(double aRatio)
+// One epoch after a step down. While service time falls with the limit, the server is saturated and
+// the descent goes on. The first step without effect has passed the knee: its service time is the
+// baseline, and the limit goes back by one step.
+void ConcurrencyLimit::Descend(double aRatio)
 {
-  const double fraction = mExact / mDescentLimit;
-  const bool helped = aRatio < mDescentRatio * (1 + fraction) / 2;
+  const double fraction = mExact / mReferenceLimit;
+  const bool helped = aRatio < mReferenceRatio * (1 + fraction) / 2;
+  const bool slowing = aRatio > mReferenceRatio * kSlowing;
+  if ((helped || slowing) && mLimit > mMinimum) {
+    TakeStep(aRatio);
+    return;
+  }
+  mDescending = false;
   if (!helped) {
-    if (!mProbing) {
-      ScaleBaselines(aRatio);
-    }
-    SetLimit(mDescentLimit);
-  } else if (mProbing) {
-    // The baseline had been measured on a saturated server.
-    ScaleBaselines(aRatio / mDescentRatio);
+    ScaleBaselines(aRatio);
+    SetLimit(mReferenceLimit);
+  }
+}
+
+void ConcurrencyLimit::FollowGradient(double aRatio, SteadyTime aNow)
+{
+  mEpochsAtMinimum = aRatio > kTolerance && mLimit <= mMinimum ? mEpochsAtMinimum + 1 : 0;
+  if (mEpochsAtMinimum >= kEpochsAtMinimum) {
+    mEpochsAtMinimum = 0;
+    SetLimit(2.0 * mMinimum);
+    return;
+  }
+  mEasing = aRatio > kTolerance ? mEasing + 1 : 0;
+  mStarting = mStarting && aRatio <= kTolerance && mLimit < mMaximum;
+  if (aRatio > kSearchRatio || mEasing > kMaxEasing) {
+    mProbeInterval = kFirstProbe;
+    StartDescent(aRatio, aNow);
+  } else if (aNow - mLastProbe >= mProbeInterval) {
+    mProbeInterval = std::min(mProbeInterval * 2, Duration(kLastProbe));
+    StartDescent(aRatio, aNow);
+  } else if (aRatio > kTolerance) {
+    SetLimit(mExact * kTolerance / aRatio);
+  } else if (aRatio < kGrowRatio) {
+    SetLimit(mStarting ? mExact * 2 : mExact + std::sqrt(mExact));
   }
-  return helped;
 }
 
 void ConcurrencyLimit::EndEpoch(SteadyTime aNow)
 {
   const double ratio = Ratio();
   const bool saturated = mPeakInFlight >= mLimit;
-  const bool atMinimum = mLimit <= mMinimum;
-  if (mDescending && (mExact <= mDescentLimit * (kStep + 0.01) || atMinimum || mProbing)) {
+  if (!saturated && mDescending) {
+    // Without enough demand nothing can be learned about concurrency.
     mDescending = false;
-    const bool wasProbing = mProbing;
-    mProbing = false;
-    if (!saturated) {
-      SetLimit(wasProbing ? mDescentLimit : mExact);
-    } else {
-      mProbing = wasProbing;
-      JudgeDescent(ratio);
-      mProbing = false;
-    }
-    StartEpoch(aNow);
-    return;
+    SetLimit(mReferenceLimit);
   }
-  FollowBaselines(ratio, saturated);
-  if (saturated) {
-    if (ratio > kTolerance) {
-      mStarting = false;
-      if (atMinimum) {
-        if (++mEpochsAtMinimum >= kEpochsAtMinimum) {
-          mEpochsAtMinimum = 0;
-          SetLimit(2.0 * mMinimum);
-        }
-      } else if (!mDescending) {
-        StartDescent(ratio, kTolerance / ratio);
-      } else {
-        SetLimit(mExact * std::clamp(kTolerance / ratio, kStep, 0.95));
-      }
-    } else {
-      mEpochsAtMinimum = 0;
-      mDescending = false;
-      if (aNow - mLastProbe >= kProbeInterval && !atMinimum) {
-        mLastProbe = aNow;
-        mProbing = true;
-        StartDescent(ratio, kStep);
-      } else {
-        SetLimit(mStarting ? mExact * 2 : mExact + std::sqrt(mExact));
-        mStarting = mStarting && mLimit < mMaximum;
-      }
+  if (mDescending) {
+    Descend(ratio);
+  } else {
+    FollowBaselines(saturated);
+    if (saturated) {
+      FollowGradient(ratio, aNow);
     }
   }
   StartEpoch(aNow);
--- /dev/null
+++ b/packages/admission/tests/admission_load_test.cpp
@@ -0,0 +1,174 @@
+#include "server_rig.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace balsammount::test;
+using std::chrono::seconds;
+
+namespace {
+
+// 50 slots of 20 ms: a capacity of 2,500 requests per second. Rank 0 is the most urgent.
+constexpr double kCapacity = 2500;
+
+AdmissionPolicy ThreeRanks()
+{
+  AdmissionPolicy policy;
+  policy.mRankCount = 3;
+  policy.mRanks[0] = { 100, 0.1 };
+  policy.mRanks[1] = { 10, 0.2 };
+  policy.mRanks[2] = { 1, 0.1 };
+  policy.mSlots = 50;
+  policy.mMaxQueue = 100;
+  return policy;
+}
+
+double ServedShare(const RankCount& aCount)
+{
+  return aCount.mServed / std::max(1.0, static_cast<double>(aCount.mOffered));
+}
+
+} // namespace
+
+TEST_GROUP(AdmissionLoad)
+{
+  ServerRig mRig{ ThreeRanks(), 11 };
+
+  // Offers shares of capacity per rank for 2 s, then counts for 10 s.
+  void Load(double aFirst, double aSecond, double aThird)
+  {
+    mRig.SetRate(0, aFirst * kCapacity);
+    mRig.SetRate(1, aSecond * kCapacity);
+    mRig.SetRate(2, aThird * kCapacity);
+    mRig.Run(seconds(2));
+    mRig.ClearCounts();
+    mRig.Run(seconds(10));
+  }
+  double ServedOfCapacity(size_t aRank) const
+  {
+    return mRig.mCounts[aRank].mServed / (kCapacity * 10);
+  }
+  double Goodput() const
+  {
+    return ServedOfCapacity(0) + ServedOfCapacity(1) + ServedOfCapacity(2);
+  }
+};
+
+// Guards against refusing anything while the server has room.
+TEST(AdmissionLoad, ServesEverythingBelowCapacity)
+{
+  Load(0.2, 0.3, 0.2);
+  for (size_t rank = 0; rank < 3; ++rank) {
+    CHECK(ServedShare(mRig.mCounts[rank]) >= 0.999);
+  }
+}
+
+// Guards against a flood of the least worth taking time from the ranks above.
+TEST(AdmissionLoad, LeastUrgentFlood)
+{
+  Load(0.3, 0.3, 9.4);
+  CHECK(ServedShare(mRig.mCounts[0]) >= 0.99);
+  CHECK(ServedShare(mRig.mCounts[1]) >= 0.99);
+  CHECK(ServedOfCapacity(2) >= 0.95 * 0.1);
+  CHECK(Goodput() >= 0.95);
+}
+
+// Guards against a flood of the most urgent rank taking the floors of the others.
+TEST(AdmissionLoad, MostUrgentFlood)
+{
+  Load(9.4, 0.3, 0.3);
+  CHECK(ServedOfCapacity(1) >= 0.95 * 0.2);
+  CHECK(ServedOfCapacity(2) >= 0.95 * 0.1);
+  CHECK(Goodput() >= 0.95);
+}
+
+// Guards against two floods together starving the rank between them, also at exactly its floor.
+TEST(AdmissionLoad, BothFlood)
+{
+  Load(5, 0.2, 5);
+  CHECK(ServedOfCapacity(1) >= 0.95 * 0.2);
+  CHECK(ServedOfCapacity(2) >= 0.95 * 0.1);
+  CHECK(ServedOfCapacity(0) >= 0.6);
+  CHECK(Goodput() >= 0.95);
+}
+
+// Guards against a floor that is kept idle for a rank without demand.
+TEST(AdmissionLoad, UnusedFloorGoesToOthersByWorth)
+{
+  Load(0.5, 5, 0);
+  CHECK(ServedShare(mRig.mCounts[0]) >= 0.99);
+  CHECK(Goodput() >= 0.95);
+}
+
+// Guards against one caller taking the whole of its rank.
+TEST(AdmissionLoad, CallersShareARank)
+{
+  mRig.SetRate(1, 3 * kCapacity, 1);
+  mRig.SetRate(1, 0.2 * kCapacity, 2);
+  mRig.SetRate(1, 0.2 * kCapacity, 3);
+  mRig.Run(seconds(10));
+  CHECK(mRig.mByCaller[2] >= 0.97 * 0.2 * kCapacity * 10);
+  CHECK(mRig.mByCaller[3] >= 0.97 * 0.2 * kCapacity * 10);
+}
+
+// Guards against work whose result comes too late: deadlines are twice the service time.
+TEST(AdmissionLoad, DeadlineRefusalsComeBeforeDispatch)
+{
+  mRig.mDeadline = milliseconds(40);
+  Load(0.3, 0.3, 2);
+  uint32_t late = 0;
+  for (const RankCount& count : mRig.mCounts) {
+    late += count.mLate;
+  }
+  CHECK(late <= 0.02 * Goodput() * kCapacity * 10);
+  CHECK(Goodput() >= 0.95);
+}
+
+// Guards against a limit that falls with a server whose slots are all slower: fewer requests in
+// flight would only lose throughput. Deadlines allow for the slower service.
+TEST(AdmissionLoad, SlowerSlotsKeepTheLimit)
+{
+  for (const double factor : { 3.0, 10.0 }) {
+    mRig.mService = 0.02;
+    Load(0.3, 0.3, 2);
+    mRig.mService = 0.02 * factor;
+    mRig.Run(seconds(5));
+    mRig.ClearCounts();
+    mRig.Run(seconds(20));
+    const double served =
+      mRig.mCounts[0].mServed + mRig.mCounts[1].mServed + mRig.mCounts[2].mServed;
+    CHECK(served >= 0.93 * kCapacity / factor * 20);
+  }
+}
+
+// Guards against a limit that does not follow a server that runs fewer requests at once: waiting
+// inside the server is out of reach of ranks and deadlines.
+TEST(AdmissionLoad, LimitFollowsLostParallelism)
+{
+  Load(0.1, 0.1, 2);
+  CHECK(mRig.mController.Limit() >= 48);
+  for (const uint32_t parallel : { 17U, 5U }) {
+    mRig.mParallel = parallel;
+    mRig.Run(seconds(10));
+    CHECK(mRig.mController.Limit() >= parallel);
+    CHECK(mRig.mController.Limit() <= 2.2 * parallel + 2);
+    mRig.ClearCounts();
+    mRig.Run(seconds(10));
+    CHECK(Goodput() >= 0.93 * parallel / 50);
+    mRig.mParallel = 50;
+    mRig.Run(seconds(3));
+    mRig.ClearCounts();
+    mRig.Run(seconds(10));
+    CHECK(Goodput() >= 0.95);
+  }
+}
+
+// Guards against a shed level that does not rise in overload or stays up after it.
+TEST(AdmissionLoad, ShedLevelRisesAndFalls)
+{
+  Load(0.3, 0.3, 9.4);
+  CHECK(mRig.mController.ShedLevel() > 0);
+  Load(0.2, 0.2, 0.2);
+  CHECK_EQUAL(0U, mRig.mController.ShedLevel());
+  CHECK_EQUAL(0U, mRig.mMaxOverLimit);
+}
--- /dev/null
+++ b/packages/admission/tests/admission_test.cpp
@@ -0,0 +1,335 @@
+#include "balsammount/admission.h"
+#include "balsammount/random.h"
+
+#include <map>
+
+#include <CppUTest/TestHarness.h>
+#include <CppUTest/TestMemoryAllocator.h>
+
+using namespace balsammount;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+// CppUTest replaces operator new, which takes its memory from here.
+class CountingAllocator final : public TestMemoryAllocator
+{
+public:
+  // The names of the default allocator, which the leak detector compares.
+  CountingAllocator()
+    : TestMemoryAllocator("Standard New Allocator", "new", "delete")
+  {
+  }
+  char* alloc_memory(size_t aSize, const char* aFile, size_t aLine) override
+  {
+    ++mCount;
+    return TestMemoryAllocator::alloc_memory(aSize, aFile, aLine);
+  }
+  size_t mCount = 0;
+};
+
+AdmissionPolicy TwoRanks()
+{
+  AdmissionPolicy policy;
+  policy.mRankCount = 2;
+  policy.mRanks[0] = { 10, 0.5 };
+  policy.mRanks[1] = { 1, 0.25 };
+  policy.mSlots = 2;
+  policy.mMaxQueue = 4;
+  policy.mAdaptiveLimit = false;
+  return policy;
+}
+
+} // namespace
+
+TEST_GROUP(Admission)
+{
+  ManualClock mClock;
+  AdmissionController mController{ mClock, TwoRanks() };
+  std::array<Action, 16> mActions{};
+
+  Verdict Offer(size_t aRank, uint64_t aCaller = 1, SteadyTime aDeadline = SteadyTime::max(),
+                uint64_t aContext = 0)
+  {
+    return mController.Offer({ aRank, aCaller, 1, aDeadline, aContext });
+  }
+  std::vector<AdmissionId> Fill()
+  {
+    std::vector<AdmissionId> ids;
+    while (mController.InFlight() < mController.Limit()) {
+      ids.push_back(Offer(0).mId);
+    }
+    return ids;
+  }
+};
+
+// Guards against running below the limit while requests wait, and against a second end of one id.
+TEST(Admission, DispatchesUpToTheLimitThenQueues)
+{
+  const auto running = Fill();
+  const Verdict queued = Offer(0, 1, SteadyTime::max(), 77);
+  CHECK(queued.mDecision == Decision::Queued);
+  CHECK_EQUAL(0U, mController.Poll(mActions));
+  CHECK(mController.Complete(running[0], Outcome::Success, milliseconds(10)));
+  CHECK_FALSE(mController.Complete(running[0], Outcome::Success, milliseconds(10)));
+  CHECK(mController.NextDeadline() == mClock.Now());
+  CHECK_EQUAL(1U, mController.Poll(mActions));
+  CHECK(mActions[0].mDecision == Decision::Dispatch);
+  CHECK(mActions[0].mId == queued.mId);
+  CHECK(mActions[0].mContext == 77);
+}
+
+// Guards against a full queue that refuses urgent work in favour of what is worth less.
+TEST(Admission, FullQueueDisplacesLeastWorthAboveItsPlaces)
+{
+  Fill();
+  Verdict newest;
+  for (int i = 0; i < 4; ++i) {
+    newest = Offer(1);
+  }
+  CHECK(Offer(1).mReason == RefusalReason::QueueFull);
+  CHECK(Offer(0).mDecision == Decision::Queued);
+  CHECK_EQUAL(1U, mController.Poll(mActions));
+  CHECK(mActions[0].mReason == RefusalReason::Displaced);
+  CHECK(mActions[0].mId == newest.mId);
+  CHECK(mActions[0].mRetryAfter > Duration{});
+  CHECK(Offer(0).mDecision == Decision::Queued);
+  CHECK(Offer(0).mDecision == Decision::Queued);
+  // One place (a quarter of 4) is out of reach of the flood of the other rank.
+  CHECK(Offer(0).mReason == RefusalReason::QueueFull);
+  CHECK_EQUAL(1U, mController.Stats().mRanks[1].mQueued);
+}
+
+// Guards against dispatching work that cannot finish, and against keeping it queued until then.
+TEST(Admission, RefusesWhatCannotFinish)
+{
+  CHECK(Offer(0, 1, mClock.Now() + milliseconds(5)).mDecision == Decision::Dispatch); // probe
+  CHECK(Offer(0, 1, mClock.Now() + milliseconds(5)).mReason == RefusalReason::DeadlineTooClose);
+  Fill();
+  const Verdict queued = Offer(0, 1, mClock.Now() + milliseconds(30));
+  CHECK(queued.mDecision == Decision::Queued);
+  const SteadyTime timer = mController.NextDeadline();
+  CHECK(timer <= mClock.Now() + milliseconds(21));
+  mClock.Advance(milliseconds(21));
+  CHECK_EQUAL(1U, mController.Poll(mActions));
+  CHECK(mActions[0].mReason == RefusalReason::DeadlineTooClose);
+  CHECK_FALSE(mController.Cancel(queued.mId));
+}
+
+// Guards against a service time estimate above every deadline that is never corrected.
+TEST(Admission, ProbesWhenEveryDeadlineLooksTooClose)
+{
+  for (int i = 0; i < 100; ++i) {
+    const Verdict verdict = Offer(0);
+    mController.Complete(verdict.mId, Outcome::Success, seconds(3));
+  }
+  int dispatched = 0;
+  for (int i = 0; i < 300; ++i) {
+    mClock.Advance(milliseconds(500));
+    const Verdict verdict = Offer(0, 1, mClock.Now() + milliseconds(100));
+    if (verdict.mDecision == Decision::Dispatch) {
+      ++dispatched;
+      mController.Complete(verdict.mId, Outcome::Success, milliseconds(10));
+    }
+  }
+  CHECK(dispatched >= 150);
+  CHECK(Offer(0, 1, mClock.Now() + milliseconds(100)).mDecision == Decision::Dispatch);
+}
+
+// Guards against a stopping node that takes new work or drops what it has accepted.
+TEST(Admission, DrainingRefusesNewWorkAndFinishesQueued)
+{
+  const auto running = Fill();
+  CHECK(Offer(1).mDecision == Decision::Queued);
+  mController.SetDraining(true);
+  const Verdict verdict = Offer(0);
+  CHECK(verdict.mReason == RefusalReason::Draining);
+  CHECK(verdict.mRetryAfter == Duration{});
+  mController.Complete(running[0], Outcome::Success);
+  CHECK_EQUAL(1U, mController.Poll(mActions));
+  CHECK(mActions[0].mDecision == Decision::Dispatch);
+}
+
+// Guards against requests left waiting for a server that is down.
+TEST(Admission, UnavailableRefusesQueuedAndNew)
+{
+  Fill();
+  Offer(0);
+  Offer(1);
+  mController.SetAvailable(false);
+  CHECK_EQUAL(2U, mController.Poll(mActions));
+  CHECK(mActions[1].mReason == RefusalReason::Unavailable);
+  CHECK(Offer(0).mReason == RefusalReason::Unavailable);
+}
+
+// Guards against losing the queue, or a removed rank, when a policy is replaced.
+TEST(Admission, ReplacedPolicyKeepsTheQueue)
+{
+  auto running = Fill();
+  for (int i = 0; i < 4; ++i) {
+    Offer(1);
+  }
+  AdmissionPolicy policy = TwoRanks();
+  policy.mRankCount = 1;
+  policy.mSlots = 1;
+  policy.mMaxQueue = 1;
+  mController.SetPolicy(policy);
+  CHECK_EQUAL(4U, mController.QueueLength());
+  CHECK(Offer(0).mReason == RefusalReason::QueueFull);
+  mController.Complete(running[0], Outcome::Success);
+  CHECK_EQUAL(0U, mController.Poll(mActions)); // one still runs and the limit is now 1
+  policy.mSlots = 300;
+  policy.mMaxQueue = 300;
+  mController.SetPolicy(policy);
+  CHECK_EQUAL(4U, mController.Poll(mActions));
+  CHECK_EQUAL(0U, mController.QueueLength());
+  for (int i = 0; i < 500; ++i) {
+    Offer(0);
+  }
+  CHECK_EQUAL(300U, mController.InFlight());
+  CHECK_EQUAL(205U, mController.QueueLength());
+}
+
+// Guards against hops that disagree about a request.
+TEST(Admission, ShedScale)
+{
+  CHECK_FALSE(IsShed(0, 0, 0));
+  CHECK(IsShed(1, 0, 64));
+  CHECK_FALSE(IsShed(1, 0, 65));
+  CHECK(IsShed(64, 0, 63));
+  CHECK_FALSE(IsShed(64, 1, 0));
+  CHECK_EQUAL(1U, mController.RanksBelow(0));
+  mController.ReportDownstreamLevel(70);
+  CHECK_EQUAL(70U, mController.ShedLevel());
+  mClock.Advance(seconds(2));
+  CHECK_EQUAL(0U, mController.ShedLevel());
+}
+
+// Guards against memory allocated on the path of a decision.
+TEST(Admission, DecisionsAllocateNothing)
+{
+  CountingAllocator allocator; // outlives the memory that it hands out
+  AdmissionPolicy policy = TwoRanks();
+  policy.mSlots = 50;
+  policy.mMaxQueue = 100;
+  policy.mAdaptiveLimit = true;
+  AdmissionController controller(mClock, policy);
+  Random random(3);
+  std::vector<AdmissionId> running;
+  TestMemoryAllocator* const newBefore = getCurrentNewAllocator();
+  setCurrentNewAllocator(&allocator);
+  running.reserve(1000); // one allocation, which shows that the counter counts
+  for (int i = 0; i < 20000; ++i) {
+    mClock.Advance(std::chrono::microseconds(100));
+    const Verdict verdict = controller.Offer(
+      { random.Below(2), random.Next(), random.Next(), mClock.Now() + milliseconds(50), 0 });
+    if (verdict.mDecision == Decision::Dispatch) {
+      running.push_back(verdict.mId);
+    }
+    if (running.size() > 20) {
+      controller.Complete(running.back(), Outcome::Success, milliseconds(5));
+      running.pop_back();
+    }
+    const size_t count = controller.Poll(mActions);
+    for (size_t j = 0; j < count; ++j) {
+      if (mActions[j].mDecision == Decision::Dispatch) {
+        running.push_back(mActions[j].mId);
+      }
+    }
+  }
+  setCurrentNewAllocator(newBefore);
+  CHECK_EQUAL(1U, allocator.mCount);
+  CHECK(controller.Stats().mRanks[0].mRefused > 0);
+}
+
+// Guards, over random calls, against more in flight than the limit at a dispatch, and against a
+// request with no decision or with two.
+TEST(Admission, RandomCallsKeepInvariants)
+{
+  enum class Life
+  {
+    Queued,
+    Running,
+    Ended
+  };
+  for (uint64_t seed = 1; seed <= 30; ++seed) {
+    Random random(seed);
+    AdmissionPolicy policy = TwoRanks();
+    policy.mSlots = 8;
+    policy.mAdaptiveLimit = true;
+    AdmissionController controller(mClock, policy);
+    std::map<uint64_t, std::pair<Life, AdmissionId>> lives;
+    uint64_t context = 0;
+    const auto poll = [&] {
+      const size_t space = 1 + random.Below(4);
+      size_t count = 0;
+      do {
+        count = controller.Poll(std::span(mActions).first(space));
+        for (size_t i = 0; i < count; ++i) {
+          auto& life = lives.at(mActions[i].mContext);
+          CHECK(life.first == Life::Queued);
+          CHECK(life.second == mActions[i].mId);
+          const bool runs = mActions[i].mDecision == Decision::Dispatch;
+          CHECK(runs != (mActions[i].mReason != RefusalReason::None));
+          life.first = runs ? Life::Running : Life::Ended;
+        }
+        CHECK(count == 0 || controller.InFlight() <= controller.Limit() ||
+              mActions[count - 1].mDecision == Decision::Refused);
+      } while (count == space);
+    };
+    for (int step = 0; step < 3000; ++step) {
+      mClock.Advance(std::chrono::microseconds(random.Below(4000)));
+      const uint64_t choice = random.Below(100);
+      if (choice < 55) {
+        const bool room = controller.InFlight() < controller.Limit();
+        const Verdict verdict =
+          controller.Offer({ random.Below(3), random.Below(5), random.Next(),
+                             mClock.Now() + milliseconds(random.Below(200)), ++context });
+        const bool runs = verdict.mDecision == Decision::Dispatch;
+        CHECK(room || !runs);
+        const bool queued = verdict.mDecision == Decision::Queued;
+        lives[context] = { runs     ? Life::Running
+                           : queued ? Life::Queued
+                                    : Life::Ended,
+                           verdict.mId };
+      } else if (choice < 97 && !lives.empty()) {
+        const auto& [key, life] =
+          *std::next(lives.begin(), static_cast<int64_t>(random.Below(lives.size())));
+        const auto outcome = static_cast<Outcome>(random.Below(5));
+        const bool cancels = choice >= 93;
+        const bool known =
+          cancels ? controller.Cancel(life.second) : controller.Complete(life.second, outcome);
+        CHECK(known == (life.first == Life::Running || (cancels && life.first == Life::Queued)) ||
+              cancels); // a displaced request that Poll() has not reported cannot be cancelled
+        if (known || life.first == Life::Ended) {
+          lives.erase(key);
+        }
+      } else if (choice == 97) {
+        policy.mSlots = 1 + static_cast<uint32_t>(random.Below(20));
+        policy.mMaxQueue = static_cast<uint32_t>(random.Below(20));
+        policy.mRankCount = 1 + random.Below(3);
+        controller.SetPolicy(policy);
+      } else if (choice == 98) {
+        controller.SetAvailable(random.Below(4) != 0);
+      }
+      if (random.Below(3) != 0) {
+        poll();
+      }
+    }
+    controller.SetAvailable(true);
+    for (int round = 0; round < 10000 && !lives.empty(); ++round) {
+      mClock.Advance(milliseconds(1));
+      poll();
+      for (auto it = lives.begin(); it != lives.end();) {
+        const bool ended = it->second.first == Life::Ended ||
+                           (it->second.first == Life::Running &&
+                            controller.Complete(it->second.second, Outcome::Success));
+        it = ended ? lives.erase(it) : std::next(it);
+      }
+    }
+    CHECK(lives.empty());
+    CHECK_EQUAL(0U, controller.InFlight());
+    CHECK_EQUAL(0U, controller.QueueLength());
+  }
+}
