--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -108,7 +108,7 @@
     { "peer-listener",
       std::make_shared<PeerServer>(
         mContext, mSettings.mPeerListen, PeerServerLimits{},
-        [this](std::shared_ptr<Exchange> aExchange) { mPeerHandler.Handle(aExchange); }) },
+        [this](const std::shared_ptr<Exchange>& aExchange) { mPeerHandler.Handle(aExchange); }) },
     { "egress-listener",
       std::make_shared<HttpServer>(
         mContext, mSettings.mEgressListen, callerLimits,
