--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -5,7 +5,7 @@
                            BOOST_ASIO_NO_DEPRECATED)
 if(BM_SANITIZE)
   target_compile_options(bm_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all
-                         -fno-omit-frame-pointer)
+                         -O1 -fno-omit-frame-pointer)
   target_link_options(bm_options INTERFACE -fsanitize=address,undefined)
   # gcc reports false positives for these when the sanitizers instrument inlined code.
   target_compile_options(bm_options INTERFACE -Wno-maybe-uninitialized -Wno-restrict)
