--- /dev/null
+++ b/testing/backend/tests/backend_standin_test.cpp
@@ -0,0 +1,156 @@
+#include "balsammount/backend_standin.h"
+#include "balsammount/hash.h"
+#include "balsammount/http_client.h"
+
+#include <nlohmann/json.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using Json = nlohmann::json;
+
+TEST_GROUP(BackendStandin)
+{
+  boost::asio::io_context mContext{ 1 };
+  BackendSettings mSettings;
+  std::unique_ptr<BackendStandin> mBackend;
+  std::unique_ptr<HttpClient> mClient;
+  std::vector<HttpResponse> mAnswers;
+
+  void setup() override
+  {
+    mSettings.mListen = tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0);
+    mSettings.mServiceTime = 1ms;
+  }
+
+  void teardown() override
+  {
+    mClient.reset();
+    mBackend.reset();
+    mContext.run_for(20ms);
+  }
+
+  void StartBackend()
+  {
+    mBackend = std::make_unique<BackendStandin>(mContext, mSettings);
+    CHECK(mBackend->Start().has_value());
+    const tcp::endpoint endpoint(mSettings.mListen.address(), mBackend->Port());
+    mClient = std::make_unique<HttpClient>(mContext, endpoint);
+  }
+
+  template <class Condition>
+  void RunUntil(Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      mContext.run_one_for(10ms);
+    }
+    CHECK(aCondition());
+  }
+
+  std::shared_ptr<Call> Send(const std::string& aPath, const std::string& aKey = "",
+                             const std::string& aBody = "")
+  {
+    HttpRequest request;
+    request.mMethod = "POST";
+    request.mTarget = aPath;
+    request.mBody = aBody;
+    request.mHeaders.Set("Idempotency-Key", aKey);
+    request.mHeaders.Set("Balsam-Request-Id", "request-" + aKey);
+    return mClient->Send(std::move(request), 5s, [this](Result<HttpResponse> aResult) {
+      mAnswers.push_back(aResult ? std::move(*aResult) : HttpResponse{ 0, {}, {} });
+    });
+  }
+
+  HttpResponse Ask(const std::string& aPath, const std::string& aKey = "",
+                   const std::string& aBody = "")
+  {
+    const size_t before = mAnswers.size();
+    Send(aPath, aKey, aBody);
+    RunUntil([&] { return mAnswers.size() > before; });
+    return mAnswers.back();
+  }
+};
+
+// Guards against counts that hide a second execution, and answers that do not identify themselves.
+TEST(BackendStandin, CountsExecutionsPerKey)
+{
+  StartBackend();
+  const Json answer = Json::parse(Ask("/order", "k1", "body").mBody);
+  CHECK(answer["path"] == "/order");
+  CHECK(answer["hash"] == Hash64("body"));
+  Ask("/order", "k1");
+  Ask("/order", "k2");
+  CHECK_EQUAL(2, mBackend->ExecutionsOfKey("k1"));
+  CHECK_EQUAL(1, mBackend->ExecutionsOfKey("k2"));
+}
+
+// Guards against a stand-in that executes more than its slots, or that keeps the slot or the queue
+// place of a caller that has gone.
+TEST(BackendStandin, SlotsAndCancellation)
+{
+  mSettings.mSlots = 1;
+  mSettings.mServiceTime = 1h;
+  StartBackend();
+  auto running = Send("/a", "running");
+  RunUntil([&] { return mBackend->Counters().mExecuted == 1; });
+  auto queued = Send("/a", "queued");
+  auto next = Send("/a", "next");
+  RunUntil([&] { return mBackend->Counters().mReceived == 3; });
+  CHECK_EQUAL(1, mBackend->Counters().mExecuted);
+  queued->Cancel();
+  RunUntil([&] { return mBackend->Counters().mCancelled == 1; });
+  running->Cancel();
+  RunUntil([&] { return mBackend->ExecutionsOfKey("next") == 1; });
+  CHECK_EQUAL(0, mBackend->ExecutionsOfKey("queued"));
+}
+
+// Guards against sub-calls that lose their request id, and against success when a call fails.
+TEST(BackendStandin, CallsThroughTheEgress)
+{
+  std::vector<std::string> ids;
+  HttpServer egress(mContext, mSettings.mListen, {}, [&](const std::shared_ptr<Exchange>& aCall) {
+    ids.emplace_back(aCall->Request().mHeaders.Find("Balsam-Request-Id"));
+    HttpResponse response;
+    response.mStatus = aCall->Request().mTarget == "/bad" ? 503 : 200;
+    response.mBody = R"({"name":"other"})";
+    aCall->Respond(std::move(response));
+  });
+  CHECK(egress.Start().has_value());
+  mSettings.mEgress = tcp::endpoint(mSettings.mListen.address(), egress.Port());
+  mSettings.mCalls = { "/stock", "/sheets" };
+  StartBackend();
+  const Json answer = Json::parse(Ask("/order", "k").mBody);
+  CHECK_EQUAL(2, answer["calls"].size());
+  CHECK(answer["calls"][1]["answer"]["name"] == "other");
+  CHECK(ids == std::vector<std::string>({ "request-k", "request-k" }));
+  mSettings.mCalls = { "/bad", "/sheets" };
+  StartBackend();
+  const HttpResponse failed = Ask("/order", "k");
+  CHECK_EQUAL(502, failed.mStatus);
+  CHECK_EQUAL(3, ids.size());
+  mBackend.reset();
+}
+
+// Guards against faults that do nothing.
+TEST(BackendStandin, Faults)
+{
+  bool crashed = false;
+  mSettings.mCrash = [&] { crashed = true; };
+  StartBackend();
+  Ask("/standin/faults", "", R"({"freeze":true,"crash_on_path":"/x"})");
+  Send("/a", "frozen");
+  RunUntil([&] { return mBackend->Counters().mReceived == 1; });
+  mContext.run_for(20ms);
+  CHECK_EQUAL(0, mBackend->Counters().mExecuted);
+  auto fatal = Send("/x");
+  RunUntil([&] { return crashed; });
+  fatal->Cancel();
+  Ask("/standin/faults", "", R"({"freeze":false})");
+  RunUntil([&] { return mAnswers.size() == 3; });
+  CHECK_EQUAL(1, mBackend->Counters().mCompleted);
+  const HttpResponse malformed = Ask("/standin/faults", "", R"({"freeze":3})");
+  CHECK_EQUAL(400, malformed.mStatus);
+}
--- a/testing/load/src/flow.cpp
+++ b/testing/load/src/flow.cpp
@@ -1,7 +1,8 @@
 #include "balsammount/load_generator.h"
 
+#include <algorithm>
+#include <array>
 #include <charconv>
-#include <map>
 #include <sstream>
 #include <stdexcept>
 
@@ -45,33 +46,33 @@
 
 using Parse = void (*)(Flow&, const std::string&);
 
-const std::map<std::string, Parse>& Settings()
+struct Setting
 {
-  static const std::map<std::string, Parse> sSettings = {
-    { "name", [](Flow& aFlow, const std::string& aText) { aFlow.mName = aText; } },
-    { "path", [](Flow& aFlow, const std::string& aText) { aFlow.mPath = aText; } },
-    { "method", [](Flow& aFlow, const std::string& aText) { aFlow.mMethod = aText; } },
-    { "rate", [](Flow& aFlow, const std::string& aText) { aFlow.mRate = ParseRate(aText); } },
-    { "callers",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mCallers = ParseNumber<size_t>(aText); } },
-    { "deadline_ms",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mDeadline = ParseMilliseconds(aText); } },
-    { "retries",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mRetries = ParseNumber<size_t>(aText); } },
-    { "backoff_ms",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mBackoff = ParseMilliseconds(aText); } },
-    { "key", [](Flow& aFlow, const std::string& aText) { aFlow.mKey = ParseYesNo(aText); } },
-    { "body_bytes",
-      [](Flow& aFlow, const std::string& aText) {
-        aFlow.mBodyBytes = ParseNumber<size_t>(aText);
-      } },
-    { "from_ms",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mFrom = ParseMilliseconds(aText); } },
-    { "until_ms",
-      [](Flow& aFlow, const std::string& aText) { aFlow.mUntil = ParseMilliseconds(aText); } },
-  };
-  return sSettings;
-}
+  std::string_view mName;
+  Parse mParse;
+};
+
+constexpr std::array<Setting, 12> kSettings = { {
+  { "name", [](Flow& aFlow, const std::string& aText) { aFlow.mName = aText; } },
+  { "path", [](Flow& aFlow, const std::string& aText) { aFlow.mPath = aText; } },
+  { "method", [](Flow& aFlow, const std::string& aText) { aFlow.mMethod = aText; } },
+  { "rate", [](Flow& aFlow, const std::string& aText) { aFlow.mRate = ParseRate(aText); } },
+  { "callers",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mCallers = ParseNumber<size_t>(aText); } },
+  { "deadline_ms",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mDeadline = ParseMilliseconds(aText); } },
+  { "retries",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mRetries = ParseNumber<size_t>(aText); } },
+  { "backoff_ms",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mBackoff = ParseMilliseconds(aText); } },
+  { "key", [](Flow& aFlow, const std::string& aText) { aFlow.mKey = ParseYesNo(aText); } },
+  { "body_bytes",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mBodyBytes = ParseNumber<size_t>(aText); } },
+  { "from_ms",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mFrom = ParseMilliseconds(aText); } },
+  { "until_ms",
+    [](Flow& aFlow, const std::string& aText) { aFlow.mUntil = ParseMilliseconds(aText); } },
+} };
 
 } // namespace
 
@@ -82,12 +83,14 @@
   for (std::string item; std::getline(stream, item, ',');) {
     const size_t equals = item.find('=');
     const std::string name = item.substr(0, equals);
-    const auto setting = Settings().find(name);
-    if (equals == std::string::npos || setting == Settings().end()) {
+    const auto* setting =
+      std::find_if(kSettings.begin(), kSettings.end(),
+                   [&](const Setting& aSetting) { return aSetting.mName == name; });
+    if (equals == std::string::npos || setting == kSettings.end()) {
       throw std::invalid_argument("unknown flow setting: " + item);
     }
     try {
-      setting->second(flow, item.substr(equals + 1));
+      setting->mParse(flow, item.substr(equals + 1));
     } catch (const std::invalid_argument& error) {
       throw std::invalid_argument(name + ": " + error.what());
     }
