--- /dev/null
+++ b/packages/quarantine/src/quarantine.cpp
@@ -0,0 +1,463 @@
+#include "balsammount/quarantine.h"
+
+#include "balsammount/hash.h"
+
+#include <algorithm>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <tuple>
+#include <utility>
+
+namespace balsammount {
+
+namespace {
+
+constexpr size_t kWays = 4;
+
+// Upper bounds of the encoding in bytes.
+constexpr size_t kMessageBytes = 16;
+constexpr size_t kRecordBytes = 20;
+constexpr size_t kEvidenceBytes = 24;
+constexpr size_t kDeathBytes = 19;
+
+using DeathKey = std::pair<WallMillis, uint64_t>;
+
+WallMillis Millis(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+DeathKey KeyOf(const DeathEvidence& aDeath)
+{
+  return { aDeath.mAt, aDeath.mServer };
+}
+
+bool SameRun(const DeathEvidence& aLeft, const DeathEvidence& aRight)
+{
+  return KeyOf(aLeft) == KeyOf(aRight) && aLeft.mStarted == aRight.mStarted;
+}
+
+// The earliest time, where 0 is never.
+WallMillis Earliest(WallMillis aLeft, WallMillis aRight)
+{
+  return aLeft == 0 || (aRight != 0 && aRight < aLeft) ? aRight : aLeft;
+}
+
+// Whether the run at aLater may be a repetition of the one that ended with aEarlier.
+bool Follows(const DeathEvidence& aEarlier, const DeathEvidence& aLater, WallMillis aTolerance)
+{
+  return aLater.mStarted >= aEarlier.mAt + aTolerance;
+}
+
+struct Chain
+{
+  size_t mLength = 0;
+  DeathKey mLast;
+};
+
+// The longest sequence of deaths in which each run started after the death before it. The deaths
+// are sorted by time, so taking the first that fits is optimal.
+Chain ChainOf(const SuspectRecord& aRecord, WallMillis aTolerance)
+{
+  Chain chain;
+  const DeathEvidence* last = nullptr;
+  for (const DeathEvidence& death : aRecord.mDeaths) {
+    if (death.mVoidedAt == 0 && (!last || Follows(*last, death, aTolerance))) {
+      last = &death;
+      ++chain.mLength;
+      chain.mLast = KeyOf(death);
+    }
+  }
+  return chain;
+}
+
+// Whether the fingerprint was a candidate when aLater happened: whatever was voided afterwards
+// still counts.
+bool WasCandidate(const SuspectRecord& aRecord, const DeathEvidence& aLater, WallMillis aTolerance)
+{
+  return std::any_of(
+    aRecord.mDeaths.begin(), aRecord.mDeaths.end(), [&](const DeathEvidence& aEarlier) {
+      const bool stood = aEarlier.mVoidedAt == 0 || aEarlier.mVoidedAt > aLater.mAt;
+      return stood && Follows(aEarlier, aLater, aTolerance);
+    });
+}
+
+bool HasStandingDeath(const SuspectRecord& aRecord)
+{
+  return std::any_of(aRecord.mDeaths.begin(), aRecord.mDeaths.end(),
+                     [](const DeathEvidence& aDeath) { return aDeath.mVoidedAt == 0; });
+}
+
+size_t SetOf(Fingerprint aFingerprint, size_t aSize)
+{
+  return HashCombine(static_cast<uint64_t>(aFingerprint), 0) % (aSize / kWays) * kWays;
+}
+
+} // namespace
+
+Fingerprint MakeFingerprint(std::string_view aService, std::string_view aMethod,
+                            std::string_view aPath, std::string_view aKey, std::string_view aBody)
+{
+  uint64_t hash = 0;
+  for (const std::string_view part : { aService, aMethod, aPath, aKey, aBody }) {
+    hash = HashCombine(hash, Hash64(part));
+  }
+  return Fingerprint{ hash };
+}
+
+Quarantine::Quarantine(const Clock& aClock, uint64_t aServer, const QuarantinePolicy& aPolicy)
+  : mClock(aClock)
+  , mServer(aServer)
+  , mPolicy(aPolicy)
+  , mCompletions(std::max<size_t>(1, aPolicy.mCompletions / kWays) * kWays)
+{
+  mPolicy.mEvidence = std::max(mPolicy.mEvidence, mPolicy.mQuarantine);
+}
+
+WallMillis Quarantine::NowMillis() const
+{
+  return Millis(mClock.WallNow().time_since_epoch());
+}
+
+bool Quarantine::IsQuarantined(Fingerprint aFingerprint) const
+{
+  const auto found = mEntries.find(aFingerprint);
+  return found != mEntries.end() && found->second.mUntil > NowMillis();
+}
+
+Duration Quarantine::RetryAfter(Fingerprint aFingerprint) const
+{
+  const auto found = mEntries.find(aFingerprint);
+  if (found == mEntries.end()) {
+    return Duration::zero();
+  }
+  return std::chrono::milliseconds(std::max<WallMillis>(0, found->second.mUntil - NowMillis()));
+}
+
+void Quarantine::OnDispatch(uint64_t aRequest, Fingerprint aFingerprint)
+{
+  if (mInFlight.size() < mPolicy.mMaxInFlight) {
+    mInFlight[aRequest] = { aFingerprint, NowMillis() };
+  }
+}
+
+void Quarantine::OnEnd(uint64_t aRequest, bool aCompleted)
+{
+  const auto run = mInFlight.find(aRequest);
+  if (run == mInFlight.end()) {
+    return;
+  }
+  const Fingerprint fingerprint = run->second.mFingerprint;
+  mInFlight.erase(run);
+  if (!aCompleted) {
+    return;
+  }
+  const WallMillis now = NowMillis();
+  RecordCompletion(fingerprint, now);
+  const auto found = mEntries.find(fingerprint);
+  if (found != mEntries.end() && VoidDeaths(found->second.mRecord, now)) {
+    found->second.mSent = 0;
+    Evaluate();
+  }
+}
+
+size_t Quarantine::OnServerDeath()
+{
+  const WallMillis now = NowMillis();
+  // Of several runs of one fingerprint the earliest is the evidence, which blames less.
+  std::unordered_map<Fingerprint, WallMillis> started;
+  for (const auto& [request, run] : mInFlight) {
+    const auto [place, added] = started.try_emplace(run.mFingerprint, run.mStarted);
+    place->second = std::min(place->second, run.mStarted);
+  }
+  mInFlight.clear();
+  Expire(now);
+  for (const auto& [fingerprint, at] : started) {
+    MergeOne({ fingerprint, 0, { { now, mServer, std::min(at, now), 0 } } }, now);
+  }
+  Trim();
+  Evaluate();
+  return started.size();
+}
+
+void Quarantine::Release(Fingerprint aFingerprint)
+{
+  const WallMillis now = NowMillis();
+  SuspectRecord record{ aFingerprint, now, {} };
+  if (const auto found = mEntries.find(aFingerprint); found != mEntries.end()) {
+    // A death with a later time was reported by a node whose clock is ahead.
+    for (const DeathEvidence& death : found->second.mRecord.mDeaths) {
+      record.mReleasedAt = std::max(record.mReleasedAt, death.mAt);
+    }
+  }
+  MergeOne(record, now);
+  Trim();
+  Evaluate();
+}
+
+// Brings a record to the form that every node agrees on. Returns false when nothing is left.
+bool Quarantine::Normalise(SuspectRecord& aRecord, WallMillis aNow) const
+{
+  const WallMillis oldest = aNow - Millis(mPolicy.mEvidence);
+  if (aRecord.mReleasedAt <= oldest) {
+    aRecord.mReleasedAt = 0;
+  }
+  auto& deaths = aRecord.mDeaths;
+  std::erase_if(deaths, [&](const DeathEvidence& aDeath) {
+    return aDeath.mAt <= std::max(oldest, aRecord.mReleasedAt);
+  });
+  std::sort(deaths.begin(), deaths.end());
+  size_t kept = 0;
+  for (const DeathEvidence& death : deaths) {
+    if (kept > 0 && SameRun(deaths[kept - 1], death)) {
+      deaths[kept - 1].mVoidedAt = Earliest(deaths[kept - 1].mVoidedAt, death.mVoidedAt);
+    } else {
+      deaths[kept++] = death;
+    }
+  }
+  deaths.resize(kept);
+  if (kept > kMaxDeaths) {
+    deaths.erase(deaths.begin(), deaths.end() - static_cast<ptrdiff_t>(kMaxDeaths));
+  }
+  return !deaths.empty() || aRecord.mReleasedAt != 0;
+}
+
+bool Quarantine::VoidDeaths(SuspectRecord& aRecord, WallMillis aCompletedAt) const
+{
+  bool changed = false;
+  for (DeathEvidence& death : aRecord.mDeaths) {
+    const bool after = aCompletedAt >= death.mAt + Millis(mPolicy.mClockTolerance);
+    if (after && (death.mVoidedAt == 0 || aCompletedAt < death.mVoidedAt)) {
+      death.mVoidedAt = aCompletedAt;
+      changed = true;
+    }
+  }
+  return changed;
+}
+
+bool Quarantine::MergeOne(const SuspectRecord& aRecord, WallMillis aNow)
+{
+  const WallMillis latest = aNow + Millis(mPolicy.mMaxFuture);
+  const bool future =
+    aRecord.mReleasedAt > latest ||
+    std::any_of(aRecord.mDeaths.begin(), aRecord.mDeaths.end(), [&](const DeathEvidence& aDeath) {
+      return aDeath.mAt > latest || aDeath.mVoidedAt > latest;
+    });
+  if (future) {
+    return false;
+  }
+  const auto found = mEntries.find(aRecord.mFingerprint);
+  SuspectRecord merged =
+    found == mEntries.end() ? SuspectRecord{ aRecord.mFingerprint, 0, {} } : found->second.mRecord;
+  merged.mReleasedAt = std::max(merged.mReleasedAt, aRecord.mReleasedAt);
+  merged.mDeaths.insert(merged.mDeaths.end(), aRecord.mDeaths.begin(), aRecord.mDeaths.end());
+  if (!Normalise(merged, aNow)) {
+    return false;
+  }
+  if (const WallMillis completed = CompletedAt(aRecord.mFingerprint); completed != 0) {
+    VoidDeaths(merged, completed);
+  }
+  if (found == mEntries.end()) {
+    mEntries.emplace(aRecord.mFingerprint, Entry{ std::move(merged) });
+    return true;
+  }
+  if (merged == found->second.mRecord) {
+    return false;
+  }
+  found->second.mRecord = std::move(merged);
+  found->second.mSent = 0;
+  return true;
+}
+
+size_t Quarantine::MergeRecords(std::span<const SuspectRecord> aRecords)
+{
+  const WallMillis now = NowMillis();
+  Expire(now);
+  size_t changed = 0;
+  for (const SuspectRecord& record : aRecords) {
+    changed += MergeOne(record, now) ? 1 : 0;
+  }
+  Trim();
+  Evaluate();
+  return changed;
+}
+
+Result<size_t> Quarantine::Merge(std::span<const uint8_t> aBytes)
+{
+  const auto records = DecodeSuspects(aBytes);
+  if (!records) {
+    return records.error();
+  }
+  return MergeRecords(*records);
+}
+
+bool Quarantine::Expire(WallMillis aNow)
+{
+  const size_t before = mEntries.size();
+  for (auto entry = mEntries.begin(); entry != mEntries.end();) {
+    entry = Normalise(entry->second.mRecord, aNow) ? std::next(entry) : mEntries.erase(entry);
+  }
+  return mEntries.size() != before;
+}
+
+void Quarantine::Evaluate()
+{
+  const WallMillis tolerance = Millis(mPolicy.mClockTolerance);
+  std::map<DeathKey, size_t> candidates;
+  for (const auto& [fingerprint, entry] : mEntries) {
+    std::optional<DeathKey> counted;
+    for (const DeathEvidence& death : entry.mRecord.mDeaths) {
+      if (counted != KeyOf(death) && WasCandidate(entry.mRecord, death, tolerance)) {
+        counted = KeyOf(death);
+        ++candidates[*counted];
+      }
+    }
+  }
+  for (auto& [fingerprint, entry] : mEntries) {
+    const Chain chain = ChainOf(entry.mRecord, tolerance);
+    entry.mChain = chain.mLength;
+    entry.mHeld = false;
+    entry.mUntil = 0;
+    if (chain.mLength < 2) {
+      continue;
+    }
+    WallMillis time = Millis(mPolicy.mQuarantine);
+    if (chain.mLength == 2 && candidates[chain.mLast] > 1) {
+      // Different ends, so that the candidates do not meet on one server again.
+      const auto hold = static_cast<uint64_t>(std::max<WallMillis>(1, Millis(mPolicy.mHold)));
+      time = static_cast<WallMillis>(hold +
+                                     HashCombine(static_cast<uint64_t>(fingerprint), hold) % hold);
+      entry.mHeld = true;
+    }
+    entry.mUntil = chain.mLast.first + time;
+  }
+}
+
+// Drops the records that matter least when there are too many: cleared ones, then those with the
+// fewest deaths, of these the oldest. Releases go last, because old records would return.
+void Quarantine::Trim()
+{
+  if (mEntries.size() <= mPolicy.mMaxRecords) {
+    return;
+  }
+  using Key = std::tuple<bool, size_t, WallMillis, Fingerprint>;
+  std::vector<Key> keys;
+  keys.reserve(mEntries.size());
+  for (const auto& [fingerprint, entry] : mEntries) {
+    const SuspectRecord& record = entry.mRecord;
+    keys.emplace_back(
+      record.mReleasedAt != 0, ChainOf(record, Millis(mPolicy.mClockTolerance)).mLength,
+      record.mDeaths.empty() ? record.mReleasedAt : record.mDeaths.back().mAt, fingerprint);
+  }
+  const size_t excess = mEntries.size() - mPolicy.mMaxRecords;
+  std::nth_element(keys.begin(), keys.begin() + static_cast<ptrdiff_t>(excess), keys.end());
+  for (size_t i = 0; i < excess; ++i) {
+    mEntries.erase(std::get<Fingerprint>(keys[i]));
+  }
+}
+
+WallMillis Quarantine::CompletedAt(Fingerprint aFingerprint) const
+{
+  const size_t set = SetOf(aFingerprint, mCompletions.size());
+  for (size_t i = set; i < set + kWays; ++i) {
+    if (mCompletions[i].mAt != 0 && mCompletions[i].mFingerprint == aFingerprint) {
+      return mCompletions[i].mAt;
+    }
+  }
+  return 0;
+}
+
+void Quarantine::RecordCompletion(Fingerprint aFingerprint, WallMillis aAt)
+{
+  const size_t set = SetOf(aFingerprint, mCompletions.size());
+  size_t place = set;
+  for (size_t i = set; i < set + kWays; ++i) {
+    if (mCompletions[i].mFingerprint == aFingerprint) {
+      place = i;
+      break;
+    }
+    if (mCompletions[i].mAt < mCompletions[place].mAt) {
+      place = i;
+    }
+  }
+  mCompletions[place] = { aFingerprint, aAt };
+}
+
+std::vector<uint8_t> Quarantine::TakeGossip(size_t aMaxBytes)
+{
+  if (Expire(NowMillis())) {
+    Evaluate();
+  }
+  std::vector<Entry*> pending;
+  for (auto& [fingerprint, entry] : mEntries) {
+    if (entry.mSent < mPolicy.mTransmissions) {
+      pending.push_back(&entry);
+    }
+  }
+  std::sort(pending.begin(), pending.end(), [](const Entry* aLeft, const Entry* aRight) {
+    const auto key = [](const Entry& aEntry) {
+      return std::make_tuple(aEntry.mSent, aEntry.mRecord.mReleasedAt == 0,
+                             std::numeric_limits<size_t>::max() - aEntry.mChain,
+                             aEntry.mRecord.mFingerprint);
+    };
+    return key(*aLeft) < key(*aRight);
+  });
+  size_t bytes = kMessageBytes;
+  std::set<DeathKey> deaths;
+  std::vector<SuspectRecord> records;
+  for (Entry* entry : pending) {
+    size_t size = kRecordBytes;
+    for (const DeathEvidence& death : entry->mRecord.mDeaths) {
+      size += kEvidenceBytes + (deaths.contains(KeyOf(death)) ? 0 : kDeathBytes);
+    }
+    if (bytes + size > aMaxBytes || records.size() == kMaxRecordsPerMessage) {
+      break;
+    }
+    bytes += size;
+    for (const DeathEvidence& death : entry->mRecord.mDeaths) {
+      deaths.insert(KeyOf(death));
+    }
+    records.push_back(entry->mRecord);
+    ++entry->mSent;
+  }
+  return records.empty() ? std::vector<uint8_t>{} : EncodeSuspects(records);
+}
+
+std::vector<uint8_t> Quarantine::EncodeAll() const
+{
+  std::vector<SuspectRecord> records;
+  records.reserve(mEntries.size());
+  for (const auto& [fingerprint, entry] : mEntries) {
+    records.push_back(entry.mRecord);
+  }
+  return EncodeSuspects(records);
+}
+
+SuspectState Quarantine::StateOf(const Entry& aEntry, WallMillis aNow) const
+{
+  if (aEntry.mUntil > aNow) {
+    return aEntry.mHeld ? SuspectState::Held : SuspectState::Quarantined;
+  }
+  if (HasStandingDeath(aEntry.mRecord)) {
+    return SuspectState::Suspect;
+  }
+  return aEntry.mRecord.mReleasedAt != 0 ? SuspectState::Released : SuspectState::Cleared;
+}
+
+std::vector<SuspectView> Quarantine::List() const
+{
+  const WallMillis now = NowMillis();
+  std::vector<SuspectView> views;
+  views.reserve(mEntries.size());
+  for (const auto& [fingerprint, entry] : mEntries) {
+    views.push_back({ entry.mRecord, StateOf(entry, now), entry.mUntil });
+  }
+  std::sort(views.begin(), views.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.mRecord.mFingerprint < aRight.mRecord.mFingerprint;
+  });
+  return views;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -0,0 +1,348 @@
+#include "balsammount/hash.h"
+#include "balsammount/quarantine.h"
+#include "balsammount/random.h"
+
+#include <algorithm>
+#include <memory>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr Fingerprint kCulprit{ 1000 };
+
+SuspectRecord RandomRecord(Random& aRandom, WallMillis aNow, uint64_t aFingerprints)
+{
+  SuspectRecord record{ Fingerprint{ aRandom.Below(aFingerprints) }, 0, {} };
+  if (aRandom.Below(8) == 0) {
+    record.mReleasedAt = aNow - static_cast<WallMillis>(aRandom.Below(60'000));
+  }
+  for (uint64_t i = aRandom.Below(kMaxDeaths); i > 0; --i) {
+    const WallMillis at = aNow - static_cast<WallMillis>(aRandom.Below(60)) * 1000;
+    const auto started = at - static_cast<WallMillis>(aRandom.Below(3)) * 500;
+    const bool voided = aRandom.Below(3) == 0;
+    record.mDeaths.push_back(
+      { at, aRandom.Below(3), started,
+        voided ? std::min(aNow, at + static_cast<WallMillis>(aRandom.Below(9)) * 1000) : 0 });
+  }
+  return record;
+}
+
+} // namespace
+
+// Ten nodes. Their requests are named by the fingerprint.
+TEST_GROUP(Quarantine)
+{
+  ManualClock mClock;
+  std::vector<std::unique_ptr<Quarantine>> mNodes;
+  QuarantinePolicy mPolicy;
+
+  void setup() override
+  {
+    for (uint64_t i = 0; i < 10; ++i) {
+      mNodes.push_back(std::make_unique<Quarantine>(mClock, i, mPolicy));
+    }
+  }
+
+  void Start(size_t aNode, uint64_t aFirst, uint64_t aCount)
+  {
+    for (uint64_t i = aFirst; i < aFirst + aCount; ++i) {
+      mNodes[aNode]->OnDispatch(i, Fingerprint{ i });
+    }
+  }
+
+  void Complete(size_t aNode, uint64_t aFirst, uint64_t aCount)
+  {
+    for (uint64_t i = aFirst; i < aFirst + aCount; ++i) {
+      mNodes[aNode]->OnEnd(i, true);
+    }
+  }
+
+  // Every node sends all it has to every other one.
+  void Exchange()
+  {
+    for (const auto& from : mNodes) {
+      const auto bytes = from->EncodeAll();
+      for (const auto& to : mNodes) {
+        CHECK(to->Merge(bytes).has_value());
+      }
+    }
+  }
+
+  SuspectState StateOn(size_t aNode, uint64_t aFingerprint) const
+  {
+    for (const SuspectView& view : mNodes[aNode]->List()) {
+      if (view.mRecord.mFingerprint == Fingerprint{ aFingerprint }) {
+        return view.mState;
+      }
+    }
+    return SuspectState::Cleared;
+  }
+
+  size_t QuarantinedOn(size_t aNode) const
+  {
+    const auto list = mNodes[aNode]->List();
+    return static_cast<size_t>(std::count_if(list.begin(), list.end(), [](const auto& aView) {
+      return aView.mState == SuspectState::Quarantined;
+    }));
+  }
+
+  // Two deaths that follow each other with the culprit alone.
+  void KillTwice()
+  {
+    for (size_t node = 0; node < 2; ++node) {
+      mNodes[node]->OnDispatch(1000, kCulprit);
+      mClock.Advance(10ms);
+      CHECK_EQUAL(1U, mNodes[node]->OnServerDeath());
+      mClock.Advance(1s);
+    }
+    Exchange();
+  }
+};
+
+// Guards against a request that kills server after server, and against blaming the 50 requests that
+// shared the first server with it, of which some share the second as well.
+TEST(Quarantine, FindsOneCulpritAmongFiftyInnocent)
+{
+  Start(0, 1, 50);
+  mNodes[0]->OnDispatch(1000, kCulprit);
+  mClock.Advance(20ms);
+  CHECK_EQUAL(51U, mNodes[0]->OnServerDeath());
+  Exchange();
+  CHECK(StateOn(5, 7) == SuspectState::Suspect);
+  CHECK_FALSE(mNodes[5]->IsQuarantined(kCulprit));
+
+  mClock.Advance(400ms); // all are sent again, ten to each of five servers
+  for (size_t node = 1; node <= 5; ++node) {
+    Start(node, (node - 1) * 10 + 1, 10);
+  }
+  mClock.Advance(30ms);
+  for (size_t node = 1; node <= 5; ++node) {
+    Complete(node, (node - 1) * 10 + 1, 10);
+  }
+  Start(1, 1, 10); // and some once more, next to the culprit
+  mNodes[1]->OnDispatch(1000, kCulprit);
+  mClock.Advance(20ms);
+  mNodes[1]->OnServerDeath();
+  Exchange();
+  for (size_t node = 0; node < 10; ++node) {
+    CHECK(mNodes[node]->IsQuarantined(kCulprit));
+    CHECK_EQUAL(1U, QuarantinedOn(node));
+    CHECK_FALSE(mNodes[node]->IsQuarantined(Fingerprint{ 5 }));
+    CHECK(StateOn(node, 30) == SuspectState::Cleared);
+  }
+  CHECK(mNodes[3]->RetryAfter(kCulprit) == 10min);
+  mClock.Advance(10min);
+  CHECK_FALSE(mNodes[3]->IsQuarantined(kCulprit));
+}
+
+// Guards against blaming all requests that meet the culprit on the only other server: they are held
+// for seconds, complete, and only the third death quarantines.
+TEST(Quarantine, CandidatesOfOneDeathAreHeldBrieflyAndSeparated)
+{
+  for (size_t node = 0; node < 2; ++node) {
+    mClock.Advance(1s);
+    Start(node, 1, 20);
+    mNodes[node]->OnDispatch(1000, kCulprit);
+    mClock.Advance(20ms);
+    mNodes[node]->OnServerDeath();
+    Exchange();
+  }
+  CHECK_EQUAL(0U, QuarantinedOn(4));
+  CHECK(StateOn(4, 1000) == SuspectState::Held);
+  CHECK(StateOn(4, 3) == SuspectState::Held);
+  mClock.Advance(20s);
+  CHECK_FALSE(mNodes[4]->IsQuarantined(Fingerprint{ 3 }));
+  Start(4, 1, 20);
+  mClock.Advance(20ms);
+  Complete(4, 1, 20);
+  Exchange();
+  CHECK_EQUAL(0U, QuarantinedOn(4)); // not blamed by elimination
+  mNodes[4]->OnDispatch(1000, kCulprit);
+  mNodes[4]->OnServerDeath();
+  Exchange();
+  CHECK_EQUAL(1U, QuarantinedOn(7));
+  CHECK(mNodes[7]->IsQuarantined(kCulprit));
+}
+
+// Guards against false blame when servers die together for another reason with the same popular
+// requests in flight, with clocks that differ by less than the tolerance.
+TEST(Quarantine, RackLossQuarantinesNothing)
+{
+  for (size_t node = 0; node < 4; ++node) {
+    Start(node, 1, 5);
+  }
+  Start(0, 50, 1); // a single shared request would be the only candidate
+  Start(1, 50, 1);
+  for (size_t node = 0; node < 4; ++node) {
+    mClock.Advance(80ms);
+    mNodes[node]->OnServerDeath();
+  }
+  Exchange();
+  CHECK_EQUAL(0U, QuarantinedOn(9));
+  CHECK(StateOn(9, 3) == SuspectState::Suspect);
+}
+
+// Guards against blaming a popular request at two unrelated deaths: it completes in between, also
+// on a node that learns of the first death only after the second.
+TEST(Quarantine, PopularRequestIsClearedBetweenDeaths)
+{
+  Start(0, 1, 1);
+  mNodes[0]->OnServerDeath();
+  mClock.Advance(500ms);
+  Start(1, 1, 1);
+  Complete(1, 1, 1);
+  mClock.Advance(500ms);
+  Start(1, 1, 1);
+  mNodes[1]->OnServerDeath();
+  Exchange();
+  CHECK(StateOn(9, 1) == SuspectState::Suspect);
+  CHECK_FALSE(mNodes[9]->IsQuarantined(Fingerprint{ 1 }));
+}
+
+// Guards against a release that older records undo, on nodes that learn of both in any order.
+TEST(Quarantine, ReleaseWinsOverOlderRecords)
+{
+  KillTwice();
+  CHECK(mNodes[6]->IsQuarantined(kCulprit));
+  const auto old = mNodes[3]->EncodeAll();
+  mNodes[5]->Release(kCulprit);
+  CHECK_FALSE(mNodes[5]->IsQuarantined(kCulprit));
+  Exchange();
+  Quarantine late(mClock, 77, mPolicy);
+  CHECK(late.Merge(mNodes[5]->EncodeAll()).has_value());
+  CHECK_EQUAL(0U, *late.Merge(old));
+  CHECK_FALSE(late.IsQuarantined(kCulprit));
+  CHECK_EQUAL(0U, *mNodes[2]->Merge(old));
+  CHECK(StateOn(2, 1000) == SuspectState::Released);
+  KillTwice(); // new evidence counts
+  CHECK(mNodes[2]->IsQuarantined(kCulprit));
+  mClock.Advance(21min); // and all of it ends
+  CHECK(mNodes[2]->TakeGossip(1000).empty());
+  CHECK_EQUAL(0U, mNodes[2]->Size());
+}
+
+// Guards against nodes that differ for good because messages came in another order or twice.
+TEST(Quarantine, MergeOrderDoesNotMatter)
+{
+  const WallMillis now =
+    std::chrono::duration_cast<std::chrono::milliseconds>(mClock.WallNow().time_since_epoch())
+      .count();
+  for (uint64_t seed = 0; seed < 300; ++seed) {
+    Random random(seed);
+    std::vector<SuspectRecord> records;
+    for (int i = 0; i < 60; ++i) {
+      records.push_back(RandomRecord(random, now, 8));
+    }
+    Quarantine left(mClock, 1, mPolicy);
+    Quarantine right(mClock, 2, mPolicy);
+    left.MergeRecords(records);
+    for (size_t i = records.size(); i > 1; --i) {
+      std::swap(records[i - 1], records[random.Below(i)]);
+    }
+    for (const SuspectRecord& record : records) {
+      right.MergeRecords({ &record, 1 });
+      right.MergeRecords({ &records[random.Below(records.size())], 1 });
+    }
+    CHECK(left.List() == right.List());
+    CHECK_EQUAL(0U, *left.Merge(right.EncodeAll()));
+  }
+}
+
+// Guards against memory that grows with suspects, and against a flood that frees the culprit or
+// undoes a release.
+TEST(Quarantine, FloodOfSuspectsIsBounded)
+{
+  KillTwice();
+  mNodes[0]->Release(Fingerprint{ 5 });
+  const size_t limit = mPolicy.mMaxRecords;
+  for (uint64_t round = 0; round < 20; ++round) {
+    Start(0, 10'000 + round * 5000, 5000);
+    CHECK(mNodes[0]->OnServerDeath() <= mPolicy.mMaxInFlight);
+    CHECK(mNodes[0]->Size() <= limit);
+    CHECK(mNodes[1]->Merge(mNodes[0]->EncodeAll()).has_value());
+    CHECK(mNodes[1]->Size() <= limit);
+    mClock.Advance(1s);
+  }
+  CHECK(mNodes[0]->IsQuarantined(kCulprit));
+  CHECK(mNodes[1]->IsQuarantined(kCulprit));
+  CHECK(StateOn(0, 5) == SuspectState::Released);
+}
+
+// Guards against datagrams over their limit, and against records that are never or always sent.
+TEST(Quarantine, GossipFitsAndEnds)
+{
+  Start(0, 1, 100);
+  mNodes[0]->OnServerDeath();
+  size_t messages = 0;
+  for (auto bytes = mNodes[0]->TakeGossip(400); !bytes.empty();
+       bytes = mNodes[0]->TakeGossip(400)) {
+    CHECK(bytes.size() <= 400);
+    CHECK(mNodes[1]->Merge(bytes).has_value());
+    ++messages;
+  }
+  CHECK(messages >= mPolicy.mTransmissions);
+  CHECK(mNodes[0]->List() == mNodes[1]->List());
+  CHECK(mNodes[0]->TakeGossip(10).empty());
+}
+
+// Guards against crashes, unbounded recursion and silent acceptance of damaged bytes.
+TEST(Quarantine, DecoderSurvivesMutations)
+{
+  for (uint64_t seed = 0; seed < 20000; ++seed) {
+    Random random(seed);
+    std::vector<SuspectRecord> records;
+    for (int i = 0; i < 4; ++i) {
+      records.push_back(RandomRecord(random, 3'600'000, 100));
+    }
+    auto bytes = EncodeSuspects(records);
+    CHECK(*DecodeSuspects(bytes) == records);
+    for (uint64_t i = 1 + random.Below(4); i > 0 && !bytes.empty(); --i) {
+      const auto place = bytes.begin() + static_cast<ptrdiff_t>(random.Below(bytes.size()));
+      switch (random.Below(3)) {
+        case 0:
+          *place = static_cast<uint8_t>(random.Next());
+          break;
+        case 1:
+          bytes.erase(place, random.Below(2) == 0 ? place + 1 : bytes.end());
+          break;
+        default:
+          bytes.insert(place, static_cast<uint8_t>(random.Next()));
+          break;
+      }
+    }
+    if (const auto decoded = DecodeSuspects(bytes)) {
+      for (const SuspectRecord& record : *decoded) {
+        CHECK(record.mDeaths.size() <= kMaxDeaths);
+      }
+      mNodes[0]->MergeRecords(*decoded);
+    } else {
+      STRCMP_EQUAL("balsammount.quarantine", decoded.error().mCode.category().name());
+    }
+  }
+  const auto code = [](const std::vector<uint8_t>& aBytes) {
+    return DecodeSuspects(aBytes).error().mCode;
+  };
+  CHECK(code({}) == QuarantineError::BadEncoding);
+  CHECK(code({ 0xc1 }) == QuarantineError::BadEncoding);
+  CHECK(code({ 0x93, 0x02, 0x90, 0x90 }) == QuarantineError::BadVersion);
+  CHECK(code({ 0x92, 0x01, 0x90 }) == QuarantineError::BadShape);
+  CHECK(code({ 0xdd, 0xff, 0xff, 0xff, 0xff }) == QuarantineError::BadShape);
+  CHECK(code(std::vector<uint8_t>(200'000, 0x91)) == QuarantineError::BadShape);
+  CHECK(code(std::vector<uint8_t>(300'000, 0x91)) == QuarantineError::TooLarge);
+}
+
+// Guards against a peer whose clock is far ahead and whose release would stand for years.
+TEST(Quarantine, IgnoresRecordsFromTheFuture)
+{
+  KillTwice();
+  const WallMillis far = 16'000'000'000'000;
+  const std::vector<SuspectRecord> records = { { kCulprit, far, {} },
+                                               { Fingerprint{ 2 }, 0, { { far, 1, far, 0 } } } };
+  CHECK_EQUAL(0U, mNodes[0]->MergeRecords(records));
+  CHECK(mNodes[0]->IsQuarantined(kCulprit));
+  CHECK(MakeFingerprint("s", "GET", "/a", "", "b") != MakeFingerprint("s", "GET", "/ab", "", ""));
+}
