--- a/packages/quarantine/include/balsammount/quarantine.h
+++ b/packages/quarantine/include/balsammount/quarantine.h
@@ -28,6 +28,7 @@
 #include <cstdint>
 #include <span>
 #include <string_view>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -62,7 +63,12 @@
   WallMillis mStarted = 0;  // at most mAt
   WallMillis mVoidedAt = 0; // first completed run of the fingerprint after the death
 
-  auto operator<=>(const DeathEvidence&) const = default;
+  bool operator==(const DeathEvidence&) const = default;
+  bool operator<(const DeathEvidence& aOther) const
+  {
+    return std::tie(mAt, mServer, mStarted, mVoidedAt) <
+           std::tie(aOther.mAt, aOther.mServer, aOther.mStarted, aOther.mVoidedAt);
+  }
 };
 
 struct SuspectRecord
--- a/packages/quarantine/tests/quarantine_test.cpp
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -234,6 +234,7 @@
   for (uint64_t seed = 0; seed < 300; ++seed) {
     Random random(seed);
     std::vector<SuspectRecord> records;
+    records.reserve(60);
     for (int i = 0; i < 60; ++i) {
       records.push_back(RandomRecord(random, now, 8));
     }
@@ -295,6 +296,7 @@
   for (uint64_t seed = 0; seed < 20000; ++seed) {
     Random random(seed);
     std::vector<SuspectRecord> records;
+    records.reserve(4);
     for (int i = 0; i < 4; ++i) {
       records.push_back(RandomRecord(random, 3'600'000, 100));
     }
