Add the memory of idempotency keys

Cause: an owner has to tell a new key from one that ran or may have run. Change: KeyMemory records keys with their state and answer, bounded by count, bytes and retention. A reused key with another request is a typed failure. A shard that was taken over without its records answers unknown for keys that a UUIDv7 does not prove new.

--- /dev/null
+++ b/packages/ownership/src/key_memory.cpp
@@ -0,0 +1,347 @@
+#include "balsammount/key_memory.h"
+
+#include "balsammount/hash.h"
+
+#include <algorithm>
+
+namespace balsammount {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+// Map node, expiry entry and record fields, rounded up.
+constexpr size_t kRecordOverhead = 320;
+constexpr size_t kHeaderOverhead = 64;
+
+// The caller's length separates the two parts, so that no two pairs have the same id.
+std::string RecordId(std::string_view aCaller, std::string_view aKey)
+{
+  std::string id = std::to_string(aCaller.size());
+  id.reserve(id.size() + 1 + aCaller.size() + aKey.size());
+  id += ':';
+  id += aCaller;
+  id += aKey;
+  return id;
+}
+
+size_t AnswerBytes(const std::shared_ptr<const RecordedAnswer>& aAnswer)
+{
+  return aAnswer ? aAnswer->Bytes() : 0;
+}
+
+int HexDigit(char aDigit)
+{
+  if (aDigit >= '0' && aDigit <= '9') {
+    return aDigit - '0';
+  }
+  const char lower = static_cast<char>(aDigit | 0x20);
+  return lower >= 'a' && lower <= 'f' ? lower - 'a' + 10 : -1;
+}
+
+} // namespace
+
+ShardId ShardOf(std::string_view aService, std::string_view aCaller, std::string_view aKey,
+                ShardId aShardCount)
+{
+  // Each part is hashed by itself: a concatenation would mix "ab","c" with "a","bc".
+  const uint64_t hash = HashCombine(HashCombine(Hash64(aService), Hash64(aCaller)), Hash64(aKey));
+  return static_cast<ShardId>(hash % aShardCount);
+}
+
+uint64_t RequestFingerprint(std::string_view aMethod, std::string_view aPath,
+                            std::string_view aBody)
+{
+  return HashCombine(HashCombine(Hash64(aMethod), Hash64(aPath)), Hash64(aBody));
+}
+
+std::optional<WallTime> UuidV7Time(std::string_view aKey)
+{
+  if (aKey.size() != 36) {
+    return std::nullopt;
+  }
+  uint64_t time = 0;
+  for (size_t i = 0; i < aKey.size(); ++i) {
+    const bool dash = i == 8 || i == 13 || i == 18 || i == 23;
+    const int digit = HexDigit(aKey[i]);
+    if (dash ? aKey[i] != '-' : digit < 0) {
+      return std::nullopt;
+    }
+    // The first 12 digits are the milliseconds since the epoch.
+    if (i < 13 && !dash) {
+      time = time << 4U | static_cast<uint64_t>(digit);
+    }
+  }
+  const int variant = HexDigit(aKey[19]);
+  if (aKey[14] != '7' || variant < 8 || variant > 11) {
+    return std::nullopt;
+  }
+  return WallTime(milliseconds(time));
+}
+
+size_t RecordedAnswer::Bytes() const
+{
+  size_t bytes = mBody.size();
+  for (const auto& [name, value] : mHeaders) {
+    bytes += name.size() + value.size() + kHeaderOverhead;
+  }
+  return bytes;
+}
+
+size_t KeyRecord::Bytes() const
+{
+  return kRecordOverhead + mCaller.size() + mKey.size() + AnswerBytes(mAnswer);
+}
+
+KeyMemory::KeyMemory(const Clock& aClock, std::string aService, KeyMemoryPolicy aPolicy)
+  : mClock(aClock)
+  , mService(std::move(aService))
+  , mPolicy(aPolicy)
+{
+  mPolicy.mShardCount = std::clamp<ShardId>(mPolicy.mShardCount, 1, kShardCount);
+}
+
+ShardId KeyMemory::Shard(std::string_view aCaller, std::string_view aKey) const
+{
+  return ShardOf(mService, aCaller, aKey, mPolicy.mShardCount);
+}
+
+Duration KeyMemory::Retention() const
+{
+  const auto nominal = std::chrono::duration_cast<Duration>(mPolicy.mRetention);
+  return Duration(
+    static_cast<int64_t>(static_cast<double>(nominal.count()) * (1.0 + mPolicy.mClockMargin)));
+}
+
+Result<BeginResult> KeyMemory::Begin(const KeyRequest& aRequest, WaiterId aWaiter)
+{
+  Expire();
+  if (aRequest.mCaller.size() + aRequest.mKey.size() > mPolicy.mMaxKeyBytes) {
+    return Failure{ OwnershipError::KeyTooLong, {} };
+  }
+  const std::string id = RecordId(aRequest.mCaller, aRequest.mKey);
+  if (auto found = mRecords.find(id); found != mRecords.end()) {
+    Record& record = found->second;
+    if (record.mFingerprint != aRequest.mFingerprint) {
+      return Failure{ OwnershipError::FingerprintMismatch, aRequest.mKey };
+    }
+    switch (record.mState) {
+      case KeyState::Running:
+        if (record.mWaiters.size() >= mPolicy.mMaxWaiters) {
+          return BeginResult{ BeginDecision::Full, nullptr };
+        }
+        record.mWaiters.push_back(aWaiter);
+        return BeginResult{ BeginDecision::JoinRunning, nullptr };
+      case KeyState::Completed:
+        return BeginResult{ BeginDecision::Replay, record.mAnswer };
+      case KeyState::CompletedNotKept:
+        return BeginResult{ BeginDecision::CompletedNotKept, nullptr };
+      case KeyState::Unknown:
+        return BeginResult{ BeginDecision::Unknown, nullptr };
+    }
+  }
+  const ShardId shard = Shard(aRequest.mCaller, aRequest.mKey);
+  if (mPolicy.mUnknownAfterTakeover && !ProvenNew(shard, aRequest.mKey)) {
+    return BeginResult{ BeginDecision::Unknown, nullptr };
+  }
+  const size_t bytes = kRecordOverhead + id.size();
+  if (mRecords.size() >= mPolicy.mMaxRecords || mBytes + bytes > mPolicy.mMaxBytes) {
+    return BeginResult{ BeginDecision::Full, nullptr };
+  }
+  Record record;
+  record.mShard = shard;
+  record.mCallerBytes = aRequest.mCaller.size();
+  record.mFingerprint = aRequest.mFingerprint;
+  mRecords.emplace(id, std::move(record));
+  mBytes += bytes;
+  ++mRunning[shard];
+  return BeginResult{ BeginDecision::Execute, nullptr };
+}
+
+bool KeyMemory::ProvenNew(ShardId aShard, std::string_view aKey) const
+{
+  const auto& limit = mLimits[aShard];
+  if (!limit || limit->mUntil <= mClock.Now()) {
+    return true;
+  }
+  const auto time = UuidV7Time(aKey);
+  // A time in the future shows a clock outside the skew bound, so it proves nothing.
+  return time && *time > limit->mTakeover + mPolicy.mClockSkew &&
+         *time <= mClock.WallNow() + mPolicy.mClockSkew;
+}
+
+Result<std::vector<KeyMemory::WaiterId>> KeyMemory::Complete(const KeyRequest& aRequest,
+                                                             RecordedAnswer aAnswer)
+{
+  Expire();
+  const size_t bytes = aAnswer.Bytes();
+  if (bytes > mPolicy.mMaxAnswerBytes || mBytes + bytes > mPolicy.mMaxBytes) {
+    return Finish(aRequest, KeyState::CompletedNotKept, nullptr);
+  }
+  return Finish(aRequest, KeyState::Completed,
+                std::make_shared<const RecordedAnswer>(std::move(aAnswer)));
+}
+
+Result<std::vector<KeyMemory::WaiterId>> KeyMemory::MarkUnknown(const KeyRequest& aRequest)
+{
+  return Finish(aRequest, KeyState::Unknown, nullptr);
+}
+
+Result<std::vector<KeyMemory::WaiterId>> KeyMemory::Finish(
+  const KeyRequest& aRequest, KeyState aState, std::shared_ptr<const RecordedAnswer> aAnswer)
+{
+  auto found = mRecords.find(RecordId(aRequest.mCaller, aRequest.mKey));
+  if (found == mRecords.end() || found->second.mState != KeyState::Running) {
+    return Failure{ OwnershipError::UnknownKey, aRequest.mKey };
+  }
+  Record& record = found->second;
+  --mRunning[record.mShard];
+  record.mState = aState;
+  Store(record, std::move(aAnswer));
+  ExpireAt(found->first, record, mClock.Now() + Retention());
+  return std::exchange(record.mWaiters, {});
+}
+
+Result<std::vector<KeyMemory::WaiterId>> KeyMemory::Abandon(const KeyRequest& aRequest)
+{
+  auto found = mRecords.find(RecordId(aRequest.mCaller, aRequest.mKey));
+  if (found == mRecords.end() || found->second.mState != KeyState::Running) {
+    return Failure{ OwnershipError::UnknownKey, aRequest.mKey };
+  }
+  auto waiters = std::move(found->second.mWaiters);
+  --mRunning[found->second.mShard];
+  Erase(found);
+  return waiters;
+}
+
+void KeyMemory::CancelWaiter(const KeyRequest& aRequest, WaiterId aWaiter)
+{
+  if (auto found = mRecords.find(RecordId(aRequest.mCaller, aRequest.mKey));
+      found != mRecords.end()) {
+    std::erase(found->second.mWaiters, aWaiter);
+  }
+}
+
+void KeyMemory::LimitShard(ShardId aShard)
+{
+  LimitShard(aShard, { mClock.WallNow(), std::chrono::ceil<milliseconds>(Retention()) });
+}
+
+void KeyMemory::LimitShard(ShardId aShard, const ShardLimit& aLimit)
+{
+  const SteadyTime until = mClock.Now() + aLimit.mRemaining;
+  auto& limit = mLimits[aShard];
+  if (limit && limit->mUntil > mClock.Now()) {
+    limit->mTakeover = std::max(limit->mTakeover, aLimit.mTakeover);
+    limit->mUntil = std::max(limit->mUntil, until);
+  } else {
+    limit = { aLimit.mTakeover, until };
+  }
+}
+
+std::optional<ShardLimit> KeyMemory::Limit(ShardId aShard) const
+{
+  const auto& limit = mLimits[aShard];
+  if (!limit || limit->mUntil <= mClock.Now()) {
+    return std::nullopt;
+  }
+  return ShardLimit{ limit->mTakeover,
+                     std::chrono::ceil<milliseconds>(limit->mUntil - mClock.Now()) };
+}
+
+std::vector<KeyRecord> KeyMemory::Export(ShardId aShard) const
+{
+  std::vector<KeyRecord> records;
+  const SteadyTime now = mClock.Now();
+  for (const auto& [id, record] : mRecords) {
+    const bool running = record.mState == KeyState::Running;
+    if (record.mShard != aShard || (!running && record.mExpires <= now)) {
+      continue;
+    }
+    const std::string_view text = std::string_view(id).substr(id.find(':') + 1);
+    const Duration remaining = running ? Retention() : record.mExpires - now;
+    records.push_back({ std::string(text.substr(0, record.mCallerBytes)),
+                        std::string(text.substr(record.mCallerBytes)), record.mFingerprint,
+                        running ? KeyState::Unknown : record.mState, record.mAnswer,
+                        std::chrono::ceil<milliseconds>(remaining) });
+  }
+  return records;
+}
+
+Result<void> KeyMemory::Import(const std::vector<KeyRecord>& aRecords)
+{
+  Expire();
+  size_t count = 0;
+  size_t bytes = 0;
+  for (const KeyRecord& record : aRecords) {
+    if (record.mCaller.size() + record.mKey.size() > mPolicy.mMaxKeyBytes) {
+      return Failure{ OwnershipError::KeyTooLong, {} };
+    }
+    count += mRecords.contains(RecordId(record.mCaller, record.mKey)) ? 0 : 1;
+    bytes += record.Bytes();
+  }
+  if (mRecords.size() + count > mPolicy.mMaxRecords || mBytes + bytes > mPolicy.mMaxBytes) {
+    return Failure{ OwnershipError::MemoryFull, {} };
+  }
+  for (const KeyRecord& record : aRecords) {
+    std::string id = RecordId(record.mCaller, record.mKey);
+    auto [place, inserted] = mRecords.try_emplace(std::move(id));
+    Record& stored = place->second;
+    if (inserted) {
+      stored.mShard = Shard(record.mCaller, record.mKey);
+      stored.mCallerBytes = record.mCaller.size();
+      stored.mFingerprint = record.mFingerprint;
+      stored.mState = KeyState::Unknown;
+      mBytes += kRecordOverhead + place->first.size();
+    } else if (stored.mState == KeyState::Running) {
+      continue;
+    }
+    // A copy that knows the outcome replaces one that does not.
+    if (stored.mState == KeyState::Unknown && record.mState != KeyState::Running) {
+      stored.mState = record.mState == KeyState::Completed && !record.mAnswer
+                        ? KeyState::CompletedNotKept
+                        : record.mState;
+      Store(stored, stored.mState == KeyState::Completed ? record.mAnswer : nullptr);
+    }
+    const SteadyTime expires = mClock.Now() + record.mRemaining;
+    if (inserted || expires > stored.mExpires) {
+      ExpireAt(place->first, stored, expires);
+    }
+  }
+  return {};
+}
+
+void KeyMemory::Store(Record& aRecord, std::shared_ptr<const RecordedAnswer> aAnswer)
+{
+  mBytes -= AnswerBytes(aRecord.mAnswer);
+  aRecord.mAnswer = std::move(aAnswer);
+  mBytes += AnswerBytes(aRecord.mAnswer);
+}
+
+void KeyMemory::ExpireAt(const std::string& aId, Record& aRecord, SteadyTime aTime)
+{
+  aRecord.mExpires = aTime;
+  mExpiry.emplace(aTime, aId);
+}
+
+// An entry whose record has since got a later expiry is skipped.
+void KeyMemory::Expire()
+{
+  const SteadyTime now = mClock.Now();
+  while (!mExpiry.empty() && mExpiry.begin()->first <= now) {
+    const auto entry = mExpiry.extract(mExpiry.begin());
+    auto found = mRecords.find(entry.mapped());
+    if (found != mRecords.end() && found->second.mState != KeyState::Running &&
+        found->second.mExpires <= now) {
+      Erase(found);
+    }
+  }
+}
+
+void KeyMemory::Erase(RecordMap::iterator aRecord)
+{
+  mBytes -= kRecordOverhead + aRecord->first.size() + AnswerBytes(aRecord->second.mAnswer);
+  mRecords.erase(aRecord);
+}
+
+} // namespace balsammount
