Add the ownership core with its table and messages

Cause: a key may run on one node only, through crashes, pauses and partitions. Change: table (JSON) and messages (MessagePack) with bounds and typed failures; the core confirms rights, takes shards over, hands them over with their records, and proposes tables.

--- a/packages/ownership/include/balsammount/key_memory.h
+++ b/packages/ownership/include/balsammount/key_memory.h
@@ -97,12 +97,13 @@
 
 enum class BeginDecision
 {
-  Execute,          // recorded as running; dispatch, then call Complete, MarkUnknown or Abandon
+  Execute,          // recorded; claim the dispatch, then Complete, MarkUnknown or Abandon
   JoinRunning,      // the waiter is returned when the running request ends
   Replay,           // mAnswer is the recorded answer
   CompletedNotKept, // it ran, but its answer was too large to record
   Unknown,          // it may have run
   Full,             // not run: no room for a record or a waiter
+  NotServed,        // not run: this node does not own the shard now
 };
 
 struct BeginResult
@@ -124,9 +125,19 @@
   // Ends of a running key. Each returns the waiters that joined.
   Result<std::vector<WaiterId>> Complete(const KeyRequest& aRequest, RecordedAnswer aAnswer);
   Result<std::vector<WaiterId>> MarkUnknown(const KeyRequest& aRequest);
-  // Only when nothing was sent to a backend server: the record is removed and the key may run.
+  // Only when nothing was sent to a backend server: the key may run again, unless another owner has
+  // meanwhile reported an outcome.
   Result<std::vector<WaiterId>> Abandon(const KeyRequest& aRequest);
 
+  // Immediately before the write to the backend server, and only after Begin returned Execute.
+  // False when the shard was closed since Begin: what the memory knew then may be incomplete.
+  bool MarkDispatched(const KeyRequest& aRequest);
+
+  // All shards are open at first. A closed shard begins no key, and what it began is no longer
+  // dispatched, also after it is opened again. OwnershipCore opens what this node owns.
+  void OpenShard(ShardId aShard) { mOpen[aShard] = true; }
+  void CloseShard(ShardId aShard);
+
   void CancelWaiter(const KeyRequest& aRequest, WaiterId aWaiter);
 
   // From now on, for one retention time, keys of the shard that are not proven new are unknown.
@@ -138,6 +149,7 @@
   // All or nothing. Fails with MemoryFull when the records do not fit.
   Result<void> Import(const std::vector<KeyRecord>& aRecords);
 
+  // Dispatched keys that have not ended.
   size_t Running(ShardId aShard) const { return mRunning[aShard]; }
   size_t Records() const { return mRecords.size(); }
   size_t Bytes() const { return mBytes; }
@@ -152,6 +164,9 @@
     size_t mCallerBytes = 0;
     uint64_t mFingerprint = 0;
     KeyState mState = KeyState::Running;
+    bool mDispatched = false;
+    bool mReported = false; // another owner has reported an outcome while it was running here
+    uint64_t mEpoch = 0;    // of the shard, when it began
     std::shared_ptr<const RecordedAnswer> mAnswer;
     std::vector<WaiterId> mWaiters;
     SteadyTime mExpires = SteadyTime::max();
@@ -178,6 +193,8 @@
   RecordMap mRecords;
   std::multimap<SteadyTime, std::string> mExpiry;
   std::array<size_t, kShardCount> mRunning{};
+  std::array<bool, kShardCount> mOpen;
+  std::array<uint64_t, kShardCount> mEpochs{}; // counts how often the shard was closed
   std::array<std::optional<StoredLimit>, kShardCount> mLimits;
   size_t mBytes = 0;
 };
--- /dev/null
+++ b/packages/ownership/include/balsammount/ownership_message.h
@@ -0,0 +1,99 @@
+// Messages between the ownership cores of a service, and their MessagePack form.
+#pragma once
+
+#include "balsammount/ownership_table.h"
+
+#include <variant>
+
+namespace balsammount {
+
+// A chunk of records, its largest record and a table all stay below this.
+inline constexpr size_t kMaxMessageBytes = 1024 * 1024;
+
+using TablePtr = std::shared_ptr<const OwnershipTable>;
+
+struct ConfirmRequest
+{
+  uint64_t mId = 0;
+  uint64_t mVersion = 0;   // 0: the sender has no table
+  bool mFromStore = false; // answer from a read of the store that starts after this arrived
+
+  bool operator==(const ConfirmRequest&) const = default;
+};
+
+enum class ConfirmOutcome : uint8_t
+{
+  Confirmed,   // voter: confirms the version; store reader: read mVersion from the store
+  Stale,       // a later version exists or was promised
+  Unavailable, // no reader, the store failed, no voter, or the version is not known here yet
+};
+
+struct ConfirmAnswer
+{
+  uint64_t mId = 0;
+  ConfirmOutcome mOutcome = ConfirmOutcome::Unavailable;
+  uint64_t mVersion = 0; // 0: the store holds no table
+  TablePtr mTable;       // when newer than the version in the request
+};
+
+struct ReleaseRequest
+{
+  uint64_t mVersion = 0; // confirm no version below
+
+  bool operator==(const ReleaseRequest&) const = default;
+};
+
+struct ReleaseAnswer
+{
+  uint64_t mPromised = 0; // no version below is confirmed any more
+
+  bool operator==(const ReleaseAnswer&) const = default;
+};
+
+struct HandoverChunk
+{
+  uint64_t mHandover = 0;
+  ShardId mShard = 0;
+  uint32_t mIndex = 0;
+  bool mLast = false;
+  std::optional<ShardLimit> mLimit;
+  std::vector<KeyRecord> mRecords;
+};
+
+struct HandoverAnswer
+{
+  uint64_t mHandover = 0;
+  ShardId mShard = 0;
+  uint32_t mIndex = 0;
+  bool mAccepted = false;
+
+  bool operator==(const HandoverAnswer&) const = default;
+};
+
+struct TableRequest
+{
+  uint64_t mVersion = 0; // answered when the receiver has a later one
+
+  bool operator==(const TableRequest&) const = default;
+};
+
+struct TableAnswer
+{
+  TablePtr mTable;
+};
+
+using OwnershipBody = std::variant<ConfirmRequest, ConfirmAnswer, ReleaseRequest, ReleaseAnswer,
+                                   HandoverChunk, HandoverAnswer, TableRequest, TableAnswer>;
+
+struct OwnershipMessage
+{
+  std::string mService;
+  NodeIdentity mFrom;
+  uint64_t mToIncarnation = 0; // 0: any
+  OwnershipBody mBody;
+};
+
+Result<std::string> EncodeMessage(const OwnershipMessage& aMessage);
+Result<OwnershipMessage> DecodeMessage(std::string_view aBytes);
+
+} // namespace balsammount
--- a/packages/ownership/src/key_memory.cpp
+++ b/packages/ownership/src/key_memory.cpp
@@ -99,6 +99,7 @@
   , mPolicy(aPolicy)
 {
   mPolicy.mShardCount = std::clamp<ShardId>(mPolicy.mShardCount, 1, kShardCount);
+  mOpen.fill(true);
 }
 
 ShardId KeyMemory::Shard(std::string_view aCaller, std::string_view aKey) const
@@ -141,6 +142,9 @@
     }
   }
   const ShardId shard = Shard(aRequest.mCaller, aRequest.mKey);
+  if (!mOpen[shard]) {
+    return BeginResult{ BeginDecision::NotServed, nullptr };
+  }
   if (mPolicy.mUnknownAfterTakeover && !ProvenNew(shard, aRequest.mKey)) {
     return BeginResult{ BeginDecision::Unknown, nullptr };
   }
@@ -152,12 +156,35 @@
   record.mShard = shard;
   record.mCallerBytes = aRequest.mCaller.size();
   record.mFingerprint = aRequest.mFingerprint;
+  record.mEpoch = mEpochs[shard];
   mRecords.emplace(id, std::move(record));
   mBytes += bytes;
-  ++mRunning[shard];
   return BeginResult{ BeginDecision::Execute, nullptr };
 }
 
+bool KeyMemory::MarkDispatched(const KeyRequest& aRequest)
+{
+  auto found = mRecords.find(RecordId(aRequest.mCaller, aRequest.mKey));
+  if (found == mRecords.end()) {
+    return false;
+  }
+  Record& record = found->second;
+  if (record.mState != KeyState::Running || record.mDispatched || !mOpen[record.mShard] ||
+      record.mEpoch != mEpochs[record.mShard]) {
+    return false;
+  }
+  record.mDispatched = true;
+  ++mRunning[record.mShard];
+  return true;
+}
+
+void KeyMemory::CloseShard(ShardId aShard)
+{
+  if (std::exchange(mOpen[aShard], false)) {
+    ++mEpochs[aShard];
+  }
+}
+
 bool KeyMemory::ProvenNew(ShardId aShard, std::string_view aKey) const
 {
   const auto& limit = mLimits[aShard];
@@ -195,7 +222,7 @@
     return Failure{ OwnershipError::UnknownKey, aRequest.mKey };
   }
   Record& record = found->second;
-  --mRunning[record.mShard];
+  mRunning[record.mShard] -= record.mDispatched ? 1 : 0;
   record.mState = aState;
   Store(record, std::move(aAnswer));
   ExpireAt(found->first, record, mClock.Now() + Retention());
@@ -205,11 +232,19 @@
 Result<std::vector<KeyMemory::WaiterId>> KeyMemory::Abandon(const KeyRequest& aRequest)
 {
   auto found = mRecords.find(RecordId(aRequest.mCaller, aRequest.mKey));
-  if (found == mRecords.end() || found->second.mState != KeyState::Running) {
+  if (found == mRecords.end()) {
     return Failure{ OwnershipError::UnknownKey, aRequest.mKey };
   }
-  auto waiters = std::move(found->second.mWaiters);
-  --mRunning[found->second.mShard];
+  Record& record = found->second;
+  if (record.mState != KeyState::Running) {
+    // An outcome was imported before the dispatch; it stays.
+    return std::exchange(record.mWaiters, {});
+  }
+  if (record.mReported) {
+    return MarkUnknown(aRequest);
+  }
+  auto waiters = std::move(record.mWaiters);
+  mRunning[record.mShard] -= record.mDispatched ? 1 : 0;
   Erase(found);
   return waiters;
 }
@@ -255,7 +290,8 @@
   const SteadyTime now = mClock.Now();
   for (const auto& [id, record] : mRecords) {
     const bool running = record.mState == KeyState::Running;
-    if (record.mShard != aShard || (!running && record.mExpires <= now)) {
+    // What was not dispatched is not dispatched any more once the shard is closed.
+    if (record.mShard != aShard || (running ? !record.mDispatched : record.mExpires <= now)) {
       continue;
     }
     const std::string_view text = std::string_view(id).substr(id.find(':') + 1);
@@ -293,8 +329,12 @@
       stored.mFingerprint = record.mFingerprint;
       stored.mState = KeyState::Unknown;
       mBytes += kRecordOverhead + place->first.size();
-    } else if (stored.mState == KeyState::Running) {
+    } else if (stored.mState == KeyState::Running && stored.mDispatched) {
+      stored.mReported = true;
       continue;
+    } else if (stored.mState == KeyState::Running) {
+      stored.mState = KeyState::Unknown;
+      stored.mExpires = mClock.Now();
     }
     // A copy that knows the outcome replaces one that does not.
     if (stored.mState == KeyState::Unknown && record.mState != KeyState::Running) {
--- /dev/null
+++ b/packages/ownership/src/ownership_core.cpp
@@ -0,0 +1,1027 @@
+#include "balsammount/hash.h"
+#include "balsammount/ownership.h"
+
+#include <algorithm>
+
+namespace balsammount {
+
+namespace {
+
+// Requests that wait for a read of the store; more owners than that do not exist for a service.
+constexpr size_t kMaxWaitingReaders = 4096;
+constexpr std::chrono::seconds kVoterEvidencePeriod{ 10 };
+constexpr std::chrono::milliseconds kQuiescePoll{ 20 };
+constexpr size_t kMaxLevellingMoves = 8;
+
+template <class Range, class Predicate>
+bool Majority(const Range& aVoters, Predicate aPredicate)
+{
+  return static_cast<size_t>(std::ranges::count_if(aVoters, aPredicate)) * 2 > aVoters.size();
+}
+
+} // namespace
+
+OwnershipCore::OwnershipCore(const Clock& aClock, Random& aRandom, KeyMemory& aMemory,
+                             NodeIdentity aSelf, OwnershipPolicy aPolicy)
+  : mClock(aClock)
+  , mRandom(aRandom)
+  , mMemory(aMemory)
+  , mSelf(std::move(aSelf))
+  , mPolicy(aPolicy)
+  , mMembersChanged(aClock.Now())
+  , mWake(aClock.Now())
+{
+  mPolicy.mShardCount = std::clamp<ShardId>(mPolicy.mShardCount, 1, kShardCount);
+  mPolicy.mVoters = std::clamp<size_t>(mPolicy.mVoters, 1, kMaxVoters);
+  UpdateOpen();
+}
+
+Duration OwnershipCore::Scaled(Duration aDuration) const
+{
+  return Duration(
+    static_cast<int64_t>(static_cast<double>(aDuration.count()) * mPolicy.mClockFactor));
+}
+
+Duration OwnershipCore::Retry()
+{
+  const Duration delay = mPolicy.mRetryDelay;
+  return delay + Duration(mRandom.Below(static_cast<uint64_t>(delay.count()) + 1));
+}
+
+void OwnershipCore::SetMembers(std::vector<OwnershipMember> aMembers)
+{
+  if (aMembers == mMembers) {
+    return;
+  }
+  mMembers = std::move(aMembers);
+  mMembersChanged = mClock.Now();
+  mNeedDirty = true;
+  UpdateAbsences();
+  Run();
+}
+
+void OwnershipCore::OnMessage(const OwnershipMessage& aMessage)
+{
+  Dispatch(aMessage);
+  Run();
+}
+
+void OwnershipCore::Tick()
+{
+  Run();
+}
+
+void OwnershipCore::Drain()
+{
+  if (!mDraining) {
+    mDraining = true;
+    mDrainStarted = mClock.Now();
+    mNeedDirty = true;
+  }
+  Run();
+}
+
+bool OwnershipCore::Drained() const
+{
+  return !OwnsAny();
+}
+
+DispatchRight OwnershipCore::RightToDispatch(ShardId aShard) const
+{
+  if (!mTable) {
+    return DispatchRight::NoTable;
+  }
+  const Shard& shard = mShards.at(aShard);
+  if (shard.mHolding == Holding::None) {
+    return DispatchRight::NotOwner;
+  }
+  if (shard.mHolding == Holding::Acquiring) {
+    return DispatchRight::Acquiring;
+  }
+  if (shard.mFrozen) {
+    return DispatchRight::HandingOver;
+  }
+  const bool confirmed = mConfirmed && mClock.Now() - *mConfirmed < Window();
+  if (mPolicy.mChecks.mRightAtDispatch && !confirmed) {
+    return DispatchRight::Unconfirmed;
+  }
+  return DispatchRight::Granted;
+}
+
+DispatchRight OwnershipCore::ClaimDispatch(const KeyRequest& aRequest)
+{
+  const DispatchRight right = RightToDispatch(mMemory.Shard(aRequest.mCaller, aRequest.mKey));
+  if (right != DispatchRight::Granted) {
+    return right;
+  }
+  return mMemory.MarkDispatched(aRequest) ? DispatchRight::Granted : DispatchRight::KeyOutdated;
+}
+
+// A key that began before its shard was acquired passed neither the limit nor the records.
+void OwnershipCore::UpdateOpen()
+{
+  for (ShardId id = 0; id < mShards.size(); ++id) {
+    if (mShards[id].mHolding == Holding::Owned && !mShards[id].mFrozen) {
+      mMemory.OpenShard(id);
+    } else {
+      mMemory.CloseShard(id);
+    }
+  }
+}
+
+std::optional<NodeIdentity> OwnershipCore::Owner(ShardId aShard) const
+{
+  if (!mTable || aShard >= mTable->mShards.size() || mTable->mShards[aShard].mOwner.mNode.empty()) {
+    return std::nullopt;
+  }
+  return mTable->mShards[aShard].mOwner;
+}
+
+void OwnershipCore::Run()
+{
+  do {
+    auto local = std::exchange(mLocal, {});
+    for (const OwnershipMessage& message : local) {
+      Dispatch(message);
+    }
+    mWake = mClock.Now() + std::chrono::hours(1);
+    RunReader();
+    RunConfirm();
+    RunRelease();
+    RunAcquire();
+    RunHandover();
+    RunProposal();
+  } while (!mLocal.empty());
+}
+
+// True when aTime has come; otherwise the next wake is no later than aTime.
+bool OwnershipCore::Due(SteadyTime aTime)
+{
+  if (aTime <= mClock.Now()) {
+    return true;
+  }
+  mWake = std::min(mWake, aTime);
+  return false;
+}
+
+void OwnershipCore::Send(const std::string& aNode, OwnershipBody aBody, uint64_t aToIncarnation)
+{
+  OwnershipMessage message{ mMemory.ServiceName(), mSelf, aToIncarnation, std::move(aBody) };
+  if (aNode == mSelf.mNode) {
+    mLocal.push_back(std::move(message));
+  } else {
+    mActions.emplace_back(SendMessage{ aNode, std::move(message) });
+  }
+}
+
+void OwnershipCore::Dispatch(const OwnershipMessage& aMessage)
+{
+  const bool other = aMessage.mToIncarnation != 0 && aMessage.mToIncarnation != mSelf.mIncarnation;
+  if (other || aMessage.mService != mMemory.ServiceName()) {
+    return;
+  }
+  // A message of a new process proves that the old one ended; gossip would not.
+  uint64_t& incarnation = mIncarnations[aMessage.mFrom.mNode];
+  incarnation = std::max(incarnation, aMessage.mFrom.mIncarnation);
+  std::visit([&](const auto& aBody) { On(aMessage, aBody); }, aMessage.mBody);
+}
+
+// Confirmation.
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const ConfirmRequest& aBody)
+{
+  const uint64_t known = mTable ? mTable->mVersion : 0;
+  if (aBody.mVersion > known) {
+    Send(aMessage.mFrom.mNode, TableRequest{ known }, aMessage.mFrom.mIncarnation);
+  }
+  ConfirmAnswer answer{ aBody.mId, ConfirmOutcome::Unavailable, known, nullptr };
+  if (aBody.mFromStore) {
+    const auto readers = Readers();
+    if (std::ranges::find(readers, mSelf.mNode) != readers.end() &&
+        mReadNext.size() < kMaxWaitingReaders) {
+      mReadNext.push_back({ aMessage.mFrom, aBody });
+      return;
+    }
+  } else {
+    answer.mOutcome = Vote(aBody.mVersion);
+    if (known > aBody.mVersion) {
+      answer.mTable = mTable;
+    }
+  }
+  Send(aMessage.mFrom.mNode, std::move(answer), aMessage.mFrom.mIncarnation);
+}
+
+ConfirmOutcome OwnershipCore::Vote(uint64_t aVersion) const
+{
+  if (aVersion < mPromised) {
+    return ConfirmOutcome::Stale;
+  }
+  if (!mTable || mTable->mVersion != aVersion) {
+    return ConfirmOutcome::Unavailable;
+  }
+  const bool listed = std::ranges::any_of(mTable->mVoters, [&](const NodeIdentity& aVoter) {
+    return mPolicy.mChecks.mVoterIncarnation ? aVoter == mSelf : aVoter.mNode == mSelf.mNode;
+  });
+  // Evidence of the store bounds how long a voter that nobody can reach may confirm a version that
+  // was replaced; see RunAcquire.
+  const bool evidence = !mPolicy.mChecks.mVoterEvidence ||
+                        (mEvidence && mClock.Now() - *mEvidence < Duration(mPolicy.mEvidenceLife));
+  return listed && evidence ? ConfirmOutcome::Confirmed : ConfirmOutcome::Unavailable;
+}
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const ConfirmAnswer& aBody)
+{
+  if (aBody.mTable) {
+    Adopt(aBody.mTable);
+  }
+  const auto found = mRounds.find(aBody.mId);
+  if (found == mRounds.end()) {
+    return;
+  }
+  Round& round = found->second;
+  const SteadyTime sent = round.mSent;
+  const bool confirmed = aBody.mOutcome == ConfirmOutcome::Confirmed;
+  if (round.mTable) {
+    const auto voter = [&](const NodeIdentity& aVoter) {
+      return mPolicy.mChecks.mVoterIncarnation ? aVoter == aMessage.mFrom
+                                               : aVoter.mNode == aMessage.mFrom.mNode;
+    };
+    if (!confirmed || std::ranges::none_of(round.mTable->mVoters, voter)) {
+      return;
+    }
+    round.mConfirmed.insert(aMessage.mFrom.mNode);
+    if (round.mConfirmed.size() * 2 > round.mTable->mVoters.size()) {
+      mRounds.erase(found);
+      Confirmed(sent);
+    }
+    return;
+  }
+  const bool latest = mReaderRound == aBody.mId;
+  mRounds.erase(found);
+  if (latest) {
+    mReaderRound.reset();
+    mReaderFailed = !confirmed;
+  }
+  if (!confirmed) {
+    if (latest) {
+      ++mReaderTry;
+      AskVoters();
+    }
+    return;
+  }
+  mStoreEmpty = aBody.mVersion == 0 && !mTable;
+  if (mTable && aBody.mVersion == mTable->mVersion) {
+    mEvidence = std::max(mEvidence.value_or(sent), sent);
+    Confirmed(sent);
+  }
+}
+
+// A right that was confirmed for an earlier version stays valid in shards that this node still
+// owns: any other owner waits for the window after that version was replaced.
+void OwnershipCore::Confirmed(SteadyTime aSent)
+{
+  mConfirmed = std::max(mConfirmed.value_or(aSent), aSent);
+}
+
+void OwnershipCore::RunConfirm()
+{
+  if (mReaderRound && OwnsAny() && Due(mReaderDeadline)) {
+    mReaderDeadline = SteadyTime::max();
+    AskVoters();
+  }
+  if (!Due(mNextConfirm)) {
+    return;
+  }
+  const SteadyTime now = mClock.Now();
+  std::erase_if(mRounds, [&](const auto& aRound) { return aRound.second.mSent + Window() <= now; });
+  const bool voter = mTable && std::ranges::find(mTable->mVoters, mSelf) != mTable->mVoters.end();
+  const bool renew = voter && (!mEvidence || *mEvidence + kVoterEvidencePeriod <= now);
+  const bool frequent = !mTable || OwnsAny() || renew;
+  mNextConfirm = now + (frequent ? mPolicy.mConfirmPeriod : mPolicy.mIdlePeriod);
+  if (mReaderRound) {
+    mReaderFailed = true;
+    ++mReaderTry;
+  }
+  AskReader();
+  if (mReaderFailed && OwnsAny()) {
+    AskVoters();
+  }
+  Due(mNextConfirm);
+  if (mReaderRound) {
+    Due(mReaderDeadline);
+  }
+}
+
+std::vector<std::string> OwnershipCore::Readers() const
+{
+  std::string_view dataCentre;
+  std::vector<const OwnershipMember*> readers;
+  for (const OwnershipMember& member : mMembers) {
+    if (member.mIdentity.mNode == mSelf.mNode) {
+      dataCentre = member.mDataCentre;
+    }
+    if (member.mReader) {
+      readers.push_back(&member);
+    }
+  }
+  if (readers.empty()) {
+    return { mSelf.mNode };
+  }
+  // One reader per data centre and service, so that reads grow with neither.
+  std::ranges::sort(readers, {}, [&](const OwnershipMember* aMember) {
+    return std::pair(aMember->mDataCentre != dataCentre,
+                     detail::NodeRank(mMemory.ServiceName(), aMember->mIdentity.mNode));
+  });
+  std::vector<std::string> names;
+  names.reserve(readers.size());
+  for (const OwnershipMember* member : readers) {
+    names.push_back(member->mIdentity.mNode);
+  }
+  return names;
+}
+
+void OwnershipCore::AskReader()
+{
+  const auto readers = Readers();
+  const uint64_t id = mNextId++;
+  const SteadyTime now = mClock.Now();
+  mRounds[id] = Round{ now, nullptr, {} };
+  mReaderRound = id;
+  mReaderDeadline = now + mPolicy.mReaderPatience;
+  Send(readers[mReaderTry % readers.size()],
+       ConfirmRequest{ id, mTable ? mTable->mVersion : 0, true });
+}
+
+void OwnershipCore::AskVoters()
+{
+  if (!mTable || !OwnsAny()) {
+    return;
+  }
+  const uint64_t id = mNextId++;
+  mRounds[id] = Round{ mClock.Now(), mTable, {} };
+  for (const NodeIdentity& voter : mTable->mVoters) {
+    Send(voter.mNode, ConfirmRequest{ id, mTable->mVersion, false });
+  }
+}
+
+// Reads of the store for others.
+
+void OwnershipCore::RunReader()
+{
+  if (mReadNext.empty() && mReadNow.empty()) {
+    return;
+  }
+  const bool running = mReadId != 0 && !Due(mReadStarted + mPolicy.mReadTimeout);
+  if (running || mReadNext.empty() || !Due(mNextRead)) {
+    return;
+  }
+  // Every request here came before this read, also those of a read that was given up.
+  std::ranges::move(mReadNext, std::back_inserter(mReadNow));
+  mReadNext.clear();
+  mReadId = mNextId++;
+  mReadStarted = mClock.Now();
+  mNextRead = mReadStarted + mPolicy.mReadPeriod;
+  mActions.emplace_back(ReadTable{ mReadId });
+  ++mStats.mReads;
+}
+
+void OwnershipCore::OnTableRead(uint64_t aId, const Result<StoredTable>& aResult)
+{
+  if (aResult.has_value() && aResult->mTable) {
+    Adopt(aResult->mTable);
+  }
+  const bool proposal = mProposal == Proposal::Reading && aId == mProposalId;
+  const bool reader = mReadId != 0 && aId == mReadId;
+  if (aResult.has_value() && (proposal || reader)) {
+    const uint64_t version = aResult->mTable ? aResult->mTable->mVersion : 0;
+    mStoreEmpty = version == 0 && !mTable;
+    if (mTable && version == mTable->mVersion) {
+      const SteadyTime started = proposal ? mProposalStarted : mReadStarted;
+      mEvidence = std::max(mEvidence.value_or(started), started);
+    }
+  }
+  if (proposal) {
+    FinishProposalRead(aResult);
+  }
+  if (reader) {
+    mReadId = 0;
+    for (const WaitingReader& waiting : std::exchange(mReadNow, {})) {
+      ConfirmAnswer answer{ waiting.mRequest.mId, ConfirmOutcome::Unavailable, 0, nullptr };
+      if (aResult.has_value()) {
+        answer.mOutcome = ConfirmOutcome::Confirmed;
+        answer.mVersion = aResult->mTable ? aResult->mTable->mVersion : 0;
+        if (answer.mVersion > waiting.mRequest.mVersion) {
+          answer.mTable = aResult->mTable;
+        }
+      }
+      Send(waiting.mFrom.mNode, std::move(answer), waiting.mFrom.mIncarnation);
+    }
+  }
+  Run();
+}
+
+// Tables.
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const TableRequest& aBody)
+{
+  if (mTable && mTable->mVersion > aBody.mVersion) {
+    Send(aMessage.mFrom.mNode, TableAnswer{ mTable }, aMessage.mFrom.mIncarnation);
+  }
+}
+
+void OwnershipCore::On(const OwnershipMessage& /*aMessage*/, const TableAnswer& aBody)
+{
+  Adopt(aBody.mTable);
+}
+
+void OwnershipCore::Adopt(const TablePtr& aTable)
+{
+  if (!aTable || aTable->mService != mMemory.ServiceName() ||
+      (mTable && aTable->mVersion <= mTable->mVersion)) {
+    return;
+  }
+  mTable = aTable;
+  mStoreEmpty = false;
+  mPromised = std::max(mPromised, aTable->mVersion);
+  for (ShardId id = 0; id < aTable->mShards.size(); ++id) {
+    AdoptShard(id, aTable->mShards[id]);
+  }
+  UpdateHandovers();
+  UpdateOpen();
+  mNeedDirty = true;
+  UpdateAbsences();
+  ForgetOldVoters();
+}
+
+// Promises are only asked of the voters in the table's list.
+void OwnershipCore::ForgetOldVoters()
+{
+  std::set<std::string> names;
+  for (const EarlierVoters& set : mTable->mEarlier) {
+    for (const NodeIdentity& voter : set.mVoters) {
+      names.insert(voter.mNode);
+    }
+  }
+  for (const NodeIdentity& voter : mTable->mVoters) {
+    names.insert(voter.mNode);
+  }
+  std::erase_if(mPromises, [&](const auto& aEntry) { return !names.contains(aEntry.first.mNode); });
+  std::erase_if(mIncarnations, [&](const auto& aEntry) { return !names.contains(aEntry.first); });
+}
+
+void OwnershipCore::AdoptShard(ShardId aShard, const ShardOwner& aEntry)
+{
+  Shard& shard = mShards[aShard];
+  if (aEntry.mOwner != mSelf) {
+    shard.mHolding = Holding::None;
+    shard.mFrozen = false;
+    return;
+  }
+  if (shard.mHolding != Holding::None && shard.mSince == aEntry.mSince) {
+    return;
+  }
+  mMemory.CloseShard(aShard); // also when it was lost and regained in between
+  shard.mSince = aEntry.mSince;
+  shard.mLearned = mClock.Now();
+  shard.mReady.reset();
+  shard.mFrozen = false;
+  shard.mHolding = Holding::Acquiring;
+  mNextRelease = mClock.Now();
+  mNextConfirm = mClock.Now();
+  if (aEntry.mSince == 1) {
+    shard.mHolding = Holding::Owned; // nobody owned it before
+  } else if (aEntry.mHandover != 0 && shard.mStaged == aEntry.mHandover && shard.mStagedComplete) {
+    // The previous owner gave up its right before this version was written.
+    shard.mHolding = Holding::Owned;
+    if (shard.mStagedLimit) {
+      mMemory.LimitShard(aShard, *shard.mStagedLimit);
+    }
+    ++mStats.mHandovers;
+  }
+}
+
+// Takeover.
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const ReleaseRequest& aBody)
+{
+  mPromised = std::max(mPromised, aBody.mVersion);
+  if (!mTable || mTable->mVersion < aBody.mVersion) {
+    Send(aMessage.mFrom.mNode, TableRequest{ mTable ? mTable->mVersion : 0 },
+         aMessage.mFrom.mIncarnation);
+  }
+  Send(aMessage.mFrom.mNode, ReleaseAnswer{ mPromised }, aMessage.mFrom.mIncarnation);
+}
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const ReleaseAnswer& aBody)
+{
+  uint64_t& promised = mPromises[aMessage.mFrom];
+  promised = std::max(promised, aBody.mPromised);
+}
+
+bool OwnershipCore::Released(const EarlierVoters& aSet) const
+{
+  return !mPolicy.mChecks.mVoterRelease || Majority(aSet.mVoters, [&](const NodeIdentity& aVoter) {
+    const auto promise = mPromises.find(aVoter);
+    if (promise != mPromises.end() && promise->second > aSet.mLast) {
+      return true;
+    }
+    const auto incarnation = mIncarnations.find(aVoter.mNode);
+    return incarnation != mIncarnations.end() && incarnation->second > aVoter.mIncarnation;
+  });
+}
+
+bool OwnershipCore::AllReleased() const
+{
+  return std::ranges::all_of(mTable->mEarlier, [&](const EarlierVoters& aSet) {
+    const bool previous = aSet.mLast + 1 == mTable->mVersion;
+    return (!previous && !mPolicy.mChecks.mEarlierVoterSets) || Released(aSet);
+  });
+}
+
+void OwnershipCore::RunRelease()
+{
+  if (!mTable) {
+    return;
+  }
+  const bool acquiring = std::ranges::any_of(mShards, [](const Shard& aShard) {
+    return aShard.mHolding == Holding::Acquiring && !aShard.mReady;
+  });
+  // The first proposer clears the list, or it would fill up and stop changes of the voters.
+  const bool tidy = mTable->mEarlier.size() > 1 && ProposerDelay() == Duration(0);
+  if ((!acquiring && !tidy) || !Due(mNextRelease)) {
+    return;
+  }
+  mNextRelease = mClock.Now() + (acquiring ? mPolicy.mAskPeriod : mPolicy.mAskPeriod * 10);
+  Due(mNextRelease);
+  for (const EarlierVoters& set : mTable->mEarlier) {
+    if (Released(set)) {
+      continue;
+    }
+    for (const NodeIdentity& voter : set.mVoters) {
+      const auto promise = mPromises.find(voter);
+      if (promise == mPromises.end() || promise->second <= set.mLast) {
+        Send(voter.mNode, ReleaseRequest{ mTable->mVersion });
+      }
+    }
+  }
+}
+
+void OwnershipCore::RunAcquire()
+{
+  for (ShardId id = 0; id < mShards.size(); ++id) {
+    Shard& shard = mShards[id];
+    if (shard.mHolding != Holding::Acquiring) {
+      continue;
+    }
+    if (!shard.mReady) {
+      // When a majority of voters is lost for good, none of them confirms an earlier version once
+      // its evidence, which dates from before this version, has expired.
+      if (!AllReleased() && !Due(shard.mLearned + Scaled(mPolicy.mEvidenceLife))) {
+        continue;
+      }
+      shard.mReady =
+        mClock.Now() + (mPolicy.mChecks.mWaitAfterTakeover ? Scaled(Window()) : Duration(0));
+    }
+    if (Due(*shard.mReady)) {
+      shard.mHolding = Holding::Owned;
+      mMemory.LimitShard(id);
+      mMemory.OpenShard(id);
+      ++mStats.mTakeovers;
+    }
+  }
+}
+
+bool OwnershipCore::OwnsAny() const
+{
+  return std::ranges::any_of(mShards,
+                             [](const Shard& aShard) { return aShard.mHolding != Holding::None; });
+}
+
+// Members.
+
+void OwnershipCore::UpdateAbsences()
+{
+  mNextGone = SteadyTime::max();
+  if (!mTable) {
+    return;
+  }
+  std::map<NodeIdentity, SteadyTime> absent;
+  const auto check = [&](const NodeIdentity& aNode) {
+    const auto same = [&](const OwnershipMember& aMember) {
+      return aMember.mIdentity.mNode == aNode.mNode;
+    };
+    if (aNode.mNode.empty() || absent.contains(aNode) || std::ranges::any_of(mMembers, same)) {
+      return;
+    }
+    const auto known = mAbsentSince.find(aNode);
+    const SteadyTime since = known == mAbsentSince.end() ? mClock.Now() : known->second;
+    absent.emplace(aNode, since);
+    if (since + mPolicy.mAbsenceGrace > mClock.Now()) {
+      mNextGone = std::min<SteadyTime>(mNextGone, since + mPolicy.mAbsenceGrace);
+    }
+  };
+  for (const ShardOwner& shard : mTable->mShards) {
+    check(shard.mOwner);
+  }
+  std::ranges::for_each(mTable->mVoters, check);
+  mAbsentSince = std::move(absent);
+}
+
+bool OwnershipCore::Gone(const NodeIdentity& aNode) const
+{
+  if (aNode.mNode == mSelf.mNode) {
+    return aNode.mIncarnation < mSelf.mIncarnation;
+  }
+  for (const OwnershipMember& member : mMembers) {
+    if (member.mIdentity.mNode == aNode.mNode) {
+      return aNode.mIncarnation < member.mIdentity.mIncarnation;
+    }
+  }
+  const auto absent = mAbsentSince.find(aNode);
+  return absent != mAbsentSince.end() && absent->second + mPolicy.mAbsenceGrace <= mClock.Now();
+}
+
+bool OwnershipCore::Leaving() const
+{
+  return mDraining || std::ranges::any_of(mMembers, [&](const OwnershipMember& aMember) {
+           return aMember.mIdentity == mSelf && aMember.mLeaving;
+         });
+}
+
+// Without this, both sides of a partition that reach the store would take each other's shards in
+// turn.
+bool OwnershipCore::SeesVoterMajority() const
+{
+  return !mTable || Majority(mTable->mVoters, [&](const NodeIdentity& aVoter) {
+    return std::ranges::any_of(mMembers, [&](const OwnershipMember& aMember) {
+      return aMember.mIdentity.mNode == aVoter.mNode;
+    });
+  });
+}
+
+Duration OwnershipCore::ProposerDelay() const
+{
+  constexpr int64_t kMaxRank = 4;
+  const uint64_t own = detail::NodeRank(mMemory.ServiceName(), mSelf.mNode);
+  int64_t rank = 0;
+  for (const OwnershipMember& member : mMembers) {
+    if (member.mServes && !member.mLeaving && member.mIdentity.mNode != mSelf.mNode &&
+        detail::NodeRank(mMemory.ServiceName(), member.mIdentity.mNode) < own) {
+      ++rank;
+    }
+  }
+  const Duration step = mPolicy.mProposerStep;
+  const Duration minority = SeesVoterMajority() ? Duration(0) : Duration(mPolicy.mMinorityDelay);
+  return step * std::min(rank, kMaxRank) + minority;
+}
+
+// Proposals.
+
+std::optional<OwnershipTable> OwnershipCore::NextTable() const
+{
+  std::map<ShardId, ShardOwner> moves;
+  if (HandoverReady()) {
+    for (const Handover& handover : mHandovers) {
+      if (handover.mStep == HandoverStep::Accepted) {
+        moves[handover.mShard] = { handover.mTarget, 0, handover.mId };
+      }
+    }
+  }
+  const detail::PlanInput input{ mMemory.ServiceName(),
+                                 mTable.get(),
+                                 mMembers,
+                                 [this](const NodeIdentity& aNode) { return Gone(aNode); },
+                                 [this](const EarlierVoters& aSet) { return Released(aSet); },
+                                 mDraining ? mSelf.mNode : std::string(),
+                                 mPolicy.mVoters,
+                                 mPolicy.mShardCount };
+  return detail::PlanTable(input, moves);
+}
+
+void OwnershipCore::RunProposal()
+{
+  if (mProposal != Proposal::Idle) {
+    if (!Due(mProposalStarted + mPolicy.mReadTimeout * 2)) {
+      return;
+    }
+    mProposal = Proposal::Idle; // the store adapter lost the call
+  }
+  if (Due(mNextGone)) {
+    UpdateAbsences();
+    Due(mNextGone);
+    mNeedDirty = true;
+  }
+  if (mNeedDirty) {
+    mNeedDirty = false;
+    const bool serves = std::ranges::any_of(mMembers, [&](const OwnershipMember& aMember) {
+      return aMember.mIdentity.mNode == mSelf.mNode && aMember.mServes;
+    });
+    const bool need = serves && (mTable || mStoreEmpty) && NextTable().has_value();
+    mNeedSince = need ? std::optional(mNeedSince.value_or(mClock.Now())) : std::nullopt;
+  }
+  const bool due =
+    HandoverReady() || mOffered != 0 || (mNeedSince && Due(*mNeedSince + ProposerDelay()));
+  if (!due || !Due(mNextProposal)) {
+    return;
+  }
+  mProposal = Proposal::Reading;
+  mProposalId = mNextId++;
+  mProposalStarted = mClock.Now();
+  Due(mProposalStarted + mPolicy.mReadTimeout * 2);
+  mActions.emplace_back(ReadTable{ mProposalId });
+  ++mStats.mReads;
+}
+
+void OwnershipCore::FinishProposalRead(const Result<StoredTable>& aResult)
+{
+  mProposal = Proposal::Idle;
+  mNeedDirty = true;
+  if (!aResult.has_value()) {
+    mNextProposal = mClock.Now() + Retry();
+    if (mOffered == 0 && HandoverReady()) {
+      std::ranges::for_each(mHandovers, [this](Handover& aHandover) { GiveUp(aHandover); });
+    }
+    return;
+  }
+  // A store that lost the table or returned to an earlier one must not be written to.
+  const uint64_t stored = aResult->mTable ? aResult->mTable->mVersion : 0;
+  if (stored != (mTable ? mTable->mVersion : 0)) {
+    mNextProposal = mClock.Now() + Retry();
+    return;
+  }
+  auto next = NextTable();
+  if (!next) {
+    return;
+  }
+  if (HandoverReady()) {
+    mOffered = stored;
+  }
+  mProposal = Proposal::Writing;
+  mProposalId = mNextId++;
+  mProposalStarted = mClock.Now();
+  mProposed = std::make_shared<const OwnershipTable>(std::move(*next));
+  mActions.emplace_back(ProposeTable{ mProposalId, aResult->mModRevision, mProposed });
+  ++mStats.mProposals;
+}
+
+void OwnershipCore::OnProposalResult(uint64_t aId, ProposalOutcome aOutcome)
+{
+  if (mProposal == Proposal::Writing && aId == mProposalId) {
+    mProposal = Proposal::Idle;
+    mNeedDirty = true;
+    if (aOutcome == ProposalOutcome::Applied) {
+      Adopt(mProposed);
+    } else {
+      mNextProposal = mClock.Now() + Retry();
+      if (!mPolicy.mChecks.mFreezeUntilSettled) {
+        mOffered = 0;
+        std::ranges::for_each(mHandovers, [this](Handover& aHandover) { GiveUp(aHandover); });
+      }
+    }
+  }
+  Run();
+}
+
+// Handover.
+
+std::map<NodeIdentity, size_t> OwnershipCore::Loads() const
+{
+  std::map<NodeIdentity, size_t> loads;
+  for (const OwnershipMember& member : mMembers) {
+    if (member.mServes && !member.mLeaving && member.mIdentity.mNode != mSelf.mNode) {
+      loads.emplace(member.mIdentity, 0);
+    }
+  }
+  for (const ShardOwner& shard : mTable->mShards) {
+    if (auto found = loads.find(shard.mOwner); found != loads.end()) {
+      ++found->second;
+    }
+  }
+  return loads;
+}
+
+NodeIdentity OwnershipCore::LeastLoaded(std::map<NodeIdentity, size_t>& aLoad) const
+{
+  auto least = std::ranges::min_element(aLoad, {}, [&](const auto& aEntry) {
+    return std::pair(aEntry.second, detail::NodeRank(mMemory.ServiceName(), aEntry.first.mNode));
+  });
+  ++least->second;
+  return least->first;
+}
+
+void OwnershipCore::RunHandover()
+{
+  if (mHandovers.empty()) {
+    StartHandover();
+  }
+  for (Handover& handover : mHandovers) {
+    StepHandover(handover);
+  }
+  const bool over = std::ranges::all_of(
+    mHandovers, [](const Handover& aHandover) { return aHandover.mStep == HandoverStep::GivenUp; });
+  if (over && !mHandovers.empty() && mOffered == 0) {
+    mHandovers.clear();
+    mNextHandover = mClock.Now() + Retry();
+    Due(mNextHandover);
+  }
+}
+
+void OwnershipCore::StartHandover()
+{
+  const SteadyTime now = mClock.Now();
+  if (!mTable || !OwnsAny() || !Due(mNextHandover)) {
+    return;
+  }
+  const bool leaving = Leaving();
+  if (!leaving) {
+    // Handovers need the store; without it a shard that was offered stays frozen.
+    const bool store = mEvidence && now - *mEvidence < Window();
+    if (!store || !Due(mMembersChanged + mPolicy.mRebalanceDelay)) {
+      return;
+    }
+  }
+  std::vector<ShardId> quiet;
+  std::vector<ShardId> busy;
+  size_t own = 0;
+  for (ShardId id = 0; id < mTable->mShards.size(); ++id) {
+    own += mShards[id].mHolding != Holding::None ? 1 : 0;
+    if (mShards[id].mHolding == Holding::Owned) {
+      (mMemory.Running(id) == 0 ? quiet : busy).push_back(id);
+    }
+  }
+  auto loads = Loads();
+  mNextHandover = now + Retry();
+  if (loads.empty()) {
+    return;
+  }
+  const size_t least =
+    std::ranges::min_element(loads, {}, [](const auto& aEntry) { return aEntry.second; })->second;
+  size_t moves = leaving ? own : std::min(kMaxLevellingMoves, own > least ? (own - least) / 2 : 0);
+  // Shards with running keys wait for them, and would hold up the others.
+  std::vector<ShardId>& chosen = quiet.empty() ? busy : quiet;
+  for (ShardId id : chosen) {
+    if (moves-- == 0) {
+      break;
+    }
+    Shard& shard = mShards[id];
+    shard.mFrozen = true;
+    mMemory.CloseShard(id);
+    Handover handover;
+    handover.mShard = id;
+    handover.mSince = shard.mSince;
+    handover.mTarget = LeastLoaded(loads);
+    handover.mId = (mRandom.Next() >> 12U) | 1U;
+    handover.mStarted = now;
+    mHandovers.push_back(std::move(handover));
+  }
+  Due(mNextHandover);
+}
+
+void OwnershipCore::StepHandover(Handover& aHandover)
+{
+  if (aHandover.mStep == HandoverStep::Quiescing) {
+    const SteadyTime started = mDraining ? mDrainStarted : aHandover.mStarted;
+    const bool patient =
+      !Due(started + (mDraining ? mPolicy.mDrainPatience : mPolicy.mQuiescePatience));
+    if (mMemory.Running(aHandover.mShard) != 0 && patient) {
+      Due(mClock.Now() + kQuiescePoll);
+      return;
+    }
+    if (mMemory.Running(aHandover.mShard) != 0 && !Leaving()) {
+      GiveUp(aHandover);
+      return;
+    }
+    PackChunks(aHandover);
+    aHandover.mStep = HandoverStep::Sending;
+    aHandover.mProgress = mClock.Now();
+    SendChunk(aHandover);
+  }
+  if (aHandover.mStep == HandoverStep::Sending) {
+    if (Due(aHandover.mProgress + mPolicy.mHandoverPatience)) {
+      GiveUp(aHandover);
+    } else if (Due(aHandover.mSent + mPolicy.mAskPeriod)) {
+      SendChunk(aHandover);
+    }
+  }
+}
+
+void OwnershipCore::PackChunks(Handover& aHandover)
+{
+  aHandover.mLimit = mMemory.Limit(aHandover.mShard);
+  aHandover.mChunks.emplace_back();
+  size_t bytes = 0;
+  for (KeyRecord& record : mMemory.Export(aHandover.mShard)) {
+    const size_t size = record.Bytes();
+    if (bytes + size > mPolicy.mChunkBytes && !aHandover.mChunks.back().empty()) {
+      aHandover.mChunks.emplace_back();
+      bytes = 0;
+    }
+    bytes += size;
+    aHandover.mChunks.back().push_back(std::move(record));
+  }
+}
+
+void OwnershipCore::SendChunk(Handover& aHandover)
+{
+  aHandover.mSent = mClock.Now();
+  Due(aHandover.mSent + mPolicy.mAskPeriod);
+  Send(aHandover.mTarget.mNode,
+       HandoverChunk{ aHandover.mId, aHandover.mShard, aHandover.mNext,
+                      aHandover.mNext + 1 == aHandover.mChunks.size(), aHandover.mLimit,
+                      aHandover.mChunks[aHandover.mNext] },
+       aHandover.mTarget.mIncarnation);
+}
+
+// Only before the handover was offered in a write; afterwards its shard stays frozen until a later
+// version is known, because the write may still take effect.
+void OwnershipCore::GiveUp(Handover& aHandover)
+{
+  aHandover.mStep = HandoverStep::GivenUp;
+  mShards[aHandover.mShard].mFrozen = false;
+  UpdateOpen();
+}
+
+bool OwnershipCore::HandoverReady() const
+{
+  bool any = false;
+  for (const Handover& handover : mHandovers) {
+    any = any || handover.mStep == HandoverStep::Accepted;
+    if (handover.mStep == HandoverStep::Quiescing || handover.mStep == HandoverStep::Sending) {
+      return false;
+    }
+  }
+  return any;
+}
+
+// After the adoption of a table.
+void OwnershipCore::UpdateHandovers()
+{
+  if (mOffered != 0 && mTable->mVersion > mOffered) {
+    // The write took effect or never will. What is still owned here may be dispatched again.
+    for (const Handover& handover : mHandovers) {
+      mShards[handover.mShard].mFrozen = false;
+    }
+    mHandovers.clear();
+    mOffered = 0;
+    mNextHandover = mClock.Now() + Retry();
+    return;
+  }
+  for (Handover& handover : mHandovers) {
+    const Shard& shard = mShards[handover.mShard];
+    if (shard.mHolding != Holding::Owned || shard.mSince != handover.mSince) {
+      GiveUp(handover);
+    }
+  }
+}
+
+void OwnershipCore::On(const OwnershipMessage& aMessage, const HandoverChunk& aBody)
+{
+  if (aBody.mShard >= mShards.size()) {
+    return;
+  }
+  Shard& shard = mShards[aBody.mShard];
+  if (shard.mStaged != aBody.mHandover) {
+    if (aBody.mIndex != 0) {
+      return;
+    }
+    shard.mStaged = aBody.mHandover;
+    shard.mStagedNext = 0;
+    shard.mStagedComplete = false;
+  }
+  HandoverAnswer answer{ aBody.mHandover, aBody.mShard, aBody.mIndex, !Leaving() };
+  if (answer.mAccepted && aBody.mIndex == shard.mStagedNext && !shard.mStagedComplete) {
+    answer.mAccepted = mMemory.Import(aBody.mRecords).has_value();
+    if (answer.mAccepted) {
+      ++shard.mStagedNext;
+      shard.mStagedLimit = aBody.mLimit;
+      shard.mStagedComplete = aBody.mLast;
+    }
+  } else if (aBody.mIndex > shard.mStagedNext) {
+    return;
+  }
+  Send(aMessage.mFrom.mNode, answer, aMessage.mFrom.mIncarnation);
+}
+
+void OwnershipCore::On(const OwnershipMessage& /*aMessage*/, const HandoverAnswer& aBody)
+{
+  for (Handover& handover : mHandovers) {
+    if (handover.mId != aBody.mHandover || handover.mStep != HandoverStep::Sending ||
+        handover.mNext != aBody.mIndex) {
+      continue;
+    }
+    if (!aBody.mAccepted) {
+      GiveUp(handover);
+      return;
+    }
+    ++handover.mNext;
+    handover.mProgress = mClock.Now();
+    if (handover.mNext == handover.mChunks.size()) {
+      handover.mStep = HandoverStep::Accepted;
+      handover.mChunks.clear();
+    } else {
+      SendChunk(handover);
+    }
+  }
+}
+
+} // namespace balsammount
--- a/packages/ownership/tests/key_memory_test.cpp
+++ b/packages/ownership/tests/key_memory_test.cpp
@@ -124,6 +124,7 @@
   CHECK(from.Complete({ "c:1", "done", 1 }, { 200, {}, "x" }).has_value());
   mClock.Advance(6min);
   CHECK(Decide(from, { "c", "running", 1 }) == BeginDecision::Execute);
+  CHECK(from.MarkDispatched({ "c", "running", 1 }));
   from.LimitShard(0, { WallTime(1h), 2min });
   CHECK(to.Import(from.Export(0)).has_value());
   to.LimitShard(0, *from.Limit(0));
@@ -137,5 +138,29 @@
   KeyMemory small(mClock, "orders", policy);
   CHECK(small.Import(from.Export(0)).has_value());
   CHECK(Decide(from, { "c", "second", 1 }) == BeginDecision::Execute);
+  CHECK(from.MarkDispatched({ "c", "second", 1 }));
   CHECK(small.Import(from.Export(0)).error().mCode == OwnershipError::MemoryFull);
 }
+
+// Guards against the dispatch of a key that began before the shard's records or limit were known.
+TEST(KeyMemory, RefusesDispatchAfterShardWasClosed)
+{
+  const ShardId shard = mMemory.Shard("caller", "key");
+  CHECK(Decide(mMemory, mRequest) == BeginDecision::Execute);
+  mMemory.CloseShard(shard);
+  CHECK(Decide(mMemory, { "caller", "key", 1 }) == BeginDecision::JoinRunning);
+  mMemory.OpenShard(shard);
+  CHECK_FALSE(mMemory.MarkDispatched(mRequest));
+  // The previous owner's record replaces the one that cannot be dispatched any more.
+  CHECK(mMemory.Import({ { "caller", "key", 1, KeyState::Unknown, nullptr, 1min } }).has_value());
+  LONGS_EQUAL(1, mMemory.Abandon(mRequest).value().size());
+  CHECK(Decide(mMemory, mRequest) == BeginDecision::Unknown);
+  mClock.Advance(1min);
+  CHECK(Decide(mMemory, mRequest) == BeginDecision::Execute);
+  CHECK(mMemory.MarkDispatched(mRequest));
+  CHECK_FALSE(mMemory.MarkDispatched(mRequest));
+  CHECK(mMemory.Import({ { "caller", "key", 1, KeyState::Unknown, nullptr, 1min } }).has_value());
+  CHECK(mMemory.Abandon(mRequest).has_value());
+  CHECK(Decide(mMemory, mRequest) == BeginDecision::Unknown);
+  LONGS_EQUAL(0, mMemory.Running(shard));
+}
