Add balsamctl with the configuration commands

Cause: operators need to check, compare, push and pull the configuration directory. Change: a table of commands in groups; config check, diff and show; push, pull, sync and history on the store. A push merges newer changes by file and settles a lost answer by its change id; the directory keeps the revision that it is based on in a hidden file. Conclusion: the group for state and members of nodes is still to be added.

--- /dev/null
+++ b/packages/ctl/src/config_push.cpp
@@ -0,0 +1,269 @@
+#include "balsammount/config_push.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+// A call of the store lasts at most 2 s, so that a push ends within about 30 s.
+constexpr int kMaxAttempts = 8;
+constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+
+PushOutcome<StoredConfig> Decode(const std::optional<StoreEntry>& aEntry)
+{
+  if (!aEntry) {
+    return StoredConfig{};
+  }
+  auto revision = DecodeRevision(aEntry->mValue);
+  if (!revision) {
+    return PushFailure(PushError::InvalidStore, Describe(revision.error()));
+  }
+  return StoredConfig{ std::move(*revision), aEntry->mModRevision };
+}
+
+PushOutcome<StoreRead> Read(BlockingStore& aStore)
+{
+  for (int attempt = 1;; ++attempt) {
+    auto read = aStore.Get(kConfigKey);
+    if (read) {
+      return std::move(*read);
+    }
+    if (attempt == kMaxAttempts) {
+      return PushFailure(PushError::Unreachable, Describe(read.error()));
+    }
+    aStore.Pause(kRetryPause);
+  }
+}
+
+std::string NamesOf(const std::vector<MergeConflict>& aConflicts)
+{
+  std::string names;
+  for (const MergeConflict& conflict : aConflicts) {
+    names += (names.empty() ? "" : ", ") + conflict.mFile;
+  }
+  return names;
+}
+
+// One push: its state is what is known of the store and whether a write is unsettled.
+class Push
+{
+public:
+  Push(BlockingStore& aStore, const PushRequest& aRequest)
+    : mStore(aStore)
+    , mRequest(aRequest)
+  {
+  }
+
+  PushOutcome<PushResult> Run()
+  {
+    // Checked before any call, so that a fault in the directory is reported without the store.
+    if (auto failure = Check(mRequest.mFiles)) {
+      return *failure;
+    }
+    if (auto failure = ReadBack()) {
+      return *failure;
+    }
+    std::string lastError;
+    for (int attempt = 0; attempt < kMaxAttempts; ++attempt) {
+      if (const auto settled = Settle()) {
+        return *settled;
+      }
+      auto next = Prepare();
+      if (!next) {
+        return next.error();
+      }
+      if (!next->mChanged) {
+        return std::move(*next);
+      }
+      auto bytes = EncodeRevision(next->mRevision);
+      if (!bytes) {
+        return PushFailure(PushError::InvalidFiles, Describe(bytes.error()));
+      }
+      const auto written = mStore.CompareAndSwap(kConfigKey, mStored.mModRevision, *bytes);
+      if (written) {
+        return std::move(*next);
+      }
+      lastError = Describe(written.error());
+      if (auto failure = AfterFailedWrite(written.error(), *next)) {
+        return *failure;
+      }
+    }
+    if (const auto settled = Settle()) {
+      return *settled;
+    }
+    const PushError error = mUnsettled > 0    ? PushError::UnknownOutcome
+                            : mWasUnavailable ? PushError::Unreachable
+                                              : PushError::Contended;
+    return PushFailure(error, lastError);
+  }
+
+private:
+  static std::optional<PushFailure> Check(const FileMap& aFiles)
+  {
+    FolderResult checked = CheckFiles(aFiles);
+    if (checked.mConfig) {
+      return std::nullopt;
+    }
+    PushFailure failure(PushError::InvalidFiles,
+                        std::to_string(checked.mDiagnostics.size()) + " faults");
+    failure.mDiagnostics = std::move(checked.mDiagnostics);
+    return failure;
+  }
+
+  std::optional<PushFailure> ReadBack()
+  {
+    auto read = Read(mStore);
+    if (!read) {
+      return mUnsettled > 0 ? PushFailure(PushError::UnknownOutcome, read.error().mDetail)
+                            : read.error();
+    }
+    return Adopt(read->mEntry);
+  }
+
+  std::optional<PushFailure> Adopt(const std::optional<StoreEntry>& aEntry)
+  {
+    auto stored = Decode(aEntry);
+    if (!stored) {
+      if (!mRequest.mRestore) {
+        return stored.error();
+      }
+      stored = StoredConfig{ std::nullopt, aEntry->mModRevision };
+    }
+    mStored = std::move(*stored);
+    return std::nullopt;
+  }
+
+  // The result when the store is seen to contain this change.
+  std::optional<PushOutcome<PushResult>> Settle()
+  {
+    if (mUnsettled == 0 || !mStored.mRevision) {
+      return std::nullopt;
+    }
+    const ConfigRevision& stored = *mStored.mRevision;
+    if (FindChange(stored, mRequest.mAuthor.mChangeId)) {
+      return PushOutcome<PushResult>(mAttempted);
+    }
+    if (stored.mRevision >= mUnsettled + kMaxHistory) {
+      return PushOutcome<PushResult>(
+        PushFailure(PushError::UnknownOutcome, "the history no longer reaches back to the write"));
+    }
+    if (mStored.mModRevision != mUnsettledExpected) {
+      // Someone else's write took the place of this one, which its compare now prevents for good.
+      mUnsettled = 0;
+    }
+    return std::nullopt;
+  }
+
+  PushOutcome<PushResult> Prepare() const
+  {
+    const auto& base = mRequest.mBase;
+    const auto& theirs = mStored.mRevision;
+    const uint64_t baseRevision = base ? base->mRevision : 0;
+    PushResult result;
+    FileMap files = mRequest.mFiles;
+    if (!mRequest.mRestore) {
+      if ((theirs ? theirs->mRevision : 0) < baseRevision) {
+        return PushFailure(PushError::RolledBack, "the store has revision " +
+                                                    std::to_string(theirs ? theirs->mRevision : 0) +
+                                                    ", revision " + std::to_string(baseRevision) +
+                                                    " was read before");
+      }
+      if (theirs && !base) {
+        return PushFailure(PushError::NoBase,
+                           "the store has revision " + std::to_string(theirs->mRevision));
+      }
+      if (theirs && theirs->mFiles != base->mFiles) {
+        MergeResult merged = MergeFiles(base->mFiles, files, theirs->mFiles);
+        if (!merged.mConflicts.empty()) {
+          PushFailure failure(PushError::Conflict, NamesOf(merged.mConflicts));
+          failure.mConflicts = std::move(merged.mConflicts);
+          return failure;
+        }
+        files = std::move(merged.mFiles);
+        result.mMerged = files != mRequest.mFiles;
+        if (auto failure = Check(files)) {
+          return *failure;
+        }
+      }
+      if (theirs && theirs->mFiles == files) {
+        result.mRevision = *theirs;
+        return result;
+      }
+    }
+    ConfigRevision previous = theirs ? *theirs : base ? *base : ConfigRevision();
+    previous.mRevision = std::max(previous.mRevision, baseRevision);
+    if (mRequest.mRestore) {
+      previous.mRevision = std::max(previous.mRevision, mRequest.mAbove);
+    }
+    result.mRevision = NextRevision(&previous, baseRevision, std::move(files), mRequest.mAuthor);
+    result.mChanged = true;
+    return result;
+  }
+
+  std::optional<PushFailure> AfterFailedWrite(const StoreFailure& aFailure,
+                                              const PushResult& aAttempted)
+  {
+    if (aFailure.mCode == StoreError::Conflict) {
+      return Adopt(aFailure.mCurrent);
+    }
+    if (aFailure.mCode == StoreError::Unknown) {
+      mUnsettled = aAttempted.mRevision.mRevision;
+      mUnsettledExpected = mStored.mModRevision;
+      mAttempted = aAttempted;
+    } else if (aFailure.mCode == StoreError::Unavailable) {
+      mWasUnavailable = true;
+    } else {
+      return PushFailure(PushError::InvalidFiles, Describe(aFailure));
+    }
+    mStore.Pause(kRetryPause);
+    return ReadBack();
+  }
+
+  BlockingStore& mStore;
+  const PushRequest& mRequest;
+  StoredConfig mStored;
+  uint64_t mUnsettled = 0; // revision of a write whose outcome is not known
+  Revision mUnsettledExpected = kAbsent;
+  PushResult mAttempted; // the last write whose outcome is not known
+  bool mWasUnavailable = false;
+};
+
+} // namespace
+
+std::error_code make_error_code(PushError aError)
+{
+  static constexpr std::array<const char*, 12> kMessages = {
+    "success",
+    "the store cannot be reached, nothing was changed",
+    "the outcome of the write is unknown; look for its change id in the history",
+    "the directory is not based on the store's configuration; run sync first",
+    "changed by someone else too",
+    "the files are not valid",
+    "the store's configuration cannot be decoded",
+    "the store has lost revisions; see push --restore",
+    "others keep changing the configuration; try again",
+    "the store has no configuration",
+    "the directory cannot be read or written",
+    "the directory has changes of its own",
+  };
+  static const EnumCategory sCategory("balsammount.push", kMessages);
+  return { static_cast<int>(aError), sCategory };
+}
+
+PushOutcome<StoredConfig> FetchConfig(BlockingStore& aStore)
+{
+  auto read = Read(aStore);
+  if (!read) {
+    return read.error();
+  }
+  return Decode(read->mEntry);
+}
+
+PushOutcome<PushResult> PushConfig(BlockingStore& aStore, const PushRequest& aRequest)
+{
+  return Push(aStore, aRequest).Run();
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/ctl/src/sync_commands.cpp
@@ -0,0 +1,269 @@
+#include "output.h"
+#include "work_folder.h"
+
+#include <cstdlib>
+#include <ctime>
+#include <iomanip>
+#include <ostream>
+#include <random>
+#include <sstream>
+
+namespace balsammount {
+
+namespace {
+
+namespace po = boost::program_options;
+using detail::Json;
+using detail::Refuse;
+
+std::string FromEnvironment(const char* aName, const char* aDefault)
+{
+  const char* value = std::getenv(aName); // NOLINT(concurrency-mt-unsafe)
+  return value ? value : aDefault;
+}
+
+void AddStoreOptions(po::options_description& aOptions)
+{
+  aOptions.add_options()(
+    "store", po::value<std::string>()->default_value(FromEnvironment("BALSAMCTL_STORE", "")),
+    "IP:PORT[,IP:PORT...] of the store; default from BALSAMCTL_STORE");
+}
+
+void AddPushOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()(
+    "author", po::value<std::string>()->default_value(FromEnvironment("USER", "unknown")),
+    "who makes the change, for the history")(
+    "restore", "replace what the store has, after the store lost data")(
+    "above", po::value<uint64_t>()->default_value(0),
+    "with --restore: a revision that some node has; the new one is above it");
+}
+
+void AddPullOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()("force", "discard changes of the directory");
+}
+
+void AddSyncOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()("prefer", po::value<std::string>()->default_value(""),
+                         "\"mine\" or \"theirs\": which side to keep of a file that both changed");
+}
+
+// 128 random bits: no two pushes share an id.
+std::string NewChangeId()
+{
+  std::random_device device;
+  std::ostringstream text;
+  for (int i = 0; i < 4; ++i) {
+    text << std::hex << std::setw(8) << std::setfill('0') << device();
+  }
+  return text.str();
+}
+
+std::string TimeText(WallTime aTime)
+{
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(aTime);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+  return text.str();
+}
+
+PushOutcome<std::shared_ptr<BlockingStore>> Connect(const CtlCall& aCall)
+{
+  auto store = aCall.mEnvironment.mOpenStore(aCall.mOptions["store"].as<std::string>());
+  if (!store) {
+    return PushFailure(store.error().mCode, store.error().mDetail);
+  }
+  return *store;
+}
+
+// The store's revision; a failure when it has none.
+PushOutcome<ConfigRevision> FetchRevision(const CtlCall& aCall)
+{
+  auto store = Connect(aCall);
+  if (!store) {
+    return store.error();
+  }
+  auto stored = FetchConfig(**store);
+  if (!stored) {
+    return stored.error();
+  }
+  if (!stored->mRevision) {
+    return PushFailure(PushError::NoConfig, kConfigKey);
+  }
+  return std::move(*stored->mRevision);
+}
+
+void PrintRevision(const CtlCall& aCall, std::string_view aAction, const ConfigRevision& aRevision,
+                   const std::vector<FileChange>& aChanges)
+{
+  if (aCall.mJson) {
+    aCall.Out() << detail::ToText({ { "result", aAction },
+                                    { "revision", aRevision.mRevision },
+                                    { "change_id", aRevision.mChangeId },
+                                    { "files", detail::ToJson(aChanges) } })
+                << '\n';
+    return;
+  }
+  aCall.Out() << aAction << ": revision " << aRevision.mRevision << ", change "
+              << aRevision.mChangeId << '\n';
+  for (const FileChange& change : aChanges) {
+    aCall.Out() << "  " << change.mFile << ": " << detail::NameOf(change.mKind) << '\n';
+  }
+}
+
+ExitCode RunPush(const CtlCall& aCall)
+{
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  auto store = Connect(aCall);
+  if (!store) {
+    return Refuse(aCall, store.error());
+  }
+  const PushRequest request{ folder->mFiles,
+                             folder->mBase,
+                             { NewChangeId(), aCall.mOptions["author"].as<std::string>(),
+                               aCall.mEnvironment.mNow() },
+                             aCall.mOptions.count("restore") > 0,
+                             aCall.mOptions["above"].as<uint64_t>() };
+  auto pushed = PushConfig(**store, request);
+  if (!pushed) {
+    if (pushed.error().mCode == PushError::UnknownOutcome) {
+      pushed.error().mDetail += " (change " + request.mAuthor.mChangeId + ")";
+    }
+    return Refuse(aCall, pushed.error());
+  }
+  const ConfigRevision& revision = pushed->mRevision;
+  const std::string_view action = !pushed->mChanged ? "nothing to push"
+                                  : pushed->mMerged ? "pushed and merged"
+                                                    : "pushed";
+  PrintRevision(aCall, action, revision,
+                DiffFiles(folder->mBase ? folder->mBase->mFiles : FileMap(), revision.mFiles));
+  if (auto updated = detail::UpdateWorkFolder(*folder, revision.mFiles, revision); !updated) {
+    // The push itself took effect, so this is a warning.
+    aCall.Err() << "balsamctl: the directory was not updated: "
+                << detail::Printable(Describe(updated.error())) << '\n';
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode RunPull(const CtlCall& aCall)
+{
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  const FileMap known = folder->mBase ? folder->mBase->mFiles : FileMap();
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  if (folder->mFiles != known && folder->mFiles != revision->mFiles &&
+      aCall.mOptions.count("force") == 0) {
+    return Refuse(aCall, PushFailure(PushError::LocalChanges, "use sync, or pull --force"));
+  }
+  if (auto updated = detail::UpdateWorkFolder(*folder, revision->mFiles, *revision); !updated) {
+    return Refuse(aCall, updated.error());
+  }
+  PrintRevision(aCall, "pulled", *revision, DiffFiles(folder->mFiles, revision->mFiles));
+  return ExitCode::Ok;
+}
+
+ExitCode RunSync(const CtlCall& aCall)
+{
+  const auto prefer = aCall.mOptions["prefer"].as<std::string>();
+  if (!prefer.empty() && prefer != "mine" && prefer != "theirs") {
+    aCall.Err() << "balsamctl: --prefer: expected \"mine\" or \"theirs\"\n";
+    return ExitCode::Usage;
+  }
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  if (folder->mBase && revision->mRevision < folder->mBase->mRevision) {
+    return Refuse(
+      aCall, PushFailure(PushError::RolledBack, "revision " + std::to_string(revision->mRevision)));
+  }
+  const FileMap base = folder->mBase ? folder->mBase->mFiles : FileMap();
+  // The merge keeps its third argument's side of a conflict.
+  MergeResult merged = prefer == "mine" ? MergeFiles(base, revision->mFiles, folder->mFiles)
+                                        : MergeFiles(base, folder->mFiles, revision->mFiles);
+  if (!merged.mConflicts.empty() && prefer.empty()) {
+    PushFailure failure(PushError::Conflict, "choose with --prefer");
+    failure.mConflicts = std::move(merged.mConflicts);
+    return Refuse(aCall, failure);
+  }
+  if (auto updated = detail::UpdateWorkFolder(*folder, merged.mFiles, *revision); !updated) {
+    return Refuse(aCall, updated.error());
+  }
+  FolderResult checked = CheckFiles(merged.mFiles);
+  if (!checked.mConfig) {
+    PushFailure failure(PushError::InvalidFiles, "the files were merged and need correction");
+    failure.mDiagnostics = std::move(checked.mDiagnostics);
+    return Refuse(aCall, failure);
+  }
+  PrintRevision(aCall, "synced", *revision, DiffFiles(folder->mFiles, merged.mFiles));
+  return ExitCode::Ok;
+}
+
+ExitCode RunHistory(const CtlCall& aCall)
+{
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  Json list = Json::array();
+  for (const ChangeRecord& record : revision->mHistory) {
+    list.push_back({ { "revision", record.mRevision },
+                     { "change_id", record.mChangeId },
+                     { "author", record.mAuthor },
+                     { "time", TimeText(record.mTime) },
+                     { "file_count", record.mFileCount },
+                     { "files", record.mFiles } });
+    if (aCall.mJson) {
+      continue;
+    }
+    aCall.Out() << record.mRevision << "  " << TimeText(record.mTime) << "  "
+                << detail::Printable(record.mAuthor) << "  " << record.mChangeId << " ";
+    for (const std::string& file : record.mFiles) {
+      aCall.Out() << " " << file;
+    }
+    if (record.mFileCount > record.mFiles.size()) {
+      aCall.Out() << " and " << record.mFileCount - record.mFiles.size() << " more";
+    }
+    aCall.Out() << '\n';
+  }
+  if (aCall.mJson) {
+    aCall.Out() << detail::ToText(list) << '\n';
+  }
+  return ExitCode::Ok;
+}
+
+constexpr CtlCommand kCommands[] = {
+  { "push", "DIR", "Write a directory to the store, merged with newer changes", AddPushOptions,
+    RunPush },
+  { "pull", "DIR", "Replace a directory by the store's files", AddPullOptions, RunPull },
+  { "sync", "DIR", "Merge the store's changes into a directory", AddSyncOptions, RunSync },
+  { "history", "", "Print the last changes of the configuration", AddStoreOptions, RunHistory },
+};
+
+} // namespace
+
+std::span<const CtlCommand> SyncCommands()
+{
+  return kCommands;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/ctl/src/work_folder.cpp
@@ -0,0 +1,95 @@
+#include "work_folder.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace balsammount::detail {
+
+namespace {
+
+namespace fs = std::filesystem;
+
+PushFailure LocalFailure(const fs::path& aPath, const std::string& aWhat)
+{
+  return { PushError::Local, aPath.string() + ": " + aWhat };
+}
+
+// Replaces a file in one step, so that a reader sees the old or the new content.
+PushOutcome<void> WriteFile(const fs::path& aPath, const std::string& aText)
+{
+  const fs::path temporary = aPath.parent_path() / ("." + aPath.filename().string() + ".tmp");
+  std::ofstream stream(temporary, std::ios::binary | std::ios::trunc);
+  stream << aText;
+  stream.close();
+  std::error_code error;
+  if (stream) {
+    fs::rename(temporary, aPath, error);
+  }
+  if (!stream || error) {
+    std::error_code ignored;
+    fs::remove(temporary, ignored);
+    return LocalFailure(aPath, error ? error.message() : "cannot be written");
+  }
+  return {};
+}
+
+} // namespace
+
+PushOutcome<WorkFolder> ReadWorkFolder(const fs::path& aPath)
+{
+  auto files = ReadFolder(aPath);
+  if (!files) {
+    return PushFailure(PushError::Local, Describe(files.error()));
+  }
+  WorkFolder folder{ aPath, std::move(*files), std::nullopt };
+  const fs::path base = aPath / kBaseFileName;
+  std::error_code error;
+  if (!fs::exists(base, error) && !error) {
+    return folder;
+  }
+  std::ifstream stream(base, std::ios::binary);
+  std::ostringstream text;
+  text << stream.rdbuf();
+  auto decoded = DecodeRevision(text.str());
+  if (!stream || !decoded) {
+    return LocalFailure(base, decoded ? "cannot be read" : Describe(decoded.error()));
+  }
+  folder.mBase = std::move(*decoded);
+  return folder;
+}
+
+PushOutcome<void> UpdateWorkFolder(const WorkFolder& aFolder, const FileMap& aFiles,
+                                   const ConfigRevision& aBase)
+{
+  const auto now = ReadFolder(aFolder.mPath);
+  if (!now) {
+    return PushFailure(PushError::Local, Describe(now.error()));
+  }
+  if (*now != aFolder.mFiles) {
+    return PushFailure(PushError::LocalChanges, "files changed during the call; run sync");
+  }
+  for (const auto& [name, text] : aFolder.mFiles) {
+    if (!IsConfigFileName(name)) {
+      // A directory with other files may have been named by mistake; none of them is removed.
+      return LocalFailure(aFolder.mPath / name, "expected only files that end in \".json\"");
+    }
+  }
+  for (const FileChange& change : DiffFiles(aFolder.mFiles, aFiles)) {
+    const fs::path path = aFolder.mPath / change.mFile;
+    if (change.mKind == FileChangeKind::Removed) {
+      std::error_code error;
+      if (!fs::remove(path, error) && error) {
+        return LocalFailure(path, error.message());
+      }
+    } else if (auto written = WriteFile(path, aFiles.at(change.mFile)); !written) {
+      return written;
+    }
+  }
+  const auto bytes = EncodeRevision(aBase);
+  if (!bytes) {
+    return PushFailure(PushError::InvalidStore, Describe(bytes.error()));
+  }
+  return WriteFile(aFolder.mPath / kBaseFileName, *bytes);
+}
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -0,0 +1,200 @@
+#include "balsammount/ctl.h"
+#include "balsammount/etcd_store.h"
+#include "balsammount/store_standin.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/spdlog.h>
+
+#include <CppUTest/TestHarness.h>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <unistd.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+namespace fs = std::filesystem;
+
+namespace {
+
+// The logger is made before the first test, whose leak check would report it, and stays silent.
+const bool kLoggerIsSilent = (spdlog::set_level(spdlog::level::off), true);
+
+const boost::asio::ip::tcp::endpoint kAnyPort(boost::asio::ip::address_v4::loopback(), 0);
+
+// The stand-in of the store and a client of it on one event loop.
+struct StoreOnLoopback
+{
+  StoreOnLoopback()
+  {
+    CHECK(mStandin.Start().has_value());
+    EtcdStoreSettings settings;
+    settings.mEndpoints = { { kAnyPort.address(), mStandin.Port() } };
+    mStore = std::make_unique<EtcdStore>(mContext, settings);
+    mBlocking =
+      std::make_shared<BlockingStore>(*mStore, mClock, [this] { mContext.run_one_for(10ms); });
+  }
+
+  std::function<Result<std::shared_ptr<BlockingStore>>(const std::string&)> Opener()
+  {
+    return [this](const std::string&) { return mBlocking; };
+  }
+
+  boost::asio::io_context mContext{ 1 };
+  SystemClock mClock;
+  StoreStandin mStandin{ mContext, kAnyPort, mClock };
+  std::unique_ptr<EtcdStore> mStore;
+  std::shared_ptr<BlockingStore> mBlocking;
+};
+
+} // namespace
+
+TEST_GROUP(Ctl)
+{
+  fs::path mRoot = fs::temp_directory_path() / ("bm_ctl_test." + std::to_string(getpid()));
+  std::ostringstream mOut;
+  std::ostringstream mErr;
+  CtlEnvironment mEnvironment{ mOut, mErr, [](const std::string&) { return Failure{}; },
+                               [] { return WallTime(1000s); } };
+
+  void setup() override
+  {
+    for (const char* name : { "a", "b", "c" }) {
+      fs::create_directories(mRoot / name);
+    }
+    Write("a/1.json", R"({"services": {"s": {"paths": ["/s"], "slots": 1, "max_connections": 9}},
+      "ranks": {"r": {"target_ms": 1, "worth": 1}}})");
+  }
+  void teardown() override
+  {
+    fs::remove_all(mRoot);
+  }
+
+  void Write(const std::string& aName, const std::string& aText)
+  {
+    std::ofstream(mRoot / aName) << aText;
+  }
+
+  // Runs a command line in which "@a" stands for directory a.
+  ExitCode Run(std::vector<std::string> aArguments)
+  {
+    mOut.str("");
+    mErr.str("");
+    for (std::string& argument : aArguments) {
+      if (argument.starts_with('@')) {
+        argument = (mRoot / argument.substr(1)).string();
+      }
+    }
+    return RunCtl(aArguments, mEnvironment);
+  }
+
+  bool Printed(const std::string& aText)
+  {
+    return mOut.str().find(aText) != std::string::npos;
+  }
+  bool Complained(const std::string& aText)
+  {
+    return mErr.str().find(aText) != std::string::npos;
+  }
+};
+
+// Guards against wrong usage that succeeds, or exits like a refusal.
+TEST(Ctl, Usage)
+{
+  const std::vector<std::vector<std::string>> wrong = {
+    {},
+    { "config" },
+    { "config", "check" },
+    { "config", "check", "@a", "@b" },
+    { "config", "check", "@a", "--jsn" },
+    { "frobnicate" },
+    { "sync", "@a", "--prefer", "x" },
+  };
+  for (const auto& arguments : wrong) {
+    CHECK(Run(arguments) == ExitCode::Usage);
+    CHECK(!mErr.str().empty() && mOut.str().empty());
+  }
+  CHECK(Run({ "--help" }) == ExitCode::Ok);
+  CHECK(Printed("config diff DIR1 DIR2") && Printed("history"));
+  CHECK(Run({ "--version" }) == ExitCode::Ok);
+  CHECK(Run({ "push", "--help" }) == ExitCode::Ok);
+  CHECK(Printed("--restore"));
+  mEnvironment.mOpenStore = OpenStore;
+  CHECK(Run({ "history", "--store", "localhost" }) == ExitCode::Usage);
+}
+
+// Guards against a check that passes a faulty directory, and against lost positions.
+TEST(Ctl, CheckShowAndDiff)
+{
+  CHECK(Run({ "config", "check", "@a" }) == ExitCode::Ok);
+  CHECK(Printed("valid: 1 services, 1 ranks, 0 rules"));
+  Write("b/1.json", R"({"services": {"s": {"paths": ["/s"], "slots": 0}}})");
+  CHECK(Run({ "config", "check", "@b" }) == ExitCode::Refused);
+  CHECK(Complained("1.json:1:47: services.s.slots: expected an integer from 1"));
+  CHECK(Run({ "--json", "config", "check", "@b" }) == ExitCode::Refused);
+  const auto json = nlohmann::json::parse(mOut.str());
+  CHECK_EQUAL(3, json["error"]["diagnostics"].size());
+  CHECK(Run({ "config", "show", "--origin", "@a" }) == ExitCode::Ok);
+  CHECK(Printed("services.s.slots = 1  (1.json:1:47)"));
+  CHECK(Printed("retries.s.attempts = 3  (default)"));
+  fs::copy_file(mRoot / "a/1.json", mRoot / "c/1.json");
+  Write("c/2.json", R"({"retries": {"s": {"attempts": 4}}})");
+  CHECK(Run({ "config", "diff", "@a", "@c" }) == ExitCode::Ok);
+  STRCMP_EQUAL("2.json: added\nretries.s.attempts: 3 -> 4\n", mOut.str().c_str());
+  CHECK(Run({ "config", "check", "@none" }) == ExitCode::Refused);
+}
+
+// Guards against two operators' directories that diverge, over the store's real protocol.
+TEST(Ctl, TwoOperatorsOverTheStore)
+{
+  StoreOnLoopback store;
+  mEnvironment.mOpenStore = store.Opener();
+
+  CHECK(Run({ "pull", "@b" }) == ExitCode::Refused);
+  CHECK(Complained("the store has no configuration"));
+  CHECK(Run({ "push", "@a", "--author", "ann" }) == ExitCode::Ok);
+  CHECK(Run({ "pull", "@b" }) == ExitCode::Ok);
+  // Different files: both changes survive, and each directory gets the other's.
+  Write("a/2.json", R"({"retries": {"s": {"attempts": 4}}})");
+  Write("b/3.json", R"({"limits": {"s": {"max_queue": 4}}})");
+  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
+  store.mStandin.SetFaults({ .mLoseAnswers = true });
+  CHECK(Run({ "push", "@b", "--author", "bob" }) == ExitCode::Ok);
+  CHECK(Printed("pushed and merged: revision 3"));
+  store.mStandin.SetFaults({});
+  CHECK(fs::exists(mRoot / "b/2.json"));
+  CHECK(Run({ "sync", "@a" }) == ExitCode::Ok);
+  CHECK(fs::exists(mRoot / "a/3.json"));
+  // The same file: the conflict is named and then resolved.
+  Write("a/2.json", R"({"retries": {"s": {"attempts": 5}}})");
+  Write("b/2.json", R"({"retries": {"s": {"attempts": 6}}})");
+  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "push", "@b" }) == ExitCode::Refused);
+  CHECK(Complained("2.json: changed here, changed in the store"));
+  CHECK(Run({ "pull", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "sync", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "sync", "@b", "--prefer", "mine" }) == ExitCode::Ok);
+  CHECK(Run({ "push", "@b" }) == ExitCode::Ok);
+  CHECK(Run({ "pull", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "diff", "@a", "@b" }) == ExitCode::Ok);
+  STRCMP_EQUAL("", mOut.str().c_str());
+  CHECK(Run({ "history", "--json" }) == ExitCode::Ok);
+  const auto history = nlohmann::json::parse(mOut.str());
+  CHECK_EQUAL(5, history.size());
+  CHECK(history[2]["author"] == "bob" && history[2]["files"] == nlohmann::json({ "3.json" }));
+  CHECK(history[0]["time"] == "1970-01-01T00:16:40Z");
+}
+
+// Guards against removing files of a directory that was named by mistake.
+TEST(Ctl, PullKeepsForeignFiles)
+{
+  StoreOnLoopback store;
+  mEnvironment.mOpenStore = store.Opener();
+  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
+  Write("b/notes.txt", "x");
+  CHECK(Run({ "pull", "--force", "@b" }) == ExitCode::Refused);
+  CHECK(fs::exists(mRoot / "b/notes.txt"));
+  CHECK_FALSE(fs::exists(mRoot / "b/1.json"));
+}
