--- /dev/null
+++ b/packages/ownership/tests/ownership_simulation.cpp
@@ -0,0 +1,659 @@
+#include "ownership_simulation.h"
+
+#include <algorithm>
+#include <queue>
+
+namespace balsammount::simulation {
+
+namespace {
+
+using namespace std::chrono_literals;
+using Time = int64_t; // true time, ns
+
+constexpr Time kMs = 1'000'000;
+constexpr Time kSecond = 1000 * kMs;
+constexpr size_t kMaxNodes = 36;
+constexpr Time kFaultsEnd = 45 * kSecond;
+constexpr Time kEnd = 70 * kSecond;
+constexpr auto kRetention = 20s;
+constexpr Time kStoreTimeout = 1 * kSecond;
+
+// Within 2.5 s, so that two clocks differ by 5 s at most. The extremes are the interesting values.
+Time Skew(Random& aRandom)
+{
+  const auto skew = static_cast<Time>(aRandom.Below(10'001)) * kMs - 5000 * kMs;
+  return std::clamp(skew, -2499 * kMs, 2499 * kMs);
+}
+
+// Rate within 5%.
+class NodeClock final : public Clock
+{
+public:
+  NodeClock(const Time& aTrue, Random& aRandom)
+    : mTrue(aTrue)
+    , mRate(0.95 + 0.1 * aRandom.Uniform())
+    , mSkew(Skew(aRandom))
+  {
+  }
+  SteadyTime Now() const override
+  {
+    return SteadyTime(Duration(static_cast<Time>(mRate * static_cast<double>(mTrue)))) + 1h;
+  }
+  WallTime WallNow() const override { return WallTime(Duration(mTrue + mSkew)) + 1000h; }
+  Time TrueTime(SteadyTime aLocal) const
+  {
+    return static_cast<Time>(static_cast<double>((aLocal - SteadyTime(1h)).count()) / mRate) + 1;
+  }
+
+private:
+  const Time& mTrue;
+  double mRate;
+  Time mSkew;
+};
+
+struct Key
+{
+  KeyRequest mRequest;
+  ShardId mShard = 0;
+  std::vector<Time> mExecutions;
+};
+
+struct Node
+{
+  OwnershipMember mMember;
+  std::unique_ptr<NodeClock> mClock;
+  std::unique_ptr<Random> mRandom;
+  std::unique_ptr<KeyMemory> mMemory;
+  std::unique_ptr<OwnershipCore> mCore;
+  bool mFrozen = false;
+  bool mDraining = false;
+  bool mLost = false;                          // does not start again
+  std::vector<std::function<void()>> mBacklog; // arrived while frozen
+  std::vector<OwnershipMember> mView;
+  Time mWake = INT64_MAX;
+  uint64_t mWakeId = 0;
+};
+
+class World
+{
+public:
+  explicit World(const Options& aOptions)
+    : mOptions(aOptions)
+    , mRandom(aOptions.mSeed * 2 + 1)
+    , mNodes(aOptions.mNodes)
+    , mOutcome()
+  {
+    for (auto& row : mBlocked) {
+      row.fill(false);
+    }
+    mSuspects = mBlocked;
+    mStoreBlocked.fill(false);
+    for (size_t i = 0; i < mNodes.size(); ++i) {
+      Node& node = mNodes[i];
+      node.mMember.mIdentity.mNode = "n" + std::to_string(i);
+      node.mMember.mDataCentre = i % 2 == 0 ? "east" : "west";
+      node.mMember.mServes = true;
+      node.mMember.mReader = i < mOptions.mReaders;
+      node.mClock = std::make_unique<NodeClock>(mNow, mRandom);
+      Start(i);
+      At(static_cast<Time>(mRandom.Below(500)) * kMs, [this, i] { UpdateView(i); });
+    }
+    PlanRequests();
+    if (mOptions.mFaults) {
+      PlanFaults();
+    }
+    At(kFaultsEnd, [this] { Heal(); });
+  }
+
+  Outcome Run()
+  {
+    while (!mEvents.empty() && mEvents.top().mAt <= kEnd && mOutcome.mDoubleExecution.empty()) {
+      auto& top = const_cast<Event&>(mEvents.top());
+      mNow = top.mAt;
+      auto action = std::move(top.mAction);
+      mEvents.pop();
+      action();
+    }
+    for (const Node& node : mNodes) {
+      if (node.mCore) {
+        mOutcome.mTakeovers += node.mCore->Stats().mTakeovers;
+        mOutcome.mHandovers += node.mCore->Stats().mHandovers;
+      }
+    }
+    return mOutcome;
+  }
+
+private:
+  struct Event
+  {
+    Time mAt;
+    uint64_t mOrder;
+    std::function<void()> mAction;
+    bool operator<(const Event& aOther) const
+    {
+      return std::pair(mAt, mOrder) > std::pair(aOther.mAt, aOther.mOrder);
+    }
+  };
+
+  void At(Time aAt, std::function<void()> aAction)
+  {
+    mEvents.push({ std::max(aAt, mNow), mOrder++, std::move(aAction) });
+  }
+  Time Millis(uint64_t aFrom, uint64_t aTo)
+  {
+    return static_cast<Time>(aFrom + mRandom.Below(aTo - aFrom + 1)) * kMs;
+  }
+  bool Chance(double aProbability) { return mRandom.Uniform() < aProbability; }
+  static size_t Index(const std::string& aNode) { return std::stoul(aNode.substr(1)); }
+  bool Counting() const { return mNow >= 10 * kSecond && mNow < 20 * kSecond; }
+  size_t AnyNode() { return mRandom.Below(mNodes.size()); }
+
+  void Start(size_t aNode)
+  {
+    Node& node = mNodes[aNode];
+    ++node.mMember.mIdentity.mIncarnation;
+    node.mMember.mLeaving = false;
+    node.mDraining = false;
+    KeyMemoryPolicy memory;
+    memory.mRetention = kRetention;
+    memory.mUnknownAfterTakeover = mOptions.mUnknownAfterTakeover;
+    memory.mShardCount = mOptions.mShards;
+    OwnershipPolicy policy;
+    policy.mChecks = mOptions.mChecks;
+    policy.mVoters = mOptions.mVoters;
+    policy.mEvidenceLife = mOptions.mEvidenceLife;
+    policy.mMinorityDelay = 5s;
+    policy.mRebalanceDelay = 2s;
+    policy.mDrainPatience = 2s;
+    node.mRandom = std::make_unique<Random>(mRandom.Next());
+    node.mMemory = std::make_unique<KeyMemory>(*node.mClock, "orders", memory);
+    node.mCore = std::make_unique<OwnershipCore>(*node.mClock, *node.mRandom, *node.mMemory,
+                                                 node.mMember.mIdentity, policy);
+    node.mView = { node.mMember };
+    node.mWake = INT64_MAX;
+    Perform(aNode);
+  }
+
+  void Kill(size_t aNode)
+  {
+    mNodes[aNode].mCore.reset();
+    mNodes[aNode].mMemory.reset();
+    mNodes[aNode].mBacklog.clear();
+    mNodes[aNode].mFrozen = false;
+  }
+
+  void Thaw(size_t aNode)
+  {
+    mNodes[aNode].mFrozen = false;
+    for (auto& action : std::exchange(mNodes[aNode].mBacklog, {})) {
+      action();
+      Perform(aNode);
+    }
+  }
+
+  // Runs aAction in the process that is running now; later if it is frozen, never if it ended.
+  std::function<void()> InProcess(size_t aNode, std::function<void()> aAction)
+  {
+    const uint64_t incarnation = mNodes[aNode].mMember.mIdentity.mIncarnation;
+    return [this, aNode, incarnation, action = std::move(aAction)] {
+      Node& node = mNodes[aNode];
+      if (!node.mCore || node.mMember.mIdentity.mIncarnation != incarnation) {
+        return;
+      }
+      if (node.mFrozen) {
+        node.mBacklog.push_back(action);
+        return;
+      }
+      action();
+      Perform(aNode);
+    };
+  }
+
+  void Perform(size_t aNode)
+  {
+    Node& node = mNodes[aNode];
+    for (OwnershipAction& action : node.mCore->TakeActions()) {
+      if (auto* send = std::get_if<SendMessage>(&action)) {
+        Transmit(aNode, std::move(*send));
+      } else if (auto* read = std::get_if<ReadTable>(&action)) {
+        Read(aNode, read->mId);
+      } else if (auto* propose = std::get_if<ProposeTable>(&action)) {
+        Propose(aNode, *propose);
+      }
+    }
+    const Time wake = node.mClock->TrueTime(node.mCore->NextWake());
+    if (wake < node.mWake) {
+      node.mWake = wake;
+      At(wake, InProcess(aNode, [this, aNode, id = ++node.mWakeId] {
+           // An event that an earlier one replaced is ignored.
+           if (mNodes[aNode].mWakeId == id) {
+             mNodes[aNode].mWake = INT64_MAX;
+             mNodes[aNode].mCore->Tick();
+           }
+         }));
+    }
+  }
+
+  // Network.
+
+  Time Delay() { return Chance(mSlowness) ? Millis(10, 6000) : Millis(1, 8); }
+
+  void Transmit(size_t aFrom, SendMessage aSend)
+  {
+    const size_t to = Index(aSend.mNode);
+    OwnershipMessage message = std::move(aSend.mMessage);
+    if (mOptions.mEncode) {
+      const std::string bytes = EncodeMessage(message).value();
+      mOutcome.mMessages += Counting() ? 1 : 0;
+      mOutcome.mMessageBytes += Counting() ? bytes.size() : 0;
+      message = DecodeMessage(bytes).value();
+    }
+    const int copies = Chance(0.01 + mSlowness / 2) ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      if (!mBlocked[aFrom][to] && !Chance(mLoss)) {
+        At(mNow + Delay(), [this, to, message] {
+          if (mNodes[to].mCore) {
+            InProcess(to, [this, to, message] { mNodes[to].mCore->OnMessage(message); })();
+          }
+        });
+      }
+    }
+  }
+
+  // Store. A call takes effect after one delay and is answered after another; the client gives up
+  // after its timeout whether or not the call took effect.
+
+  Time StoreDelay() { return Chance(mStoreSlowness) ? Millis(10, 3000) : Millis(1, 6); }
+  bool StoreLost(size_t aNode) { return mStoreDown || mStoreBlocked[aNode]; }
+
+  void Read(size_t aNode, uint64_t aId)
+  {
+    mOutcome.mStoreReads += Counting() ? 1 : 0;
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, aNode, aId, answered](const Result<StoredTable>& aResult) {
+      return InProcess(aNode, [this, aNode, aId, answered, aResult] {
+        if (!std::exchange(*answered, true)) {
+          mNodes[aNode].mCore->OnTableRead(aId, aResult);
+        }
+      });
+    };
+    At(mNow + kStoreTimeout, answer(Failure{ std::make_error_code(std::errc::timed_out), {} }));
+    if (!StoreLost(aNode)) {
+      At(mNow + StoreDelay(), [this, aNode, answer] {
+        if (!StoreLost(aNode)) {
+          At(mNow + StoreDelay(), answer(StoredTable{ mStored, mRevision }));
+        }
+      });
+    }
+  }
+
+  void Propose(size_t aNode, const ProposeTable& aPropose)
+  {
+    mOutcome.mStoreWrites += Counting() ? 1 : 0;
+    const auto answered = std::make_shared<bool>(false);
+    const auto answer = [this, aNode, id = aPropose.mId, answered](ProposalOutcome aOutcome) {
+      return InProcess(aNode, [this, aNode, id, answered, aOutcome] {
+        if (!std::exchange(*answered, true)) {
+          mNodes[aNode].mCore->OnProposalResult(id, aOutcome);
+        }
+      });
+    };
+    At(mNow + kStoreTimeout, answer(ProposalOutcome::Unknown));
+    if (StoreLost(aNode)) {
+      return;
+    }
+    At(mNow + StoreDelay(), [this, aNode, aPropose, answer] {
+      if (mStoreDown) {
+        return;
+      }
+      const bool applied = aPropose.mExpectedModRevision == mRevision;
+      if (applied) {
+        // Through its text, as in the store.
+        mStored = std::make_shared<const OwnershipTable>(
+          DecodeTable(EncodeTable(*aPropose.mTable).value()).value());
+        ++mRevision;
+      }
+      if (!StoreLost(aNode) && !Chance(mAnswerLoss)) {
+        At(mNow + StoreDelay(),
+           answer(applied ? ProposalOutcome::Applied : ProposalOutcome::Conflict));
+      }
+    });
+  }
+
+  // Membership: each node has its own late and sometimes wrong view.
+
+  void UpdateView(size_t aNode)
+  {
+    Node& node = mNodes[aNode];
+    if (node.mCore && !node.mFrozen) {
+      std::vector<OwnershipMember> view;
+      for (size_t i = 0; i < mNodes.size(); ++i) {
+        const auto& identity = mNodes[i].mMember.mIdentity;
+        const auto old = std::ranges::find_if(node.mView, [&](const OwnershipMember& aMember) {
+          return aMember.mIdentity.mNode == identity.mNode;
+        });
+        const bool visible =
+          mNodes[i].mCore && !mNodes[i].mFrozen && !mBlocked[i][aNode] && !mSuspects[aNode][i];
+        if (i != aNode && mNow < kFaultsEnd && Chance(0.15)) {
+          if (old != node.mView.end()) {
+            view.push_back(*old);
+          }
+        } else if (i == aNode || visible) {
+          view.push_back(mNodes[i].mMember);
+        }
+      }
+      node.mView = view;
+      InProcess(aNode, [this, aNode, view] { mNodes[aNode].mCore->SetMembers(view); })();
+    }
+    At(mNow + Millis(100, 1200), [this, aNode] { UpdateView(aNode); });
+  }
+
+  // Callers.
+
+  void PlanRequests()
+  {
+    for (int i = 0; i < mOptions.mKeys; ++i) {
+      auto key = std::make_shared<Key>();
+      const Time first = Millis(500, 50'000);
+      std::string name = "key" + std::to_string(i);
+      if (Chance(0.6)) {
+        const auto made = static_cast<uint64_t>((first + Skew(mRandom)) / kMs + 3'600'000'000LL);
+        std::array<char, 40> text{};
+        std::snprintf(text.data(), text.size(), "%08x-%04x-7000-8000-%012x",
+                      static_cast<unsigned>(made >> 16U), static_cast<unsigned>(made & 0xFFFFU),
+                      static_cast<unsigned>(i));
+        name = text.data();
+      }
+      key->mRequest = { "caller", name, 1 };
+      key->mShard = ShardOf("orders", "caller", name, mOptions.mShards);
+      Time at = first;
+      // Resends come in quick succession or late, to any node.
+      for (int j = 0; j < 9 && at < kEnd; ++j) {
+        At(at, [this, key] { Arrive(AnyNode(), key, 0); });
+        at += Chance(0.6) ? Millis(0, 900) : Millis(0, 9000);
+      }
+    }
+  }
+
+  void Arrive(size_t aNode, const std::shared_ptr<Key>& aKey, int aHops)
+  {
+    if (mNodes[aNode].mCore) {
+      InProcess(aNode, [this, aNode, aKey, aHops] { Handle(aNode, aKey, aHops); })();
+    }
+  }
+
+  void Handle(size_t aNode, const std::shared_ptr<Key>& aKey, int aHops)
+  {
+    Node& node = mNodes[aNode];
+    if (node.mDraining) {
+      return;
+    }
+    if (node.mCore->RightToDispatch(aKey->mShard) == DispatchRight::NotOwner) {
+      const auto owner = node.mCore->Owner(aKey->mShard);
+      if (owner && aHops < 2) {
+        const size_t to = Index(owner->mNode);
+        if (!mBlocked[aNode][to]) {
+          At(mNow + Delay(), [this, to, aKey, aHops] { Arrive(to, aKey, aHops + 1); });
+        }
+      }
+      return;
+    }
+    switch (node.mMemory->Begin(aKey->mRequest, 0).value().mDecision) {
+      case BeginDecision::Execute:
+        // The queue in front of the backend server.
+        At(mNow + Millis(0, Chance(0.1) ? 500 : 20),
+           InProcess(aNode, [this, aNode, aKey] { Execute(aNode, aKey); }));
+        break;
+      case BeginDecision::Replay:
+        ++mOutcome.mReplays;
+        break;
+      case BeginDecision::Unknown:
+        ++mOutcome.mUnknowns;
+        break;
+      default:
+        break;
+    }
+  }
+
+  void Execute(size_t aNode, const std::shared_ptr<Key>& aKey)
+  {
+    Node& node = mNodes[aNode];
+    if (node.mCore->ClaimDispatch(aKey->mRequest) != DispatchRight::Granted) {
+      node.mMemory->Abandon(aKey->mRequest).value();
+      return;
+    }
+    ++mOutcome.mExecutions;
+    const Time retention = std::chrono::duration_cast<Duration>(kRetention).count();
+    if (!aKey->mExecutions.empty() && mNow - aKey->mExecutions.back() < retention) {
+      mOutcome.mDoubleExecution =
+        "seed " + std::to_string(mOptions.mSeed) + ": " + aKey->mRequest.mKey + " ran at " +
+        std::to_string(aKey->mExecutions.back() / kMs) + " ms and on " +
+        node.mMember.mIdentity.mNode + " at " + std::to_string(mNow / kMs) + " ms";
+    }
+    aKey->mExecutions.push_back(mNow);
+    const bool lost = !mOptions.mRollingRestart && Chance(0.1);
+    const uint64_t longest = mOptions.mRollingRestart ? 1000 : 4000; // below, above mDrainPatience
+    At(mNow + Millis(5, Chance(0.1) ? longest : 200), InProcess(aNode, [this, aNode, aKey, lost] {
+         KeyMemory& memory = *mNodes[aNode].mMemory;
+         if (lost) {
+           memory.MarkUnknown(aKey->mRequest).value();
+         } else {
+           memory.Complete(aKey->mRequest, { 200, {}, "done" }).value();
+         }
+       }));
+  }
+
+  // Faults.
+
+  void PlanFaults()
+  {
+    if (mOptions.mSlowStore) {
+      mStoreSlowness = 0.4;
+    }
+    if (mOptions.mRollingRestart) {
+      for (size_t i = 0; i < mNodes.size(); ++i) {
+        const Time at = (3 + 7 * static_cast<Time>(i)) * kSecond;
+        PlanDrain(at, at + 5 * kSecond, i);
+      }
+      return;
+    }
+    if (mOptions.mLoseVoters) {
+      At(kFaultsEnd - kSecond, [this] {
+        for (size_t i = 0; i < 2; ++i) {
+          const size_t voter = Index(mStored->mVoters[i].mNode);
+          Kill(voter);
+          mNodes[voter].mLost = true;
+        }
+      });
+      return;
+    }
+    if (mOptions.mCrash) {
+      At(kFaultsEnd - 1, [this] {
+        const size_t owner = Index(mStored->mShards[0].mOwner.mNode);
+        Kill(owner);
+        mNodes[owner].mLost = true;
+      });
+      return;
+    }
+    mSlowness = Chance(0.5) ? 0.05 : 0;
+    mLoss = Chance(0.5) ? 0.05 : 0;
+    mStoreSlowness = Chance(0.4) ? 0.2 : 0;
+    mAnswerLoss = Chance(0.4) ? 0.3 : 0;
+    const uint64_t faults = 3 + mRandom.Below(8);
+    for (uint64_t i = 0; i < faults; ++i) {
+      const Time at = Millis(2500, 40'000);
+      Fault(at);
+      if (Chance(0.4)) {
+        Fault(at + Millis(0, 3000)); // two at once
+      }
+    }
+  }
+
+  void Fault(Time aAt)
+  {
+    const Time end = std::min(aAt + Millis(100, Chance(0.5) ? 4000 : 20'000), kFaultsEnd);
+    const size_t node = AnyNode();
+    const size_t other = AnyNode();
+    const uint64_t kind = mRandom.Below(11);
+    const auto toggle = [&](auto aSet) {
+      At(aAt, [aSet] { aSet(true); });
+      At(end, [aSet] { aSet(false); });
+    };
+    switch (kind) {
+      case 0:
+      case 1:
+        At(aAt, [this, node] { Kill(node); });
+        At(end, [this, node] { Restart(node); });
+        break;
+      case 2:
+        At(aAt, [this, node] { mNodes[node].mFrozen = mNodes[node].mCore != nullptr; });
+        At(end, [this, node] { Thaw(node); });
+        break;
+      case 3:
+        PlanDrain(aAt, end, node);
+        break;
+      case 4: { // two sides, one of which may be without the store
+        const uint64_t side = mRandom.Next();
+        const bool oneWay = Chance(0.3);
+        const bool noStore = Chance(0.6);
+        toggle([this, side, oneWay, noStore](bool aOn) { Divide(side, aOn, oneWay, noStore); });
+        break;
+      }
+      case 5: // one node reaches only one other, and not the store
+        toggle([this, node, other](bool aOn) {
+          for (size_t i = 0; i < mNodes.size(); ++i) {
+            mBlocked[i][node] = mBlocked[node][i] = aOn && i != other;
+          }
+          mStoreBlocked[node] = aOn;
+          mStoreBlocked[other] = aOn;
+        });
+        break;
+      case 6:
+        toggle([this](bool aOn) { mStoreDown = aOn; });
+        break;
+      case 7:
+        toggle([this, node](bool aOn) { mStoreBlocked[node] = aOn; });
+        break;
+      case 8: // suspected by some for no reason
+        toggle([this, node, by = mRandom.Next()](bool aOn) {
+          for (size_t i = 0; i < mNodes.size(); ++i) {
+            mSuspects[i][node] = aOn && (by >> i & 1U) != 0;
+          }
+        });
+        break;
+      case 9: { // a node is cut off, then another restarts on its side
+        const uint64_t side = uint64_t{ 1 } << node;
+        At(aAt, [this, side] { Divide(side, true, false, true); });
+        At(std::min(aAt + Millis(3000, 9000), kFaultsEnd - 1), [this, side, other] {
+          Kill(other);
+          Divide(side | uint64_t{ 1 } << other, true, false, true);
+          At(mNow + Millis(10, 1000), [this, other] { Restart(other); });
+        });
+        At(std::min(aAt + Millis(10'000, 25'000), kFaultsEnd),
+           [this] { Divide(0, false, false, true); });
+        break;
+      }
+      default: // frozen and suspected, thawed about when another node takes over
+        At(aAt, [this, node] { mNodes[node].mFrozen = mNodes[node].mCore != nullptr; });
+        At(std::min(aAt + Millis(2000, 7000), kFaultsEnd), [this, node] { Thaw(node); });
+        break;
+    }
+  }
+
+  // Bit i of aSide: node i is on the first side.
+  void Divide(uint64_t aSide, bool aOn, bool aOneWay, bool aNoStore)
+  {
+    for (size_t i = 0; i < mNodes.size(); ++i) {
+      const bool from = (aSide >> i & 1U) != 0;
+      mStoreBlocked[i] = aOn && aNoStore && from;
+      for (size_t j = 0; j < mNodes.size(); ++j) {
+        const bool to = (aSide >> j & 1U) != 0;
+        mBlocked[i][j] = aOn && from != to && (!aOneWay || from);
+      }
+    }
+  }
+
+  void PlanDrain(Time aAt, Time aEnd, size_t aNode)
+  {
+    At(aAt, [this, aNode] {
+      Node& node = mNodes[aNode];
+      if (node.mCore) {
+        node.mMember.mLeaving = true;
+        node.mDraining = true;
+        InProcess(aNode, [this, aNode] { mNodes[aNode].mCore->Drain(); })();
+      }
+    });
+    At(std::min(std::max(aEnd, aAt + 4 * kSecond), kFaultsEnd - 1), [this, aNode] {
+      if (mNodes[aNode].mDraining) { // ends even when the handover did not
+        Kill(aNode);
+        Restart(aNode);
+      }
+    });
+  }
+
+  void Restart(size_t aNode)
+  {
+    if (!mNodes[aNode].mCore && !mNodes[aNode].mLost) {
+      Start(aNode);
+    }
+  }
+
+  void Heal()
+  {
+    for (auto& row : mBlocked) {
+      row.fill(false);
+    }
+    mSuspects = mBlocked;
+    mStoreBlocked.fill(false);
+    mStoreDown = false;
+    mSlowness = mLoss = mStoreSlowness = mAnswerLoss = 0;
+    for (size_t i = 0; i < mNodes.size(); ++i) {
+      Restart(i);
+      Thaw(i);
+    }
+    Observe();
+  }
+
+  void Observe()
+  {
+    std::vector<bool> served(mOptions.mShards);
+    for (const Node& node : mNodes) {
+      for (ShardId id = 0; node.mCore && id < mOptions.mShards; ++id) {
+        served[id] = served[id] || node.mCore->RightToDispatch(id) == DispatchRight::Granted;
+      }
+    }
+    if (std::ranges::all_of(served, std::identity())) {
+      mOutcome.mServed = true;
+      mOutcome.mServedAfter = static_cast<double>(mNow - kFaultsEnd) / kSecond;
+    } else {
+      At(mNow + 100 * kMs, [this] { Observe(); });
+    }
+  }
+
+  Options mOptions;
+  Random mRandom;
+  Time mNow = 0;
+  uint64_t mOrder = 0;
+  std::priority_queue<Event> mEvents;
+  std::vector<Node> mNodes;
+  std::array<std::array<bool, kMaxNodes>, kMaxNodes> mBlocked;
+  std::array<std::array<bool, kMaxNodes>, kMaxNodes> mSuspects;
+  std::array<bool, kMaxNodes> mStoreBlocked;
+  double mSlowness = 0;
+  double mLoss = 0;
+  double mStoreSlowness = 0;
+  double mAnswerLoss = 0;
+  bool mStoreDown = false;
+  TablePtr mStored;
+  int64_t mRevision = 0;
+  Outcome mOutcome;
+};
+
+} // namespace
+
+Outcome Simulate(const Options& aOptions)
+{
+  return World(aOptions).Run();
+}
+
+} // namespace balsammount::simulation
