--- a/packages/node/src/log.cpp
+++ b/packages/log/src/log.cpp
@@ -1,4 +1,4 @@
-#include "log.h"
+#include "balsammount/log.h"
 
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/stdout_sinks.h>
--- a/packages/node/src/admin.cpp
+++ b/packages/node/src/admin.cpp
@@ -1,10 +1,11 @@
 #include "admin.h"
 
-#include "log.h"
+#include "balsammount/log.h"
 
 #include <nlohmann/json.hpp>
 
 #include <array>
+#include <charconv>
 
 namespace balsammount {
 
@@ -54,6 +55,8 @@
     Route{ "GET", "/metrics", [this] { return MetricsText(); } },
     Route{ "POST", "/drain", [this] { return Drain(); } },
     Route{ "PUT", "/log-level", [&] { return LogLevel(request); } },
+    Route{ "GET", "/quarantine", [this] { return Quarantined(); } },
+    Route{ "DELETE", "/quarantine", [&] { return Release(request); } },
   };
   bool known = false;
   for (const Route& route : routes) {
@@ -98,6 +101,13 @@
                             { "source", config.Source() },
                             { "age_ms", Milliseconds(mParts.mConfig.Age()) },
                             { "last_refusal", mParts.mConfig.LastRefusal() } } },
+                        { "ownership",
+                          { { "keys", mParts.mOwner.Memory().Records() },
+                            { "bytes", mParts.mOwner.Memory().Bytes() },
+                            { "shards", mParts.mOwner.OwnedShards() },
+                            { "takeovers", mParts.mOwner.Core().Stats().mTakeovers },
+                            { "handovers", mParts.mOwner.Core().Stats().mHandovers } } },
+                        { "members", mParts.mMembers.Core().Count() },
                         { "admission",
                           { { "in_flight", stats.mInFlight },
                             { "queued", stats.mQueued },
@@ -127,12 +137,17 @@
 HttpResponse Admin::Members() const
 {
   Json members = Json::array();
-  for (const auto& [id, record] : mParts.mUpstreams.Records()) {
-    members.push_back({ { "node", id },
+  for (const MemberRecord& record : mParts.mMembers.Core().Members()) {
+    members.push_back({ { "node", record.mId },
                         { "service", record.mService },
                         { "data_centre", record.mDataCentre },
-                        { "incarnation", record.mIncarnation },
-                        { "leaving", record.mLeaving } });
+                        { "address", record.mPeer.mAddress },
+                        { "port", record.mPeer.mPort },
+                        { "state", ToString(record.mState) },
+                        { "available", record.mAvailable },
+                        { "leaving", record.mLeaving },
+                        { "config_revision", record.mRevision },
+                        { "started_ms", record.mStartMs } });
   }
   return JsonResponse(members);
 }
@@ -165,6 +180,32 @@
   return response;
 }
 
+HttpResponse Admin::Quarantined() const
+{
+  constexpr std::array kStates = { "cleared", "suspect", "held", "quarantined", "released" };
+  Json suspects = Json::array();
+  for (const SuspectView& view : mParts.mQuarantine.List()) {
+    suspects.push_back(
+      { { "fingerprint", std::to_string(static_cast<uint64_t>(view.mRecord.mFingerprint)) },
+        { "state", kStates[static_cast<size_t>(view.mState)] },
+        { "deaths", view.mRecord.mDeaths.size() },
+        { "until_ms", view.mUntil } });
+  }
+  return JsonResponse(suspects);
+}
+
+HttpResponse Admin::Release(const HttpRequest& aRequest) const
+{
+  uint64_t fingerprint = 0;
+  const std::string& text = aRequest.mBody;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), fingerprint);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    return ErrorResponse(400, "a fingerprint, as GET /quarantine lists them, is expected");
+  }
+  mParts.mQuarantine.Release(fingerprint);
+  return JsonResponse({ { "released", text } });
+}
+
 HttpResponse Admin::LogLevel(const HttpRequest& aRequest) const
 {
   if (!SetLogLevel(aRequest.mBody)) {
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -4,7 +4,10 @@
 #include "config_service.h"
 #include "executor.h"
 #include "gateway.h"
+#include "member_service.h"
 #include "metrics.h"
+#include "owner_service.h"
+#include "quarantine_service.h"
 #include "upstreams.h"
 
 #include <functional>
@@ -20,6 +23,9 @@
   const Upstreams& mUpstreams;
   const Gateway& mGateway;
   const Metrics& mMetrics;
+  const MemberService& mMembers;
+  const OwnerService& mOwner;
+  QuarantineService& mQuarantine;
   std::function<void()> mDrain;
 };
 
@@ -31,7 +37,8 @@
   {
   }
 
-  // GET /state, /services, /members, /config, /metrics; POST /drain; PUT /log-level.
+  // GET /state, /services, /members, /config, /quarantine, /metrics; POST /drain;
+  // PUT /log-level with the level; DELETE /quarantine with a fingerprint.
   void Handle(const std::shared_ptr<Exchange>& aExchange);
 
 private:
@@ -42,6 +49,8 @@
   HttpResponse MetricsText() const;
   HttpResponse Drain() const;
   HttpResponse LogLevel(const HttpRequest& aRequest) const;
+  HttpResponse Quarantined() const;
+  HttpResponse Release(const HttpRequest& aRequest) const;
 
   AdminParts mParts;
 };
--- a/packages/node/src/config_service.cpp
+++ b/packages/node/src/config_service.cpp
@@ -1,6 +1,6 @@
 #include "config_service.h"
 
-#include "log.h"
+#include "balsammount/log.h"
 #include "store_keys.h"
 
 namespace balsammount {
@@ -11,6 +11,8 @@
 
 // Pause before a failed read of the store is repeated.
 constexpr auto kReadRetry = 500ms;
+// A node that does not watch the store reads it this often, in case that gossip fails it.
+constexpr auto kReadUnwatched = 60s;
 
 std::string DescribeRefusal(const OfferResult& aResult)
 {
@@ -98,12 +100,16 @@
   }
   if (!aResult) {
     Log("config").warn("cannot read the store: {}", Describe(aResult.error()));
-    ReadLater();
+    ReadLater(kReadRetry);
     return;
   }
   if (aResult->mEntry) {
     Offer(aResult->mEntry->mValue, "store");
   }
+  if (!mWatching) {
+    ReadLater(kReadUnwatched);
+    return;
+  }
   mWatch = mStore.Watch(kConfigKey, aResult->mRevision + 1, [this](const WatchEvent& aEvent) {
     if (aEvent.mValue) {
       Offer(*aEvent.mValue, "store");
@@ -111,9 +117,21 @@
   });
 }
 
-void ConfigService::ReadLater()
+void ConfigService::SetWatching(bool aWatching)
+{
+  if (aWatching == mWatching) {
+    return;
+  }
+  mWatching = aWatching;
+  mWatch.reset();
+  if (mWatching) {
+    Read();
+  }
+}
+
+void ConfigService::ReadLater(Duration aPause)
 {
-  mTimer.expires_after(kReadRetry);
+  mTimer.expires_after(aPause);
   mTimer.async_wait([this](const auto& aError) {
     if (!aError) {
       Read();
--- a/packages/node/src/config_service.h
+++ b/packages/node/src/config_service.h
@@ -27,6 +27,9 @@
   Result<void> Start() override;
   void Stop() override;
 
+  // Whether this node watches the store. One that does not still reads it now and then.
+  void SetWatching(bool aWatching);
+
   // A value from a peer or the store. Notifies the listeners when it is applied.
   OfferOutcome Offer(std::string_view aValue, std::string_view aSource);
 
@@ -39,7 +42,7 @@
 private:
   void Read();
   void OnRead(StoreResult<StoreRead> aResult);
-  void ReadLater();
+  void ReadLater(Duration aPause);
 
   const Clock& mClock;
   Store& mStore;
@@ -49,6 +52,7 @@
   std::unique_ptr<StoreWatch> mWatch;
   SteadyTime mApplied{};
   std::string mLastRefusal;
+  bool mWatching = false;
   bool mStopped = false;
 };
 
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -1,6 +1,6 @@
 #include "executor.h"
 
-#include "log.h"
+#include "balsammount/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -135,7 +135,7 @@
     auto answer =
       Refused(ReasonOf(verdict.mReason), std::move(job->mRequest->mBudget), verdict.mRetryAfter);
     answer.mShedLevel = mAdmission.ShedLevel();
-    answer.mLeaving = mAdmission.Draining();
+    answer.mLeaving = mLeaving;
     PollAdmission();
     job->mCallback(std::move(answer));
     return std::make_shared<JobCall>(*this, std::weak_ptr<Job>());
@@ -167,7 +167,7 @@
   aJob->mDispatched = mClock.Now();
   mRunning.emplace(aJob->mRequest->mContext.mRequestId, aJob);
   if (mObserver) {
-    mObserver->OnDispatch(aJob->mRequest->mContext.mFingerprint);
+    mObserver->OnDispatch(aJob->mNumber, aJob->mRequest->mContext.mFingerprint);
   }
   const Duration remaining =
     std::max<Duration>(aJob->mRequest->mContext.mDeadline - aJob->mDispatched, 1ms);
@@ -183,10 +183,13 @@
   mAdmission.Complete(aJob->mAdmissionId, AdmissionOutcome(aResult), service);
   RequestBudget budget = std::move(aJob->mRequest->mBudget);
   Answer answer;
+  const bool lost = !aResult && aResult.error().mCode == TransportError::Lost;
+  if (lost) {
+    mLostJobs.push_back(aJob->mNumber);
+  } else if (mObserver) {
+    mObserver->OnEnd(aJob->mNumber, aResult.has_value());
+  }
   if (aResult) {
-    if (mObserver) {
-      mObserver->OnComplete(aJob->mRequest->mContext.mFingerprint);
-    }
     answer.mOutcome = AttemptOutcome::Complete;
     answer.mResponse = std::move(*aResult);
     answer.mBudget = std::move(budget);
@@ -199,11 +202,13 @@
     answer = Unknown(aResult.error().mCode == TransportError::TooLarge ? CallReason::TooLarge
                                                                        : CallReason::ConnectionLost,
                      std::move(budget));
+  }
+  if (lost) {
     ProbeBackend();
   }
   answer.mServiceTime = service;
   answer.mShedLevel = mAdmission.ShedLevel();
-  answer.mLeaving = mAdmission.Draining();
+  answer.mLeaving = mLeaving;
   Finish(aJob, std::move(answer));
   PollAdmission();
 }
@@ -226,6 +231,9 @@
   }
   aJob->mCallback = nullptr;
   mAdmission.Cancel(aJob->mAdmissionId);
+  if (aJob->mRunning && mObserver) {
+    mObserver->OnEnd(aJob->mNumber, false);
+  }
   if (aJob->mBackendCall) {
     aJob->mBackendCall->Cancel();
   }
@@ -251,7 +259,7 @@
         auto answer = Refused(ReasonOf(actions[i].mReason), std::move(job->mRequest->mBudget),
                               actions[i].mRetryAfter);
         answer.mShedLevel = mAdmission.ShedLevel();
-        answer.mLeaving = mAdmission.Draining();
+        answer.mLeaving = mLeaving;
         Finish(job, std::move(answer));
       }
     }
@@ -308,6 +316,12 @@
   PollAdmission();
 }
 
+void Executor::SetLeaving()
+{
+  mLeaving = true;
+  SetDraining(true);
+}
+
 void Executor::SetAvailabilityCallback(std::function<void(bool)> aCallback)
 {
   mOnAvailability = std::move(aCallback);
@@ -321,12 +335,8 @@
   mAvailable = aAvailable;
   Log("backend").info("the backend server is {}", aAvailable ? "available" : "not available");
   mAdmission.SetAvailable(aAvailable);
-  if (!aAvailable && mObserver) {
-    std::vector<uint64_t> running;
-    for (const auto& [id, job] : mRunning) {
-      running.push_back(job->mRequest->mContext.mFingerprint);
-    }
-    mObserver->OnServerDeath(running);
+  if (!aAvailable && mObserver && !mAdmission.Draining()) {
+    mObserver->OnServerDeath();
   }
   if (mOnAvailability) {
     mOnAvailability(aAvailable);
@@ -345,8 +355,7 @@
     if (mStopped) {
       return;
     }
-    // A server whose accept queue is full does not refuse; only a refusal proves that it is gone.
-    SetAvailable(!aError);
+    OnProbe(!aError);
     mProbeTimer.expires_after(mAvailable ? kProbeWhileUp : kProbeWhileDown);
     mProbeTimer.async_wait([this](const auto& aWaitError) {
       if (!aWaitError) {
@@ -356,6 +365,16 @@
   });
 }
 
+void Executor::OnProbe(bool aConnected)
+{
+  SetAvailable(aConnected);
+  for (const uint64_t job : std::exchange(mLostJobs, {})) {
+    if (mObserver) {
+      mObserver->OnEnd(job, false);
+    }
+  }
+}
+
 size_t Executor::RankIndex(const std::string& aRank) const
 {
   if (!mConfig) {
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -26,15 +26,15 @@
 };
 
 // Told about the life of dispatched requests and of the backend server, to recognise requests that
-// crash it.
+// crash it. Jobs are numbers that are unique in this process.
 class DispatchObserver
 {
 public:
   virtual ~DispatchObserver() = default;
-  virtual void OnDispatch(uint64_t aFingerprint) = 0;
-  virtual void OnComplete(uint64_t aFingerprint) = 0;
-  // The backend server accepts no connections any more; aInFlight were running on it.
-  virtual void OnServerDeath(const std::vector<uint64_t>& aInFlight) = 0;
+  virtual void OnDispatch(uint64_t aJob, uint64_t aFingerprint) = 0;
+  virtual void OnEnd(uint64_t aJob, bool aCompleted) = 0;
+  // The backend server accepts no connections any more, without having announced that it leaves.
+  virtual void OnServerDeath() = 0;
 };
 
 class Executor final : public Service
@@ -57,6 +57,8 @@
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
+  // The node itself leaves: drains for good and says so on every answer.
+  void SetLeaving();
   void SetObserver(DispatchObserver* aObserver) { mObserver = aObserver; }
   // Called when the backend server becomes available or unavailable.
   void SetAvailabilityCallback(std::function<void(bool)> aCallback);
@@ -81,6 +83,7 @@
   void ArmTimer();
   void SetAvailable(bool aAvailable);
   void ProbeBackend();
+  void OnProbe(bool aConnected);
   size_t RankIndex(const std::string& aRank) const;
   HttpRequest BackendRequest(const Job& aJob) const;
 
@@ -95,9 +98,12 @@
   std::unordered_map<uint64_t, std::shared_ptr<Job>> mJobs; // by the context number of admission
   std::unordered_map<std::string, std::shared_ptr<Job>> mRunning; // dispatched, by request id
   DispatchObserver* mObserver = nullptr;
+  // Jobs whose connection was lost. Whether the server died is known after the next probe.
+  std::vector<uint64_t> mLostJobs;
   std::function<void(bool)> mOnAvailability;
   uint64_t mNextJob = 1;
   bool mAvailable = false;
+  bool mLeaving = false;
   bool mStopped = false;
 };
 
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -1,6 +1,6 @@
 #include "gateway.h"
 
-#include "log.h"
+#include "balsammount/log.h"
 
 #include "balsammount/hash.h"
 
@@ -209,7 +209,9 @@
     onAnswer(aAnswer);
     return true;
   };
-  const auto call = mTarget.Handle(std::move(aContext), aExchange->Request(), std::move(aBudget),
+  HttpRequest request = aExchange->Request();
+  RemoveInternalHeaders(request.mHeaders);
+  const auto call = mTarget.Handle(std::move(aContext), std::move(request), std::move(aBudget),
                                    [aExchange, finish](Answer aAnswer) mutable {
                                      if (finish(aAnswer)) {
                                        aExchange->Respond(CallerResponse(std::move(aAnswer)));
--- a/packages/node/src/local_target.cpp
+++ b/packages/node/src/local_target.cpp
@@ -20,6 +20,15 @@
     aCallback(Refused(CallReason::Unavailable, std::move(aBudget)));
     return std::make_shared<NoCall>();
   }
+  if (mQuarantine.IsQuarantined(aContext.mFingerprint)) {
+    aCallback(Refused(CallReason::Quarantined, std::move(aBudget),
+                      mQuarantine.RetryAfter(aContext.mFingerprint)));
+    return std::make_shared<NoCall>();
+  }
+  if (!aContext.mKey.empty() && !aContext.mIdempotent) {
+    return mOwner.Handle(std::move(aContext), std::move(aRequest), std::move(aBudget),
+                         std::move(aCallback));
+  }
   return mExecutor.Execute(std::move(aContext), std::move(aRequest), std::move(aBudget),
                            std::move(aCallback));
 }
--- a/packages/node/src/local_target.h
+++ b/packages/node/src/local_target.h
@@ -3,15 +3,20 @@
 
 #include "call_target.h"
 #include "executor.h"
+#include "quarantine_service.h"
 
 namespace balsammount {
 
 class LocalTarget final : public CallTarget
 {
 public:
-  LocalTarget(const NodeSettings& aSettings, Executor& aExecutor)
+  // aOwner takes the calls that have an idempotency key and must run at most once.
+  LocalTarget(const NodeSettings& aSettings, Executor& aExecutor, CallTarget& aOwner,
+              const QuarantineService& aQuarantine)
     : mService(aSettings.mService)
     , mExecutor(aExecutor)
+    , mOwner(aOwner)
+    , mQuarantine(aQuarantine)
   {
   }
 
@@ -21,6 +26,8 @@
 private:
   std::string mService;
   Executor& mExecutor;
+  CallTarget& mOwner;
+  const QuarantineService& mQuarantine;
 };
 
 } // namespace balsammount
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,7 +1,7 @@
 // balsammountd: the node that runs beside a backend server.
 
+#include "balsammount/log.h"
 #include "balsammount/node.h"
-#include "log.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -1,38 +1,105 @@
 #include "member_service.h"
 
-#include <nlohmann/json.hpp>
+#include "store_keys.h"
+
+#include "balsammount/log.h"
+
+#include <algorithm>
 
 namespace balsammount {
 
 using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::udp;
 
 namespace {
 
-constexpr auto kPollInterval = 500ms;
+// Contact records in the store, for the whole fleet. They are for nodes that start; the number does
+// not grow with the fleet.
+constexpr size_t kContactSlots = 8;
+// Nodes per data centre that hold contact records, and that watch the store for configuration.
+constexpr size_t kContactsPerDataCentre = 2;
+constexpr size_t kWatchersPerDataCentre = 3;
+// Store readers of the ownership table, per service.
+constexpr size_t kTableReaders = 2;
+
+constexpr std::chrono::seconds kContactLease{ 30 };
+constexpr auto kContactRenewal = 10s;
+constexpr auto kContactRetry = 1s;
+constexpr auto kConfigCheck = 250ms;
+constexpr auto kConfigFetchTimeout = 2s;
+
+// Gossip counts datagrams up to this size; larger ones are dropped by the core.
+std::string ContactKey(size_t aSlot)
+{
+  return kContactsPrefix + std::to_string(aSlot);
+}
+
+std::string ToText(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  const auto address = aEndpoint.address();
+  const std::string host = address.is_v6() ? "[" + address.to_string() + "]" : address.to_string();
+  return host + ":" + std::to_string(aEndpoint.port());
+}
+
+Endpoint ToCore(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  return { aEndpoint.address().to_string(), aEndpoint.port() };
+}
 
-std::string ContactName(const boost::asio::ip::tcp::endpoint& aEndpoint)
+MemberRecord SelfRecord(const NodeSettings& aSettings, uint64_t aStarted)
 {
-  return "contact:" + aEndpoint.address().to_string() + ":" + std::to_string(aEndpoint.port());
+  MemberRecord record;
+  record.mId = aSettings.mNodeId;
+  record.mStartMs = static_cast<int64_t>(aStarted);
+  record.mPeer = ToCore(aSettings.mPeerListen);
+  record.mDataCentre = aSettings.mDataCentre;
+  record.mService = aSettings.mService;
+  return record;
 }
 
 } // namespace
 
-MemberService::MemberService(boost::asio::io_context& aContext, const Clock& aClock,
-                             const NodeSettings& aSettings, Upstreams& aUpstreams, Peers& aPeers)
+MemberService::MemberService(asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                             Store& aStore, const NodeSettings& aSettings, uint64_t aStarted,
+                             MemberUsers aUsers)
   : mClock(aClock)
+  , mStore(aStore)
   , mSettings(aSettings)
-  , mUpstreams(aUpstreams)
-  , mPeers(aPeers)
+  , mUsers(aUsers)
+  , mCore(aClock, aRandom, {}, SelfRecord(aSettings, aStarted))
+  , mSocket(aContext)
   , mTimer(aContext)
-  , mIncarnation(static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(mClock.WallNow().time_since_epoch())
-        .count()))
+  , mConfigTimer(aContext)
+  , mContactTimer(aContext)
 {
+  for (const auto& contact : aSettings.mContacts) {
+    if (contact != aSettings.mPeerListen) {
+      mContacts.push_back(ToCore(contact));
+    }
+  }
 }
 
 Result<void> MemberService::Start()
 {
-  PollContacts();
+  boost::system::error_code error;
+  const udp::endpoint local(mSettings.mPeerListen.address(), mSettings.mPeerListen.port());
+  mSocket.open(local.protocol(), error);
+  if (!error) {
+    mSocket.bind(local, error);
+  }
+  if (error) {
+    return Failure{ TransportError::ListenFailed,
+                    "UDP " + ToText(mSettings.mPeerListen) + ": " + error.message() };
+  }
+  mSocket.non_blocking(true, error);
+  mCore.Join(mContacts);
+  Receive();
+  Run(mCore.Tick());
+  ReadContacts();
+  HoldContact();
+  FollowConfig();
+  ApplyOwnershipMembers();
   return {};
 }
 
@@ -40,85 +107,269 @@
 {
   mStopped = true;
   mTimer.cancel();
+  mConfigTimer.cancel();
+  mContactTimer.cancel();
+  boost::system::error_code ignored;
+  mSocket.close(ignored);
 }
 
-std::string MemberService::SelfRecord() const
+void MemberService::SetAvailable(bool aAvailable)
 {
-  return nlohmann::json{
-    { "node", mSettings.mNodeId },
-    { "service", mSettings.mService },
-    { "data_centre", mSettings.mDataCentre },
-    { "incarnation", mIncarnation },
-    { "available", mAvailable },
-    { "leaving", mLeaving }
-  }.dump();
+  mCore.UpdateSelf({ aAvailable, std::nullopt });
+  ApplyRecord(mCore.Self(), true);
+  ApplyOwnershipMembers();
+  Run({});
 }
 
-void MemberService::SetAvailable(bool aAvailable)
+void MemberService::SetLeaving()
 {
-  mAvailable = aAvailable;
-  ApplySelf();
+  mCore.Leave();
+  ApplyRecord(mCore.Self(), true);
+  ApplyOwnershipMembers();
+  Run({});
 }
 
-void MemberService::SetLeaving(bool aLeaving)
+void MemberService::SetRevision(uint64_t aRevision)
 {
-  if (mLeaving && !aLeaving) {
-    // Leaving is final for an incarnation; coming back needs a new one.
-    ++mIncarnation;
+  mCore.UpdateSelf({ std::nullopt, aRevision });
+  Run({});
+}
+
+void MemberService::Receive()
+{
+  mSocket.async_receive_from(asio::buffer(mBuffer), mFrom,
+                             [this](const auto& aError, size_t aSize) {
+                               if (mStopped || aError == asio::error::operation_aborted) {
+                                 return;
+                               }
+                               if (!aError) {
+                                 OnDatagram(aSize);
+                               }
+                               Receive();
+                             });
+}
+
+void MemberService::OnDatagram(size_t aSize)
+{
+  auto answers =
+    mCore.Receive({ mFrom.address().to_string(), mFrom.port() }, { mBuffer.data(), aSize });
+  if (!answers) {
+    Log("members").debug("dropped a datagram from {}: {}", mFrom.address().to_string(),
+                         Describe(answers.error()));
+    return;
+  }
+  Run(std::move(*answers));
+}
+
+// Sends what the core has to say, and applies what it has learned.
+void MemberService::Run(std::vector<Datagram> aDatagrams)
+{
+  for (const Datagram& datagram : aDatagrams) {
+    Send(datagram);
+  }
+  if (mCore.NextWake() <= mClock.Now()) {
+    for (const Datagram& datagram : mCore.Tick()) {
+      Send(datagram);
+    }
+  }
+  ApplyEvents();
+  ArmTimer();
+}
+
+void MemberService::Send(const Datagram& aDatagram)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aDatagram.mTo.mAddress, error);
+  if (!error) {
+    // A datagram that the socket cannot take is lost, like any other.
+    mSocket.send_to(asio::buffer(aDatagram.mBytes), udp::endpoint(address, aDatagram.mTo.mPort), 0,
+                    error);
   }
-  mLeaving = aLeaving;
-  ApplySelf();
 }
 
-void MemberService::ApplySelf()
+void MemberService::ApplyEvents()
 {
-  if (mAvailable) {
-    mUpstreams.Upsert(
-      { mSettings.mNodeId, mSettings.mService, mSettings.mDataCentre, mIncarnation, mLeaving });
+  const auto events = mCore.TakeEvents();
+  for (const MemberEvent& event : events) {
+    const bool alive = event.mKind != MemberEventKind::Dead && event.mKind != MemberEventKind::Left;
+    if (event.mKind != MemberEventKind::Changed) {
+      Log("members").info("{} in {}: {}", event.mRecord.mId, event.mRecord.mDataCentre,
+                          alive ? ToString(event.mRecord.mState) : "gone");
+    }
+    ApplyRecord(event.mRecord, alive);
+  }
+  if (!events.empty()) {
+    ApplyOwnershipMembers();
+  }
+}
+
+void MemberService::ApplyRecord(const MemberRecord& aRecord, bool aAlive)
+{
+  if (aRecord.mId != mSettings.mNodeId) {
+    if (aAlive) {
+      boost::system::error_code error;
+      const auto address = asio::ip::make_address(aRecord.mPeer.mAddress, error);
+      if (!error) {
+        mUsers.mPeers.Upsert(aRecord.mId, { address, aRecord.mPeer.mPort });
+      }
+    } else {
+      mUsers.mPeers.Remove(aRecord.mId);
+    }
+  }
+  if (aAlive && aRecord.mAvailable) {
+    mUsers.mUpstreams.Upsert({ aRecord.mId, aRecord.mService, aRecord.mDataCentre,
+                               static_cast<uint64_t>(aRecord.mStartMs), aRecord.mLeaving });
   } else {
-    mUpstreams.Remove(mSettings.mNodeId);
+    mUsers.mUpstreams.Remove(aRecord.mId);
   }
 }
 
-void MemberService::PollContacts()
+void MemberService::ApplyOwnershipMembers()
 {
-  for (const auto& contact : mSettings.mContacts) {
-    if (contact == mSettings.mPeerListen) {
+  std::vector<OwnershipMember> members;
+  for (const MemberRecord& record : mCore.Members()) {
+    if (record.mService != mSettings.mService) {
       continue;
     }
-    const std::string name = ContactName(contact);
-    mPeers.Upsert(name, contact);
-    HttpRequest request;
-    request.mTarget = "/balsammount/member";
-    mPeers.Send(name, std::move(request), 1s, [this, contact](Result<HttpResponse> aResult) {
-      if (!mStopped && aResult && aResult->mStatus == 200) {
-        OnRecord(contact, aResult->mBody);
-      }
-    });
+    OwnershipMember member;
+    member.mIdentity = { record.mId, static_cast<uint64_t>(record.mStartMs) };
+    member.mDataCentre = record.mDataCentre;
+    member.mServes = record.mAvailable && !record.mLeaving;
+    member.mLeaving = record.mLeaving;
+    // Members come in the order of their hashes, so that all nodes choose the same readers.
+    member.mReader = members.size() < kTableReaders;
+    members.push_back(std::move(member));
+  }
+  mUsers.mOwner.SetMembers(std::move(members));
+}
+
+void MemberService::ArmTimer()
+{
+  const SteadyTime wake = mCore.NextWake();
+  if (mStopped || mTimer.expiry() == wake) {
+    return;
   }
-  mTimer.expires_after(kPollInterval);
+  mTimer.expires_at(wake);
   mTimer.async_wait([this](const auto& aError) {
     if (!aError) {
-      PollContacts();
+      mTimer.expires_at(SteadyTime::min());
+      Run(mCore.Tick());
+    }
+  });
+}
+
+// Watches the store if this node is one of those that do, and fetches a newer configuration from a
+// member that has it.
+void MemberService::FollowConfig()
+{
+  mUsers.mConfig.SetWatching(mCore.IsContactCandidate(kWatchersPerDataCentre));
+  const RevisionHolder highest = mCore.HighestRevision();
+  if (!mFetch && highest.mHolder && highest.mRevision > mUsers.mConfig.Holder().Revision()) {
+    FetchConfig(highest.mHolder->mId);
+  }
+  mConfigTimer.expires_after(kConfigCheck);
+  mConfigTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      FollowConfig();
     }
   });
 }
 
-void MemberService::OnRecord(const boost::asio::ip::tcp::endpoint& aContact,
-                             const std::string& aBody)
+void MemberService::FetchConfig(const std::string& aNodeId)
+{
+  HttpRequest request;
+  request.mTarget = "/balsammount/config";
+  auto done = std::make_shared<bool>(false);
+  auto call = mUsers.mPeers.Send(aNodeId, std::move(request), kConfigFetchTimeout,
+                                 [this, aNodeId, done](const Result<HttpResponse>& aResult) {
+                                   *done = true;
+                                   mFetch = nullptr;
+                                   if (aResult && aResult->mStatus == 200) {
+                                     mUsers.mConfig.Offer(aResult->mBody, aNodeId);
+                                   }
+                                 });
+  if (!*done) {
+    mFetch = std::move(call);
+  }
+}
+
+// Reads the contact records once; again while no other member is known.
+void MemberService::ReadContacts()
+{
+  for (size_t slot = 0; slot < kContactSlots; ++slot) {
+    mStore.Get(ContactKey(slot), [this](const StoreResult<StoreRead>& aResult) {
+      if (aResult && aResult->mEntry) {
+        OnContact(aResult->mEntry->mValue);
+      }
+    });
+  }
+}
+
+void MemberService::OnContact(const std::string& aValue)
 {
-  const auto record = nlohmann::json::parse(aBody, nullptr, false);
-  if (!record.is_object()) {
+  const auto endpoint = ParseEndpoint(aValue);
+  if (!endpoint || *endpoint == mSettings.mPeerListen) {
     return;
   }
-  const std::string node = record.value("node", "");
-  mPeers.Upsert(node, aContact);
-  if (record.value("available", false)) {
-    mUpstreams.Upsert({ node, record.value("service", ""), record.value("data_centre", ""),
-                        record.value("incarnation", uint64_t(0)), record.value("leaving", false) });
-  } else {
-    mUpstreams.Remove(node);
+  const Endpoint contact = ToCore(*endpoint);
+  if (std::find(mContacts.begin(), mContacts.end(), contact) == mContacts.end()) {
+    mContacts.push_back(contact);
+    mCore.Join(mContacts);
+    Run({});
+  }
+}
+
+// Takes or keeps a contact record while this node is one of those that hold them.
+void MemberService::HoldContact()
+{
+  const bool wanted = mCore.IsContactCandidate(kContactsPerDataCentre);
+  if (mCore.Count() == 1) {
+    ReadContacts();
+  }
+  if (mContactLease != kNoLease) {
+    RenewContact();
+  } else if (wanted) {
+    mStore.GrantLease(kContactLease, [this](const StoreResult<StoreLease>& aLease) {
+      if (aLease) {
+        TakeContactSlot(0, aLease->mId);
+      }
+    });
+  }
+  mContactTimer.expires_after(mCore.Count() == 1 ? std::chrono::milliseconds(kContactRetry)
+                                                 : std::chrono::milliseconds(kContactRenewal));
+  mContactTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      HoldContact();
+    }
+  });
+}
+
+// Tries the slots in turn; the first that is free is taken under the lease.
+void MemberService::TakeContactSlot(size_t aSlot, LeaseId aLease)
+{
+  if (aSlot == kContactSlots || mContactLease != kNoLease) {
+    return;
   }
+  mStore.CompareAndSwap(ContactKey(aSlot), kAbsent, ToText(mSettings.mPeerListen), aLease,
+                        [this, aSlot, aLease](const StoreResult<Revision>& aResult) {
+                          if (aResult) {
+                            mContactLease = aLease;
+                          } else if (aResult.error().mCode == StoreError::Conflict) {
+                            if (aResult.error().mCurrent) {
+                              OnContact(aResult.error().mCurrent->mValue);
+                            }
+                            TakeContactSlot(aSlot + 1, aLease);
+                          }
+                        });
+}
+
+void MemberService::RenewContact()
+{
+  mStore.KeepAlive(mContactLease, [this](const StoreResult<std::chrono::seconds>& aResult) {
+    if (!aResult && aResult.error().mCode == StoreError::LeaseNotFound) {
+      mContactLease = kNoLease;
+    }
+  });
 }
 
 } // namespace balsammount
--- a/packages/node/src/member_service.h
+++ b/packages/node/src/member_service.h
@@ -1,43 +1,83 @@
-// Learns the other nodes and keeps the router's view of the fleet up to date.
+// Runs the gossip of this node over UDP, and tells the other parts about the fleet.
 #pragma once
 
+#include "config_service.h"
+#include "owner_service.h"
 #include "peers.h"
 #include "upstreams.h"
 
 #include "balsammount/kernel.h"
+#include "balsammount/membership.h"
 #include "balsammount/node_settings.h"
+#include "balsammount/store.h"
 
+#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <array>
+
 namespace balsammount {
 
+// The parts that follow the members of the fleet.
+struct MemberUsers
+{
+  Upstreams& mUpstreams;
+  Peers& mPeers;
+  OwnerService& mOwner;
+  ConfigService& mConfig;
+};
+
 class MemberService final : public Service
 {
 public:
-  MemberService(boost::asio::io_context& aContext, const Clock& aClock,
-                const NodeSettings& aSettings, Upstreams& aUpstreams, Peers& aPeers);
+  MemberService(boost::asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                Store& aStore, const NodeSettings& aSettings, uint64_t aStarted,
+                MemberUsers aUsers);
 
   Result<void> Start() override;
   void Stop() override;
 
-  // What other nodes read about this one: JSON of the node's record.
-  std::string SelfRecord() const;
+  // Whether the backend server takes connections and has not announced that it leaves.
   void SetAvailable(bool aAvailable);
-  void SetLeaving(bool aLeaving);
+  // Final for this process.
+  void SetLeaving();
+  void SetRevision(uint64_t aRevision);
+
+  const Membership& Core() const { return mCore; }
 
 private:
-  void PollContacts();
-  void OnRecord(const boost::asio::ip::tcp::endpoint& aContact, const std::string& aBody);
-  void ApplySelf();
+  struct Contacts;
+
+  void Receive();
+  void OnDatagram(size_t aSize);
+  void Run(std::vector<Datagram> aDatagrams);
+  void Send(const Datagram& aDatagram);
+  void ApplyEvents();
+  void ApplyRecord(const MemberRecord& aRecord, bool aAlive);
+  void ApplyOwnershipMembers();
+  void ArmTimer();
+  void FollowConfig();
+  void FetchConfig(const std::string& aNodeId);
+  void ReadContacts();
+  void OnContact(const std::string& aValue);
+  void HoldContact();
+  void TakeContactSlot(size_t aSlot, LeaseId aLease);
+  void RenewContact();
 
   const Clock& mClock;
+  Store& mStore;
   NodeSettings mSettings;
-  Upstreams& mUpstreams;
-  Peers& mPeers;
+  MemberUsers mUsers;
+  Membership mCore;
+  boost::asio::ip::udp::socket mSocket;
   boost::asio::steady_timer mTimer;
-  uint64_t mIncarnation;
-  bool mAvailable = false;
-  bool mLeaving = false;
+  boost::asio::steady_timer mConfigTimer;
+  boost::asio::steady_timer mContactTimer;
+  boost::asio::ip::udp::endpoint mFrom;
+  std::array<uint8_t, 2048> mBuffer{};
+  std::vector<Endpoint> mContacts;
+  LeaseId mContactLease = kNoLease; // of the contact record that this node holds
+  std::shared_ptr<Call> mFetch;     // configuration on its way from a peer
   bool mStopped = false;
 };
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -1,16 +1,18 @@
 #include "balsammount/node.h"
 
 #include "admin.h"
+#include "balsammount/log.h"
 #include "config_service.h"
 #include "executor.h"
 #include "forwarder.h"
 #include "gateway.h"
 #include "local_target.h"
-#include "log.h"
 #include "member_service.h"
 #include "metrics.h"
+#include "owner_service.h"
 #include "peer_handler.h"
 #include "peers.h"
+#include "quarantine_service.h"
 #include "upstreams.h"
 
 #include "balsammount/etcd_store.h"
@@ -53,12 +55,18 @@
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, mStore))
     , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings))
-    , mLocal(mSettings, *mExecutor)
+    , mOwner(std::make_shared<OwnerService>(aContext, mClock, mRandom, mStore, mPeers, *mExecutor,
+                                            mSettings.mService,
+                                            NodeIdentity{ mSettings.mNodeId, mStarted }))
+    , mQuarantine(std::make_shared<QuarantineService>(aContext, mClock, mRandom, mPeers, mSettings))
+    , mLocal(mSettings, *mExecutor, *mOwner, *mQuarantine)
     , mForwarder(mClock, mUpstreams, mPeers, mLocal, mMetrics)
-    , mMembers(std::make_shared<MemberService>(aContext, mClock, mSettings, mUpstreams, mPeers))
+    , mMembers(
+        std::make_shared<MemberService>(aContext, mClock, mRandom, mStore, mSettings, mStarted,
+                                        MemberUsers{ mUpstreams, mPeers, *mOwner, *mConfig }))
     , mGateway(
         std::make_shared<Gateway>(mClock, mRandom, mSettings, *mExecutor, mForwarder, mMetrics))
-    , mPeerHandler(mClock, mLocal, *mMembers, *mConfig)
+    , mPeerHandler(mClock, mLocal, *mConfig, *mOwner, *mQuarantine)
     , mDrainTimer(aContext)
   {
   }
@@ -66,12 +74,16 @@
   Result<void> RegisterParts();
   void Wire();
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
-  void SetLeaving(bool aLeaving);
   void CheckDrained();
 
   asio::io_context& mContext;
   NodeSettings mSettings;
   SystemClock mClock;
+  // The start of this process in ms of the wall clock tells its records from those of an earlier
+  // process of the same node.
+  uint64_t mStarted = static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(mClock.WallNow().time_since_epoch())
+      .count());
   Random mRandom;
   Metrics mMetrics;
   EtcdStore mStore;
@@ -79,6 +91,8 @@
   Upstreams mUpstreams;
   std::shared_ptr<ConfigService> mConfig;
   std::shared_ptr<Executor> mExecutor;
+  std::shared_ptr<OwnerService> mOwner;
+  std::shared_ptr<QuarantineService> mQuarantine;
   LocalTarget mLocal;
   Forwarder mForwarder;
   std::shared_ptr<MemberService> mMembers;
@@ -86,9 +100,11 @@
   PeerHandler mPeerHandler;
   Kernel mKernel;
   asio::steady_timer mDrainTimer;
+  std::shared_ptr<HttpServer> mCallerListener;
   std::function<void()> mOnDrained;
   std::function<void()> mOnDrainRequest = [] {};
   SteadyTime mDrainStarted{};
+  bool mBackendLeaving = false;
 };
 
 Result<void> Node::Parts::RegisterParts()
@@ -96,12 +112,17 @@
   HttpServerLimits callerLimits;
   callerLimits.mMaxBodyBytes = 8 * 1024 * 1024;
   const auto gateway = mGateway;
-  const auto admin =
-    std::make_shared<Admin>(AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams,
-                                        *mGateway, mMetrics, [this] { mOnDrainRequest(); } });
+  const auto admin = std::make_shared<Admin>(
+    AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams, *mGateway, mMetrics, *mMembers,
+                *mOwner, *mQuarantine, [this] { mOnDrainRequest(); } });
+  mCallerListener = std::make_shared<HttpServer>(
+    mContext, mSettings.mCallerListen, callerLimits,
+    [gateway](const std::shared_ptr<Exchange>& aExchange) { gateway->HandleCaller(aExchange); });
   const std::vector<std::pair<std::string, std::shared_ptr<Service>>> services = {
     { "config", mConfig },
     { "executor", mExecutor },
+    { "ownership", mOwner },
+    { "quarantine", mQuarantine },
     { "members", mMembers },
     { "gateway", mGateway },
     { "admin", admin },
@@ -113,11 +134,7 @@
       std::make_shared<HttpServer>(
         mContext, mSettings.mEgressListen, callerLimits,
         [this](const std::shared_ptr<Exchange>& aExchange) { HandleEgress(aExchange); }) },
-    { "caller-listener",
-      std::make_shared<HttpServer>(mContext, mSettings.mCallerListen, callerLimits,
-                                   [gateway](const std::shared_ptr<Exchange>& aExchange) {
-                                     gateway->HandleCaller(aExchange);
-                                   }) },
+    { "caller-listener", mCallerListener },
     { "admin-listener",
       std::make_shared<HttpServer>(
         mContext, mSettings.mAdminListen, HttpServerLimits{},
@@ -138,9 +155,12 @@
     mForwarder.ApplyConfig(aConfig);
     mExecutor->ApplyConfig(aConfig);
     mGateway->ApplyConfig(aConfig);
+    mMembers->SetRevision(mConfig->Holder().Revision());
   });
   mExecutor->SetAvailabilityCallback(
-    [this](bool aAvailable) { mMembers->SetAvailable(aAvailable); });
+    [this](bool aAvailable) { mMembers->SetAvailable(aAvailable && !mBackendLeaving); });
+  mExecutor->SetObserver(mQuarantine.get());
+  mQuarantine->SetMembers(mMembers->Core());
   mForwarder.SetLevelCallback(
     [this](uint32_t aLevel) { mExecutor->ReportDownstreamLevel(aLevel); });
 }
@@ -160,21 +180,21 @@
   if (response.mStatus == 204 && !mOnDrained) {
     Log("backend").info("the backend server announced that it is {}",
                         leaving ? "leaving" : "ready");
-    SetLeaving(leaving);
+    mBackendLeaving = leaving;
+    mExecutor->SetDraining(leaving);
+    mMembers->SetAvailable(mExecutor->Available() && !leaving);
   }
   aExchange->Respond(std::move(response));
 }
 
-void Node::Parts::SetLeaving(bool aLeaving)
-{
-  mMembers->SetLeaving(aLeaving);
-  mExecutor->SetDraining(aLeaving);
-}
-
 void Node::Parts::CheckDrained()
 {
   const Duration waited = mClock.Now() - mDrainStarted;
-  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0;
+  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 && mOwner->Drained();
+  if (waited >= kMinDrain) {
+    // Connections of callers close with their next answer, before the process ends.
+    mCallerListener->Stop();
+  }
   const bool expired = waited >= std::chrono::seconds(mSettings.mDrainSeconds);
   if ((idle && waited >= kMinDrain) || expired) {
     Log("node").info("drained after {} ms with {} requests left",
@@ -220,7 +240,9 @@
   Log("node").info("draining");
   mParts->mOnDrained = std::move(aDone);
   mParts->mDrainStarted = mParts->mClock.Now();
-  mParts->SetLeaving(true);
+  mParts->mMembers->SetLeaving();
+  mParts->mExecutor->SetLeaving();
+  mParts->mOwner->Drain();
   mParts->CheckDrained();
 }
 
--- /dev/null
+++ b/packages/node/src/owner_service.cpp
@@ -0,0 +1,358 @@
+#include "owner_service.h"
+
+#include "balsammount/log.h"
+#include "store_keys.h"
+
+namespace balsammount {
+
+namespace {
+
+// How long a control message to another node may take.
+constexpr std::chrono::milliseconds kMessageTimeout{ 2000 };
+
+// Marks a call that another node of the service has forwarded to the owner. It is not forwarded
+// again, so that nodes with different tables do not pass a call in circles.
+constexpr std::string_view kForwarded = "bm-owner-hop";
+
+class NoCall final : public Call
+{
+public:
+  void Cancel() override {}
+};
+
+KeyRequest KeyOf(const CallContext& aContext)
+{
+  return { std::to_string(aContext.mCallerHash), aContext.mKey, aContext.mFingerprint };
+}
+
+RecordedAnswer Record(const HttpResponse& aResponse)
+{
+  RecordedAnswer recorded;
+  recorded.mStatus = static_cast<int>(aResponse.mStatus);
+  for (const Header& header : aResponse.mHeaders.All()) {
+    recorded.mHeaders.emplace_back(header.mName, header.mValue);
+  }
+  recorded.mBody = aResponse.mBody;
+  return recorded;
+}
+
+HttpResponse Replay(const RecordedAnswer& aRecorded)
+{
+  HttpResponse response;
+  response.mStatus = static_cast<unsigned>(aRecorded.mStatus);
+  for (const auto& [name, value] : aRecorded.mHeaders) {
+    response.mHeaders.Add(name, value);
+  }
+  response.mBody = aRecorded.mBody;
+  return response;
+}
+
+Answer CompleteAnswer(HttpResponse aResponse, RequestBudget aBudget)
+{
+  Answer answer;
+  answer.mOutcome = AttemptOutcome::Complete;
+  answer.mResponse = std::move(aResponse);
+  answer.mBudget = std::move(aBudget);
+  return answer;
+}
+
+// The same end of a call for another sender of it.
+Answer CopyAnswer(const Answer& aAnswer, RequestBudget aBudget)
+{
+  Answer answer;
+  answer.mOutcome = aAnswer.mOutcome;
+  answer.mReason = aAnswer.mReason;
+  answer.mResponse = aAnswer.mResponse;
+  answer.mRetryAfter = aAnswer.mRetryAfter;
+  answer.mBudget = std::move(aBudget);
+  return answer;
+}
+
+} // namespace
+
+// One sender of a keyed call. Cancelling forgets the sender only: the request goes on, because the
+// sender may come back with the same key for its answer.
+class OwnerService::KeyedCall final : public Call
+{
+public:
+  explicit KeyedCall(std::function<void()> aCancel)
+    : mCancel(std::move(aCancel))
+  {
+  }
+  void Cancel() override { mCancel(); }
+
+private:
+  std::function<void()> mCancel;
+};
+
+struct OwnerService::Running
+{
+  AnswerCallback mCallback; // null when the first sender has gone
+};
+
+OwnerService::OwnerService(boost::asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                           Store& aStore, Peers& aPeers, Executor& aExecutor,
+                           const std::string& aService, NodeIdentity aSelf)
+  : mClock(aClock)
+  , mStore(aStore)
+  , mPeers(aPeers)
+  , mExecutor(aExecutor)
+  , mService(aService)
+  , mStoreKey(kOwnersPrefix + aService)
+  , mSelf(std::move(aSelf))
+  , mMemory(aClock, aService)
+  , mCore(aClock, aRandom, mMemory, mSelf)
+  , mTimer(aContext)
+{
+}
+
+Result<void> OwnerService::Start()
+{
+  mCore.Tick();
+  Perform();
+  return {};
+}
+
+void OwnerService::Stop()
+{
+  mStopped = true;
+  mTimer.cancel();
+}
+
+void OwnerService::SetMembers(std::vector<OwnershipMember> aMembers)
+{
+  mCore.SetMembers(std::move(aMembers));
+  mCore.Tick();
+  Perform();
+}
+
+bool OwnerService::OnMessage(std::string_view aBytes)
+{
+  const auto message = DecodeMessage(aBytes);
+  if (!message) {
+    Log("ownership").warn("refused a message: {}", Describe(message.error()));
+    return false;
+  }
+  mCore.OnMessage(*message);
+  mCore.Tick();
+  Perform();
+  return true;
+}
+
+size_t OwnerService::OwnedShards() const
+{
+  size_t count = 0;
+  for (ShardId shard = 0; shard < mMemory.ShardCount(); ++shard) {
+    count += mCore.RightToDispatch(shard) == DispatchRight::Granted;
+  }
+  return count;
+}
+
+void OwnerService::Drain()
+{
+  mCore.Drain();
+  mCore.Tick();
+  Perform();
+}
+
+std::shared_ptr<Call> OwnerService::Handle(CallContext aContext, HttpRequest aRequest,
+                                           RequestBudget aBudget, AnswerCallback aCallback)
+{
+  const KeyRequest key = KeyOf(aContext);
+  const auto owner = mCore.Owner(mMemory.Shard(key.mCaller, key.mKey));
+  if (owner == mSelf) {
+    return HandleAsOwner(std::move(aContext), std::move(aRequest), std::move(aBudget),
+                         std::move(aCallback));
+  }
+  if (!owner || aRequest.mHeaders.Has(kForwarded)) {
+    aCallback(Refused(CallReason::NoRight, std::move(aBudget), std::chrono::seconds(1)));
+    return std::make_shared<NoCall>();
+  }
+  const SteadyTime now = mClock.Now();
+  // What the owner says about its own load and leaving does not hold for this node.
+  auto relay = [callback = std::move(aCallback)](Answer aAnswer) {
+    aAnswer.mLeaving = false;
+    aAnswer.mShedLevel = 0;
+    callback(std::move(aAnswer));
+  };
+  return mPeers.Forward(owner->mNode, aContext, std::move(aRequest), std::move(aBudget), now,
+                        std::move(relay), { { std::string(kForwarded), "1" } });
+}
+
+std::shared_ptr<Call> OwnerService::HandleAsOwner(CallContext aContext, HttpRequest aRequest,
+                                                  RequestBudget aBudget, AnswerCallback aCallback)
+{
+  const KeyRequest key = KeyOf(aContext);
+  const KeyMemory::WaiterId waiter = mNextWaiter++;
+  const auto begun = mMemory.Begin(key, waiter);
+  if (!begun) {
+    const bool mismatch = begun.error().mCode == OwnershipError::FingerprintMismatch;
+    aCallback(
+      Refused(mismatch ? CallReason::KeyMismatch : CallReason::KeyMemoryFull, std::move(aBudget)));
+    return std::make_shared<NoCall>();
+  }
+  switch (begun->mDecision) {
+    case BeginDecision::Execute: {
+      auto running = std::make_shared<Running>();
+      running->mCallback = std::move(aCallback);
+      mExecutor.Execute(
+        std::move(aContext), std::move(aRequest), std::move(aBudget),
+        [this, key, running](Answer aAnswer) { OnAnswer(key, running, std::move(aAnswer)); },
+        [this, key] { return mCore.ClaimDispatch(key) == DispatchRight::Granted; });
+      return std::make_shared<KeyedCall>([running] { running->mCallback = nullptr; });
+    }
+    case BeginDecision::JoinRunning:
+      return Join(key, waiter, std::move(aBudget), std::move(aCallback));
+    case BeginDecision::Replay:
+      aCallback(CompleteAnswer(Replay(*begun->mAnswer), std::move(aBudget)));
+      break;
+    case BeginDecision::CompletedNotKept:
+    case BeginDecision::Unknown:
+      aCallback(Unknown(CallReason::KeyUnknown, std::move(aBudget)));
+      break;
+    case BeginDecision::NotServed:
+      aCallback(Refused(CallReason::NoRight, std::move(aBudget), std::chrono::seconds(1)));
+      break;
+    case BeginDecision::Full:
+      aCallback(Refused(CallReason::KeyMemoryFull, std::move(aBudget), std::chrono::seconds(1)));
+      break;
+  }
+  return std::make_shared<NoCall>();
+}
+
+std::shared_ptr<Call> OwnerService::Join(const KeyRequest& aRequest, KeyMemory::WaiterId aWaiter,
+                                         RequestBudget aBudget, AnswerCallback aCallback)
+{
+  auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
+  mWaiters.emplace(aWaiter, Waiter{ std::move(aCallback), std::move(budget) });
+  return std::make_shared<KeyedCall>([this, aRequest, aWaiter] {
+    mWaiters.erase(aWaiter);
+    mMemory.CancelWaiter(aRequest, aWaiter);
+  });
+}
+
+void OwnerService::OnAnswer(const KeyRequest& aKey, const std::shared_ptr<Running>& aRunning,
+                            Answer aAnswer)
+{
+  switch (aAnswer.mOutcome) {
+    case AttemptOutcome::Complete:
+      AnswerWaiters(mMemory.Complete(aKey, Record(aAnswer.mResponse)), aAnswer);
+      break;
+    case AttemptOutcome::Unknown:
+      AnswerWaiters(mMemory.MarkUnknown(aKey), aAnswer);
+      break;
+    default:
+      AnswerWaiters(mMemory.Abandon(aKey), aAnswer);
+  }
+  if (auto callback = std::exchange(aRunning->mCallback, nullptr)) {
+    callback(std::move(aAnswer));
+  }
+}
+
+void OwnerService::AnswerWaiters(const Result<std::vector<KeyMemory::WaiterId>>& aWaiters,
+                                 const Answer& aAnswer)
+{
+  if (!aWaiters) {
+    Log("ownership").error("cannot end a key: {}", Describe(aWaiters.error()));
+    return;
+  }
+  for (const KeyMemory::WaiterId id : *aWaiters) {
+    if (auto waiter = mWaiters.extract(id)) {
+      waiter.mapped().mCallback(CopyAnswer(aAnswer, std::move(*waiter.mapped().mBudget)));
+    }
+  }
+}
+
+void OwnerService::Perform()
+{
+  if (mStopped) {
+    return;
+  }
+  for (OwnershipAction& action : mCore.TakeActions()) {
+    if (const auto* message = std::get_if<SendMessage>(&action)) {
+      Send(*message);
+    } else if (const auto* read = std::get_if<ReadTable>(&action)) {
+      Read(*read);
+    } else if (const auto* proposal = std::get_if<ProposeTable>(&action)) {
+      Propose(*proposal);
+    }
+  }
+  ArmTimer();
+}
+
+void OwnerService::Send(const SendMessage& aAction)
+{
+  auto bytes = EncodeMessage(aAction.mMessage);
+  if (!bytes) {
+    Log("ownership").error("cannot encode a message: {}", Describe(bytes.error()));
+    return;
+  }
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/balsammount/ownership";
+  request.mBody = std::move(*bytes);
+  // The protocol repeats what is not answered, so a lost message needs no treatment here.
+  mPeers.Send(aAction.mNode, std::move(request), kMessageTimeout, [](const auto&) {});
+}
+
+void OwnerService::Read(const ReadTable& aAction)
+{
+  mStore.Get(mStoreKey, [this, id = aAction.mId](StoreResult<StoreRead> aResult) {
+    Result<StoredTable> result = StoredTable{};
+    if (!aResult) {
+      result = Failure{ aResult.error().mCode, aResult.error().mDetail };
+    } else if (aResult->mEntry) {
+      auto table = DecodeTable(aResult->mEntry->mValue);
+      if (table) {
+        result = StoredTable{ std::make_shared<const OwnershipTable>(std::move(*table)),
+                              aResult->mEntry->mModRevision };
+      } else {
+        Log("ownership").error("the table in the store is malformed: {}", Describe(table.error()));
+        result = table.error();
+      }
+    }
+    mCore.OnTableRead(id, result);
+    mCore.Tick();
+    Perform();
+  });
+}
+
+void OwnerService::Propose(const ProposeTable& aAction)
+{
+  auto value = EncodeTable(*aAction.mTable);
+  if (!value) {
+    Log("ownership").error("cannot encode a table: {}", Describe(value.error()));
+    mCore.OnProposalResult(aAction.mId, ProposalOutcome::Conflict);
+    return;
+  }
+  mStore.CompareAndSwap(mStoreKey, aAction.mExpectedModRevision, std::move(*value), kNoLease,
+                        [this, id = aAction.mId](const StoreResult<Revision>& aResult) {
+                          ProposalOutcome outcome = ProposalOutcome::Applied;
+                          if (!aResult) {
+                            outcome = aResult.error().mCode == StoreError::Unknown
+                                        ? ProposalOutcome::Unknown
+                                        : ProposalOutcome::Conflict;
+                          }
+                          mCore.OnProposalResult(id, outcome);
+                          mCore.Tick();
+                          Perform();
+                        });
+}
+
+void OwnerService::ArmTimer()
+{
+  const SteadyTime wake = mCore.NextWake();
+  if (wake == SteadyTime::max() || mTimer.expiry() == wake) {
+    return;
+  }
+  mTimer.expires_at(wake);
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      mTimer.expires_at(SteadyTime::min());
+      mCore.Tick();
+      Perform();
+    }
+  });
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/owner_service.h
@@ -0,0 +1,91 @@
+// Runs requests with an idempotency key at most once: finds the owner of the key's shard, and on
+// the owner records the key, dispatches, and answers those who send it again.
+#pragma once
+
+#include "call_target.h"
+#include "executor.h"
+#include "peers.h"
+
+#include "balsammount/kernel.h"
+#include "balsammount/ownership.h"
+#include "balsammount/store.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <map>
+#include <unordered_map>
+
+namespace balsammount {
+
+class OwnerService final
+  : public Service
+  , public CallTarget
+{
+public:
+  OwnerService(boost::asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+               Store& aStore, Peers& aPeers, Executor& aExecutor, const std::string& aService,
+               NodeIdentity aSelf);
+
+  Result<void> Start() override;
+  void Stop() override;
+
+  // Takes a call with a key of this node's service.
+  std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest aRequest, RequestBudget aBudget,
+                               AnswerCallback aCallback) override;
+
+  // The nodes of this service, this one included.
+  void SetMembers(std::vector<OwnershipMember> aMembers);
+
+  // A message of another node's ownership core. False when it is malformed.
+  bool OnMessage(std::string_view aBytes);
+
+  // Hands all shards over to other nodes.
+  void Drain();
+  bool Drained() const { return mCore.Drained(); }
+
+  // Shards in which this node may dispatch now.
+  size_t OwnedShards() const;
+
+  const OwnershipCore& Core() const { return mCore; }
+  const KeyMemory& Memory() const { return mMemory; }
+
+private:
+  class KeyedCall;
+  struct Running;
+
+  std::shared_ptr<Call> HandleAsOwner(CallContext aContext, HttpRequest aRequest,
+                                      RequestBudget aBudget, AnswerCallback aCallback);
+  std::shared_ptr<Call> Join(const KeyRequest& aRequest, KeyMemory::WaiterId aWaiter,
+                             RequestBudget aBudget, AnswerCallback aCallback);
+  void Run(CallContext aContext, HttpRequest aRequest, RequestBudget aBudget,
+           AnswerCallback aCallback, const KeyRequest& aKey);
+  void OnAnswer(const KeyRequest& aKey, const std::shared_ptr<Running>& aRunning, Answer aAnswer);
+  void AnswerWaiters(const Result<std::vector<KeyMemory::WaiterId>>& aWaiters,
+                     const Answer& aAnswer);
+  void Perform();
+  void Send(const SendMessage& aAction);
+  void Read(const ReadTable& aAction);
+  void Propose(const ProposeTable& aAction);
+  void ArmTimer();
+
+  const Clock& mClock;
+  Store& mStore;
+  Peers& mPeers;
+  Executor& mExecutor;
+  std::string mService;
+  std::string mStoreKey;
+  NodeIdentity mSelf;
+  KeyMemory mMemory;
+  OwnershipCore mCore;
+  boost::asio::steady_timer mTimer;
+  struct Waiter
+  {
+    AnswerCallback mCallback;
+    std::shared_ptr<RequestBudget> mBudget;
+  };
+  std::unordered_map<KeyMemory::WaiterId, Waiter> mWaiters;
+  KeyMemory::WaiterId mNextWaiter = 1;
+  bool mStopped = false;
+};
+
+} // namespace balsammount
--- a/packages/node/src/peer_handler.cpp
+++ b/packages/node/src/peer_handler.cpp
@@ -22,15 +22,28 @@
     return;
   }
   const std::string& target = aExchange->Request().mTarget;
-  if (target == "/balsammount/member") {
-    aExchange->Respond(BodyResponse(200, mMembers.SelfRecord()));
-  } else if (target == "/balsammount/config" && mConfig.Holder().Value()) {
+  if (target == "/balsammount/config" && mConfig.Holder().Value()) {
     aExchange->Respond(BodyResponse(200, *mConfig.Holder().Value()));
+  } else if (target == "/balsammount/ownership") {
+    const bool accepted = mOwner.OnMessage(aExchange->Request().mBody);
+    aExchange->Respond(BodyResponse(accepted ? 204 : 400, {}));
+  } else if (target == "/balsammount/quarantine") {
+    HandleQuarantine(*aExchange);
   } else {
     aExchange->Respond(BodyResponse(404, {}));
   }
 }
 
+void PeerHandler::HandleQuarantine(Exchange& aExchange)
+{
+  if (aExchange.Request().mMethod == "GET") {
+    aExchange.Respond(BodyResponse(200, mQuarantine.EncodeAll()));
+    return;
+  }
+  const bool accepted = mQuarantine.OnMessage(aExchange.Request().mBody);
+  aExchange.Respond(BodyResponse(accepted ? 204 : 400, {}));
+}
+
 void PeerHandler::HandleCall(const std::shared_ptr<Exchange>& aExchange)
 {
   auto received = ReadContext(aExchange->Request(), mClock.Now());
--- a/packages/node/src/peer_handler.h
+++ b/packages/node/src/peer_handler.h
@@ -3,19 +3,21 @@
 
 #include "call_target.h"
 #include "config_service.h"
-#include "member_service.h"
+#include "owner_service.h"
+#include "quarantine_service.h"
 
 namespace balsammount {
 
 class PeerHandler
 {
 public:
-  PeerHandler(const Clock& aClock, CallTarget& aLocal, MemberService& aMembers,
-              ConfigService& aConfig)
+  PeerHandler(const Clock& aClock, CallTarget& aLocal, ConfigService& aConfig, OwnerService& aOwner,
+              QuarantineService& aQuarantine)
     : mClock(aClock)
     , mLocal(aLocal)
-    , mMembers(aMembers)
     , mConfig(aConfig)
+    , mOwner(aOwner)
+    , mQuarantine(aQuarantine)
   {
   }
 
@@ -23,11 +25,13 @@
 
 private:
   void HandleCall(const std::shared_ptr<Exchange>& aExchange);
+  void HandleQuarantine(Exchange& aExchange);
 
   const Clock& mClock;
   CallTarget& mLocal;
-  MemberService& mMembers;
   ConfigService& mConfig;
+  OwnerService& mOwner;
+  QuarantineService& mQuarantine;
 };
 
 } // namespace balsammount
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -37,10 +37,14 @@
 
 std::shared_ptr<Call> Peers::Forward(const std::string& aNodeId, const CallContext& aContext,
                                      HttpRequest aRequest, RequestBudget aBudget, SteadyTime aNow,
-                                     AnswerCallback aCallback)
+                                     AnswerCallback aCallback,
+                                     const std::vector<Header>& aExtraHeaders)
 {
   RemoveInternalHeaders(aRequest.mHeaders);
   WriteContext(aContext, aBudget.Left(), aNow, aRequest.mHeaders);
+  for (const Header& header : aExtraHeaders) {
+    aRequest.mHeaders.Add(header.mName, header.mValue);
+  }
   auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
   return Send(aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
               [budget, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -30,7 +30,8 @@
   // Forwards a call to a node. An unknown node is a refusal.
   std::shared_ptr<Call> Forward(const std::string& aNodeId, const CallContext& aContext,
                                 HttpRequest aRequest, RequestBudget aBudget, SteadyTime aNow,
-                                AnswerCallback aCallback);
+                                AnswerCallback aCallback,
+                                const std::vector<Header>& aExtraHeaders = {});
 
   // Sends a plain request, for control messages.
   std::shared_ptr<Call> Send(const std::string& aNodeId, HttpRequest aRequest, Duration aTimeout,
--- /dev/null
+++ b/packages/node/src/quarantine_service.cpp
@@ -0,0 +1,153 @@
+#include "quarantine_service.h"
+
+#include "balsammount/hash.h"
+#include "balsammount/log.h"
+
+#include <span>
+
+namespace balsammount {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kExchangeInterval = 500ms;
+constexpr auto kMessageTimeout = 2000ms;
+constexpr size_t kFanout = 3;
+constexpr size_t kMaxGossipBytes = 4096;
+
+constexpr const char* kTarget = "/balsammount/quarantine";
+
+std::string ToText(const std::vector<uint8_t>& aBytes)
+{
+  return { aBytes.begin(), aBytes.end() };
+}
+
+} // namespace
+
+QuarantineService::QuarantineService(boost::asio::io_context& aContext, const Clock& aClock,
+                                     Random& aRandom, Peers& aPeers, const NodeSettings& aSettings)
+  : mRandom(aRandom)
+  , mPeers(aPeers)
+  , mSelf(aSettings.mNodeId)
+  , mCore(aClock, Hash64(aSettings.mNodeId), {})
+  , mTimer(aContext)
+{
+}
+
+Result<void> QuarantineService::Start()
+{
+  Exchange();
+  return {};
+}
+
+void QuarantineService::Stop()
+{
+  mTimer.cancel();
+}
+
+bool QuarantineService::IsQuarantined(uint64_t aFingerprint) const
+{
+  return mCore.IsQuarantined(Fingerprint{ aFingerprint });
+}
+
+Duration QuarantineService::RetryAfter(uint64_t aFingerprint) const
+{
+  return mCore.RetryAfter(Fingerprint{ aFingerprint });
+}
+
+void QuarantineService::Release(uint64_t aFingerprint)
+{
+  Log("quarantine").info("released {:016x}", aFingerprint);
+  mCore.Release(Fingerprint{ aFingerprint });
+}
+
+bool QuarantineService::OnMessage(std::string_view aBytes)
+{
+  const auto merged =
+    mCore.Merge({ reinterpret_cast<const uint8_t*>(aBytes.data()), aBytes.size() });
+  if (!merged) {
+    Log("quarantine").warn("refused a message: {}", Describe(merged.error()));
+  }
+  return merged.has_value();
+}
+
+std::string QuarantineService::EncodeAll() const
+{
+  return ToText(mCore.EncodeAll());
+}
+
+void QuarantineService::OnDispatch(uint64_t aJob, uint64_t aFingerprint)
+{
+  mCore.OnDispatch(aJob, Fingerprint{ aFingerprint });
+}
+
+void QuarantineService::OnEnd(uint64_t aJob, bool aCompleted)
+{
+  mCore.OnEnd(aJob, aCompleted);
+}
+
+void QuarantineService::OnServerDeath()
+{
+  const size_t suspects = mCore.OnServerDeath();
+  Log("quarantine").warn("the backend server died with {} requests in flight", suspects);
+}
+
+void QuarantineService::Exchange()
+{
+  const auto members = RandomMembers(kFanout);
+  if (!mFetched && !members.empty()) {
+    FetchAll(members.front());
+  }
+  const auto bytes = mCore.TakeGossip(kMaxGossipBytes);
+  if (!bytes.empty()) {
+    for (const std::string& member : members) {
+      SendTo(member, ToText(bytes));
+    }
+  }
+  mTimer.expires_after(kExchangeInterval);
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Exchange();
+    }
+  });
+}
+
+void QuarantineService::SendTo(const std::string& aNodeId, const std::string& aBytes)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = kTarget;
+  request.mBody = aBytes;
+  mPeers.Send(aNodeId, std::move(request), kMessageTimeout, [](const auto&) {});
+}
+
+void QuarantineService::FetchAll(const std::string& aNodeId)
+{
+  HttpRequest request;
+  request.mTarget = kTarget;
+  mPeers.Send(aNodeId, std::move(request), kMessageTimeout,
+              [this](const Result<HttpResponse>& aResult) {
+                if (aResult && aResult->mStatus == 200) {
+                  mFetched = OnMessage(aResult->mBody);
+                }
+              });
+}
+
+std::vector<std::string> QuarantineService::RandomMembers(size_t aCount)
+{
+  std::vector<std::string> chosen;
+  if (!mMembers) {
+    return chosen;
+  }
+  auto members = mMembers->Members();
+  std::erase_if(members, [this](const MemberRecord& aRecord) { return aRecord.mId == mSelf; });
+  while (chosen.size() < aCount && !members.empty()) {
+    const size_t index = mRandom.Below(members.size());
+    chosen.push_back(std::move(members[index].mId));
+    members.erase(members.begin() + static_cast<std::ptrdiff_t>(index));
+  }
+  return chosen;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/quarantine_service.h
@@ -0,0 +1,58 @@
+// Recognises requests that crash backend servers, and exchanges the evidence with other nodes.
+#pragma once
+
+#include "executor.h"
+#include "peers.h"
+
+#include "balsammount/kernel.h"
+#include "balsammount/membership.h"
+#include "balsammount/quarantine.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace balsammount {
+
+class QuarantineService final
+  : public Service
+  , public DispatchObserver
+{
+public:
+  QuarantineService(boost::asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                    Peers& aPeers, const NodeSettings& aSettings);
+
+  Result<void> Start() override;
+  void Stop() override;
+
+  // The members to exchange evidence with; must outlive this service.
+  void SetMembers(const Membership& aMembers) { mMembers = &aMembers; }
+
+  bool IsQuarantined(uint64_t aFingerprint) const;
+  Duration RetryAfter(uint64_t aFingerprint) const;
+  void Release(uint64_t aFingerprint);
+  std::vector<SuspectView> List() const { return mCore.List(); }
+
+  // Evidence from another node. False when it is malformed.
+  bool OnMessage(std::string_view aBytes);
+  // Everything that is known, for a node that has just started.
+  std::string EncodeAll() const;
+
+  void OnDispatch(uint64_t aJob, uint64_t aFingerprint) override;
+  void OnEnd(uint64_t aJob, bool aCompleted) override;
+  void OnServerDeath() override;
+
+private:
+  void Exchange();
+  void SendTo(const std::string& aNodeId, const std::string& aBytes);
+  void FetchAll(const std::string& aNodeId);
+  std::vector<std::string> RandomMembers(size_t aCount);
+
+  Random& mRandom;
+  Peers& mPeers;
+  std::string mSelf;
+  Quarantine mCore;
+  const Membership* mMembers = nullptr;
+  boost::asio::steady_timer mTimer;
+  bool mFetched = false;
+};
+
+} // namespace balsammount
