Add the membership core

SWIM with suspicion, indirect probes and Lifeguard's self-awareness, gossip with bounded retransmission, and repair of the member list by digests.

--- /dev/null
+++ b/packages/membership/src/gossip_queue.h
@@ -0,0 +1,68 @@
+// Records that wait to be sent with other datagrams, the least often sent first, of these the
+// newest.
+#pragma once
+
+#include <cstdint>
+#include <set>
+#include <tuple>
+#include <unordered_map>
+#include <vector>
+
+namespace balsammount::detail {
+
+class GossipQueue
+{
+public:
+  // aSent is the number of transmissions that count as done; below zero for additional ones.
+  void Push(uint64_t aPosition, int32_t aSent)
+  {
+    Drop(aPosition);
+    Insert({ aSent, --mOrder, aPosition });
+  }
+
+  void Drop(uint64_t aPosition)
+  {
+    const auto found = mKeys.find(aPosition);
+    if (found != mKeys.end()) {
+      mQueue.erase(found->second);
+      mKeys.erase(found);
+    }
+  }
+
+  // Offers records until aAccept returns false. Those accepted aLimit times are done.
+  template <class Accept>
+  void Take(int32_t aLimit, Accept aAccept)
+  {
+    std::vector<Key> taken;
+    for (const Key& key : mQueue) {
+      if (!aAccept(std::get<2>(key))) {
+        break;
+      }
+      taken.push_back(key);
+    }
+    for (Key key : taken) {
+      Drop(std::get<2>(key));
+      if (++std::get<0>(key) < aLimit) {
+        Insert(key);
+      }
+    }
+  }
+
+  bool Empty() const { return mQueue.empty(); }
+  size_t Size() const { return mQueue.size(); }
+
+private:
+  using Key = std::tuple<int32_t, uint64_t, uint64_t>; // sent, order, position
+
+  void Insert(const Key& aKey)
+  {
+    mQueue.insert(aKey);
+    mKeys[std::get<2>(aKey)] = aKey;
+  }
+
+  std::set<Key> mQueue;
+  std::unordered_map<uint64_t, Key> mKeys;
+  uint64_t mOrder = UINT64_MAX;
+};
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/membership/src/suspicion.h
@@ -0,0 +1,65 @@
+// How long a member stays suspect: from the longest time down to the shortest as independent
+// members confirm (Lifeguard).
+#pragma once
+
+#include "balsammount/clock.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <vector>
+
+namespace balsammount::detail {
+
+struct SuspicionTimes
+{
+  Duration mShortest{};
+  Duration mLongest{};
+  uint32_t mConfirmations = 0; // to come down to the shortest
+};
+
+class Suspicion
+{
+public:
+  Suspicion(SteadyTime aStart, int64_t aStartedMs, SuspicionTimes aTimes, uint32_t aAccuser)
+    : mStart(aStart)
+    , mStartedMs(aStartedMs)
+    , mTimes(aTimes)
+    , mAccusers{ aAccuser }
+  {
+  }
+
+  // False when the accuser is known or enough have confirmed.
+  bool Confirm(uint32_t aAccuser)
+  {
+    if (mAccusers.size() > mTimes.mConfirmations ||
+        std::find(mAccusers.begin(), mAccusers.end(), aAccuser) != mAccusers.end()) {
+      return false;
+    }
+    mAccusers.push_back(aAccuser);
+    return true;
+  }
+
+  SteadyTime Deadline() const
+  {
+    if (mTimes.mConfirmations == 0) {
+      return mStart + mTimes.mShortest;
+    }
+    const double part = std::log(static_cast<double>(mAccusers.size())) /
+                        std::log(static_cast<double>(mTimes.mConfirmations) + 1);
+    const auto saved = std::chrono::duration_cast<Duration>(
+      std::chrono::duration<double, std::nano>(mTimes.mLongest - mTimes.mShortest) * part);
+    return mStart + std::max(mTimes.mShortest, mTimes.mLongest - saved);
+  }
+
+  void Extend(Duration aBy) { mStart += aBy; }
+  int64_t StartedMs() const { return mStartedMs; }
+
+private:
+  SteadyTime mStart;
+  int64_t mStartedMs; // wall clock
+  SuspicionTimes mTimes;
+  std::vector<uint32_t> mAccusers;
+};
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/membership/src/wire.h
@@ -0,0 +1,82 @@
+// Datagrams of the membership protocol. A datagram is a MessagePack array
+// [version, cluster, type, sequence, sender, revision, holder, body, records]:
+//
+//  Ping         body [target id]
+//  PingRequest  body [target id, target address, target port]
+//  Ack, Nack    body []; the sequence is the one of the ping or request
+//  Gossip       body []
+//  Sync         body [low, high, digest]; the digest has 12 bytes per record of the range
+//  SyncReply    body [through, wanted]; wanted has 8 bytes per position; through absent when more
+//               datagrams of the reply follow
+//
+// A record is [id, start, incarnation, flags, address, port, data centre, service, revision] and
+// for a suspect the accuser, for a dead member the time of death.
+#pragma once
+
+#include "balsammount/membership.h"
+
+namespace balsammount::detail {
+
+enum class MessageType : uint8_t
+{
+  Ping = 1,
+  PingRequest,
+  Ack,
+  Nack,
+  Gossip,
+  Sync,
+  SyncReply,
+};
+
+struct RecordUpdate
+{
+  MemberRecord mRecord;
+  uint32_t mAccuser = 0; // hash of the id of the member that suspects
+  int64_t mDeadAtMs = 0; // wall clock
+
+  bool operator==(const RecordUpdate&) const = default;
+};
+
+struct DigestEntry
+{
+  uint64_t mPosition = 0; // hash of the id
+  uint32_t mVersion = 0;
+
+  bool operator==(const DigestEntry&) const = default;
+};
+
+struct Message
+{
+  MessageType mType = MessageType::Gossip;
+  uint64_t mSequence = 0;
+  std::string mFrom;
+  uint64_t mRevision = 0;
+  std::string mHolder; // empty when unknown
+  std::string mTarget;
+  Endpoint mTargetEndpoint;
+  uint64_t mLow = 0;
+  uint64_t mHigh = 0;
+  std::vector<DigestEntry> mDigest;
+  std::optional<uint64_t> mThrough;
+  std::vector<uint64_t> mWanted;
+  std::vector<RecordUpdate> mRecords;
+
+  bool operator==(const Message&) const = default;
+};
+
+inline constexpr size_t kMaxId = 64;
+inline constexpr size_t kMaxDataCentre = 32;
+inline constexpr size_t kMaxService = 64;
+inline constexpr size_t kMaxAddress = 45;
+inline constexpr size_t kDigestEntryBytes = 12;
+inline constexpr size_t kPositionBytes = 8;
+
+uint32_t ClusterTag(std::string_view aCluster);
+
+std::vector<uint8_t> Encode(const Message& aMessage, uint32_t aCluster);
+Result<Message> Decode(std::span<const uint8_t> aBytes, uint32_t aCluster);
+
+// Bytes that the record adds to a datagram.
+size_t EncodedSize(const RecordUpdate& aUpdate);
+
+} // namespace balsammount::detail
