Measure a forgotten upstream again when nothing is in flight

Cause: trial mutants showed untested rules, and a new test found that a recovered upstream got nothing at low load: its forgotten latency ended just above that of its neighbours. Change: a forgotten latency ends at 0.9 of the service's latency, so the upstream wins a comparison and is measured again. The ejection bound is checked in one place per event.

--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -21,6 +21,9 @@
 constexpr double kRise = 0.25;
 constexpr double kFall = 0.1;
 constexpr double kServiceLatency = 0.05;
+// Share of the service's latency that is assumed of an upstream whose high latency is forgotten.
+// Below 1, so that it wins a comparison and is measured again also when nothing is in flight.
+constexpr double kForgotten = 0.9;
 
 constexpr double kFailureWeight = 1.0 / 16;
 constexpr uint32_t kMinResponses = 16;
@@ -335,7 +338,6 @@
   aUpstream.mFailedInRow = 0;
   aUpstream.mResponses = 0;
   aUpstream.mFailureRate = 0;
-  EnforceEjectionBound(*aUpstream.mService);
 }
 
 bool Router::IsAvoided(const Upstream& aUpstream, SteadyTime aNow) const
@@ -367,7 +369,8 @@
   }
   const double age =
     Nanos(aNow - aUpstream.mSampled) / std::max(1.0, Nanos(mPolicy.mLatencyMemory));
-  return typical + (aUpstream.mLatency - typical) * std::max(0.0, 1 - age);
+  const double target = kForgotten * typical;
+  return target + (aUpstream.mLatency - target) * std::max(0.0, 1 - age);
 }
 
 double Router::Score(const Upstream& aUpstream, SteadyTime aNow) const
