Refuse connections over the HTTP server's limit with a not-run answer

Cause: a connection over the limit was closed after its accept, and its client could not tell whether its request ran. Change: up to 256 connections over the limit get 503 not-run for one request.

--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -16,9 +16,9 @@
 {
   size_t mMaxHeaderBytes = 16 * 1024;
   size_t mMaxBodyBytes = 1024 * 1024;
-  size_t mMaxConnections = 2000;
-  std::chrono::milliseconds mIdleTimeout{ 60'000 };  // between requests of a connection
-  std::chrono::milliseconds mReadTimeout{ 10'000 };  // from the first byte to the whole request
+  size_t mMaxConnections = 2000;                    // more are answered with 503 not-run and closed
+  std::chrono::milliseconds mIdleTimeout{ 60'000 }; // between requests of a connection
+  std::chrono::milliseconds mReadTimeout{ 10'000 }; // from the first byte to the whole request
   std::chrono::milliseconds mWriteTimeout{ 10'000 }; // for the whole answer, or one streamed piece
   size_t mMaxStreamBacklogBytes = 8 * 1024 * 1024;   // streamed and not yet written
 };
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -23,6 +23,10 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
+// Connections over the limit that are told so. A connection that is closed without an answer leaves
+// its client in doubt whether its request ran.
+constexpr size_t kRefusalConnections = 256;
+
 class ServerExchange final : public HttpExchange
 {
 public:
@@ -215,6 +219,7 @@
     }
     beast::tcp_stream mStream;
     bool mBusy = false;
+    bool mOverLimit = false; // answers one request with a refusal, then closes
   };
 
   State(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpServerLimits aLimits,
@@ -241,8 +246,8 @@
       if (error == asio::error::operation_aborted || mStopping) {
         break;
       }
-      if (error || mSessions.size() >= mLimits.mMaxConnections) {
-        // Out of descriptors or of the connection limit: let others finish first.
+      if (error || mSessions.size() >= mLimits.mMaxConnections + kRefusalConnections) {
+        // Out of descriptors or of room for refusals: let others finish first.
         pause.expires_after(std::chrono::milliseconds(error ? 50 : 1));
         co_await pause.async_wait(kAwait);
         continue;
@@ -259,6 +264,7 @@
     const auto remote = aSocket.remote_endpoint(ignored);
     const std::string address = remote.address().to_string();
     auto session = std::make_shared<Session>(std::move(aSocket));
+    session->mOverLimit = aState->mSessions.size() >= aState->mLimits.mMaxConnections;
     aState->mSessions.insert(session);
     beast::flat_buffer buffer;
     while (!aState->mStopping && co_await aState->ServeOne(session, buffer, address)) {
@@ -275,7 +281,7 @@
     beast::tcp_stream& stream = aSession->mStream;
     if (aBuffer.size() == 0) {
       // The idle timeout ends with the first byte of the request.
-      stream.expires_after(mLimits.mIdleTimeout);
+      stream.expires_after(aSession->mOverLimit ? mLimits.mReadTimeout : mLimits.mIdleTimeout);
       auto [waitError, count] = co_await stream.async_read_some(aBuffer.prepare(4096), kAwait);
       if (waitError) {
         co_return false;
@@ -295,6 +301,12 @@
       }
       co_return false;
     }
+    if (aSession->mOverLimit) {
+      HttpResponse refusal = StatusOnly(503, "too many connections");
+      refusal.mHeaders.Set("Retry-After", "1");
+      co_await Write(stream, std::move(refusal), 11, false, false);
+      co_return false;
+    }
     const bool keepAlive = parser.get().keep_alive();
     const unsigned version = parser.get().version();
     const bool isHead = parser.get().method() == http::verb::head;
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -81,8 +81,9 @@
   void Echo(const std::string& aBody)
   {
     const size_t answers = mAnswers.size();
+    const size_t held = mHeld.size();
     auto call = Send(aBody);
-    RunUntil([&] { return !mHeld.empty(); });
+    RunUntil([&] { return mHeld.size() > held; });
     HttpResponse response;
     response.mBody = mHeld.back()->Request().mBody;
     mHeld.back()->Respond(std::move(response));
@@ -186,7 +187,6 @@
   call->Cancel();
   RunUntil([&] { return cancelled; });
   CHECK(mAnswers.empty());
-  mHeld.clear();
   Echo("still served");
 }
 
@@ -210,6 +210,30 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a connection limit that leaves clients in doubt whether their request ran.
+TEST(Http, ConnectionOverTheLimitIsRefused)
+{
+  HttpServerLimits limits;
+  limits.mMaxConnections = 1;
+  HttpServer small(mContext, kAnyHttpPort, limits, [this](std::shared_ptr<Exchange> aExchange) {
+    mHeld.push_back(std::static_pointer_cast<HttpExchange>(std::move(aExchange)));
+  });
+  CHECK(small.Start().has_value());
+  mClient = ClientOf(small.Port());
+  Send("first");
+  RunUntil([&] { return mHeld.size() == 1; });
+  std::string outcome;
+  mClient->Send(Post("second"), 5s, [&](const Result<HttpResponse>& aResult) {
+    outcome = aResult ? aResult->mHeaders.Find("Balsam-Outcome") : "failed";
+  });
+  RunUntil([&] { return !outcome.empty(); });
+  CHECK_EQUAL(std::string("not-run"), outcome);
+  CHECK_EQUAL(1, mHeld.size());
+  mHeld[0]->Respond({});
+  RunUntil([&] { return mAnswers.size() == 1; });
+  Echo("third");
+}
+
 // Guards against a client that waits for 100 Continue before it sends its body.
 TEST(Http, ExpectationIsAnswered)
 {
