Drop old idle connections of the HTTP client

Cause: a request on a pooled connection that its server closes at the same moment ends as Lost, and connections left from a peak were kept for ever. The store adapter's test covers a 503 after the proposal.

--- a/packages/store/tests/etcd_store_test.cpp
+++ b/packages/store/tests/etcd_store_test.cpp
@@ -189,6 +189,23 @@
   CHECK(Swap("/k", kAbsent, "one").error().mCode == StoreError::Unknown);
 }
 
+// Guards against reporting a write as not done when the store gave up on it after its proposal.
+TEST(EtcdStore, FailureAfterTheProposalIsUnknown)
+{
+  HttpServer server(mContext, kAnyPort, {}, [](const std::shared_ptr<Exchange>& aExchange) {
+    HttpResponse response;
+    response.mStatus = 503;
+    response.mBody = R"({"error":"etcdserver: request timed out","code":14})";
+    aExchange->Respond(response);
+  });
+  CHECK(server.Start().has_value());
+  Open({ Loopback(server.Port()), Loopback(mStandin->Port()) });
+  CHECK(Swap("/k", kAbsent, "one").error().mCode == StoreError::Unknown);
+  CHECK_FALSE(mStandin->Model().Find("/k"));
+  Open({ Loopback(server.Port()) });
+  CHECK(Get("/k").error().mCode == StoreError::Unavailable);
+}
+
 // Guards against one silent endpoint taking the store away: reads and watches move to the next
 // endpoint, and a write is not repeated elsewhere.
 TEST(EtcdStore, SilentEndpointIsPassedOver)
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -14,6 +14,9 @@
 struct HttpClientLimits
 {
   size_t mMaxIdleConnections = 400;
+  // Below the idle timeout of the servers: a request on a connection that its server closes at the
+  // same moment ends as Lost.
+  std::chrono::milliseconds mMaxIdleTime{ 30'000 };
   size_t mMaxBodyBytes = 1024 * 1024;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
 };
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace balsammount {
@@ -30,6 +31,7 @@
   }
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
+  std::chrono::steady_clock::time_point mIdleSince;
 };
 
 // True when the server has closed an idle connection or sent bytes that nobody asked for.
@@ -184,8 +186,29 @@
   {
   }
 
+  // The connections are in the order of the time when they became idle.
+  void DropOldIdle()
+  {
+    const auto limit = std::chrono::steady_clock::now() - mLimits.mMaxIdleTime;
+    const auto kept = std::find_if(mIdle.begin(), mIdle.end(), [limit](const auto& aConnection) {
+      return aConnection->mIdleSince > limit;
+    });
+    mIdle.erase(mIdle.begin(), kept);
+  }
+
+  void PutIdle(std::shared_ptr<Connection> aConnection)
+  {
+    DropOldIdle();
+    if (mIdle.size() < mLimits.mMaxIdleConnections) {
+      aConnection->mStream.expires_never();
+      aConnection->mIdleSince = std::chrono::steady_clock::now();
+      mIdle.push_back(std::move(aConnection));
+    }
+  }
+
   std::shared_ptr<Connection> TakeIdle()
   {
+    DropOldIdle();
     while (!mIdle.empty()) {
       auto connection = std::move(mIdle.back());
       mIdle.pop_back();
@@ -264,10 +287,8 @@
     const bool isFramed = parser->content_length() || parser->chunked() || !parser->need_eof();
     // Bytes after the answer would be taken for the answer to the next request.
     const bool isClean = connection->mBuffer.size() == 0;
-    if (parser->keep_alive() && isClean && !aCall->IsCancelled() &&
-        self.mIdle.size() < self.mLimits.mMaxIdleConnections) {
-      connection->mStream.expires_never();
-      self.mIdle.push_back(std::move(connection));
+    if (parser->keep_alive() && isClean && !aCall->IsCancelled()) {
+      self.PutIdle(std::move(connection));
     }
     if (!isFramed) {
       aCall->Finish(Failure{ TransportError::Lost, self.mHost + ": answer without a length" });
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -210,6 +210,26 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests on connections that their server is about to close, and against keeping
+// the connections that a peak has left.
+TEST(Http, OldIdleConnectionsAreDropped)
+{
+  HttpClientLimits limits;
+  limits.mMaxIdleTime = 50ms;
+  mClient = std::make_unique<HttpClient>(
+    mContext, tcp::endpoint(kAnyHttpPort.address(), mServer->Port()), limits);
+  Send("a");
+  Send("b");
+  RunUntil([&] { return mHeld.size() == 2; });
+  mHeld[0]->Respond({});
+  mHeld[1]->Respond({});
+  RunUntil([&] { return mAnswers.size() == 2; });
+  CHECK_EQUAL(2, mServer->Connections());
+  mContext.run_for(60ms);
+  Echo("c");
+  RunUntil([&] { return mServer->Connections() == 1; });
+}
+
 // Guards against a connection limit that leaves clients in doubt whether their request ran.
 TEST(Http, ConnectionOverTheLimitIsRefused)
 {
