Test the ownership codecs and tidy the release of voters

Cause: tables and messages come from the store and from peers; the first proposer's rank was hashed on every step. Change: tests for round trips, truncation, damage, nesting and bounds; the rank is computed only when releases are due.

--- a/packages/ownership/include/balsammount/ownership.h
+++ b/packages/ownership/include/balsammount/ownership.h
@@ -254,6 +254,7 @@
   bool Gone(const NodeIdentity& aNode) const;
   bool Leaving() const;
   bool SeesVoterMajority() const;
+  bool IsReader() const;
   std::vector<std::string> Readers() const;
   bool OwnsAny() const;
   Duration Retry();
--- a/packages/ownership/src/ownership_core.cpp
+++ b/packages/ownership/src/ownership_core.cpp
@@ -196,9 +196,7 @@
   }
   ConfirmAnswer answer{ aBody.mId, ConfirmOutcome::Unavailable, known, nullptr };
   if (aBody.mFromStore) {
-    const auto readers = Readers();
-    if (std::ranges::find(readers, mSelf.mNode) != readers.end() &&
-        mReadNext.size() < kMaxWaitingReaders) {
+    if (IsReader() && mReadNext.size() < kMaxWaitingReaders) {
       mReadNext.push_back({ aMessage.mFrom, aBody });
       return;
     }
@@ -312,6 +310,19 @@
   }
 }
 
+// Without any reader among the members, each node reads for itself.
+bool OwnershipCore::IsReader() const
+{
+  bool any = false;
+  for (const OwnershipMember& member : mMembers) {
+    if (member.mReader && member.mIdentity.mNode == mSelf.mNode) {
+      return true;
+    }
+    any = any || member.mReader;
+  }
+  return !any;
+}
+
 std::vector<std::string> OwnershipCore::Readers() const
 {
   std::string_view dataCentre;
@@ -548,13 +559,15 @@
   const bool acquiring = std::ranges::any_of(mShards, [](const Shard& aShard) {
     return aShard.mHolding == Holding::Acquiring && !aShard.mReady;
   });
-  // The first proposer clears the list, or it would fill up and stop changes of the voters.
-  const bool tidy = mTable->mEarlier.size() > 1 && ProposerDelay() == Duration(0);
-  if ((!acquiring && !tidy) || !Due(mNextRelease)) {
+  if ((!acquiring && mTable->mEarlier.size() < 2) || !Due(mNextRelease)) {
     return;
   }
   mNextRelease = mClock.Now() + (acquiring ? mPolicy.mAskPeriod : mPolicy.mAskPeriod * 10);
   Due(mNextRelease);
+  // The first proposer clears the list, or it would fill up and stop changes of the voters.
+  if (!acquiring && ProposerDelay() != Duration(0)) {
+    return;
+  }
   for (const EarlierVoters& set : mTable->mEarlier) {
     if (Released(set)) {
       continue;
--- /dev/null
+++ b/packages/ownership/tests/ownership_codec_test.cpp
@@ -0,0 +1,141 @@
+#include "balsammount/ownership.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+OwnershipTable SampleTable()
+{
+  const NodeIdentity a{ "a", 1 };
+  const NodeIdentity b{ "b", 7 };
+  const NodeIdentity c{ "c", 2 };
+  return {
+    "orders", 5, { { a, 3, 0 }, { b, 5, 99 }, { {}, 4, 0 } }, { a, b, c }, { { 4, { a } } }
+  };
+}
+
+std::vector<OwnershipBody> SampleBodies()
+{
+  const auto table = std::make_shared<const OwnershipTable>(SampleTable());
+  const auto answer = std::make_shared<const RecordedAnswer>(
+    RecordedAnswer{ 201, { { "x-id", "\xff" } }, std::string("a\0b", 3) });
+  return { ConfirmRequest{ 3, 4, true },
+           ConfirmAnswer{ 3, ConfirmOutcome::Stale, 5, table },
+           ReleaseRequest{ 5 },
+           ReleaseAnswer{ 6 },
+           HandoverChunk{ 99,
+                          1,
+                          2,
+                          true,
+                          ShardLimit{ WallTime(5s), 7ms },
+                          { { "caller", "key", 1, KeyState::Completed, answer, 9ms },
+                            { "caller", "\xfe", 2, KeyState::Unknown, nullptr, 8ms } } },
+           HandoverAnswer{ 99, 1, 2, true },
+           TableRequest{ 4 },
+           TableAnswer{ table } };
+}
+
+OwnershipMessage Message(OwnershipBody aBody)
+{
+  return { "orders", { "a", 1 }, 2, std::move(aBody) };
+}
+
+std::error_code TableError(std::string_view aText)
+{
+  return DecodeTable(aText).error().mCode;
+}
+
+} // namespace
+
+TEST_GROUP(OwnershipTable){};
+
+// Guards against a table that changes on its way through the store.
+TEST(OwnershipTable, RoundTrip)
+{
+  const std::string text = EncodeTable(SampleTable()).value();
+  CHECK(DecodeTable(text).value() == SampleTable());
+}
+
+// Guards against a damaged or foreign value that is taken for a table.
+TEST(OwnershipTable, ReportsTypedErrors)
+{
+  const std::string text = EncodeTable(SampleTable()).value();
+  for (size_t length = 0; length < text.size(); ++length) {
+    CHECK(TableError(text.substr(0, length)) == OwnershipError::Malformed);
+  }
+  const auto replaced = [&](std::string_view aOld, std::string_view aNew) {
+    std::string changed = text;
+    const size_t at = changed.find(aOld);
+    CHECK(at != std::string::npos);
+    return changed.replace(at, aOld.size(), aNew);
+  };
+  CHECK(TableError(replaced("\"format\":1", "\"format\":2")) == OwnershipError::UnsupportedFormat);
+  CHECK(TableError(replaced("\"version\":5", "\"version\":2")) == OwnershipError::Malformed);
+  CHECK(TableError(replaced("[\"b\",7]", "[\"b\",-7]")) == OwnershipError::Malformed);
+  // One node with two votes would reach a majority too early.
+  CHECK(TableError(replaced("[\"b\",7]", "[\"a\",7]")) == OwnershipError::Malformed);
+  CHECK(TableError(std::string(kMaxTableBytes + 1, ' ')) == OwnershipError::TooLarge);
+  OwnershipTable table = SampleTable();
+  table.mService.assign(kMaxTableBytes, 'x');
+  CHECK(EncodeTable(table).error().mCode == OwnershipError::TooLarge);
+}
+
+TEST_GROUP(OwnershipMessage){};
+
+// Guards against fields that are lost or swapped, keys that are no UTF-8, and truncation.
+TEST(OwnershipMessage, RoundTripAndTruncation)
+{
+  for (const OwnershipBody& body : SampleBodies()) {
+    const std::string bytes = EncodeMessage(Message(body)).value();
+    const OwnershipMessage decoded = DecodeMessage(bytes).value();
+    CHECK(decoded.mBody.index() == body.index());
+    CHECK(decoded.mFrom == (NodeIdentity{ "a", 1 }));
+    LONGS_EQUAL(2, decoded.mToIncarnation);
+    CHECK(EncodeMessage(decoded).value() == bytes);
+    for (size_t length = 0; length < bytes.size(); ++length) {
+      CHECK(DecodeMessage(bytes.substr(0, length)).error().mCode == OwnershipError::Malformed);
+    }
+  }
+  const auto bytes = EncodeMessage(Message(SampleBodies()[4])).value();
+  const auto message = DecodeMessage(bytes).value();
+  const auto& chunk = std::get<HandoverChunk>(message.mBody);
+  CHECK(*chunk.mRecords[0].mAnswer ==
+        (RecordedAnswer{ 201, { { "x-id", "\xff" } }, std::string("a\0b", 3) }));
+  CHECK(chunk.mLimit == (ShardLimit{ WallTime(5s), 7ms }));
+}
+
+// Guards against a crash or a hang on bytes from a faulty peer.
+TEST(OwnershipMessage, SurvivesDamage)
+{
+  Random random(1);
+  for (const OwnershipBody& body : SampleBodies()) {
+    const std::string bytes = EncodeMessage(Message(body)).value();
+    for (int i = 0; i < 500; ++i) {
+      std::string damaged = bytes;
+      for (uint64_t j = 0; j <= random.Below(3); ++j) {
+        damaged[random.Below(damaged.size())] = static_cast<char>(random.Below(256));
+      }
+      if (auto decoded = DecodeMessage(damaged); decoded.has_value()) {
+        CHECK(EncodeMessage(*decoded).has_value());
+      }
+    }
+  }
+  // Arrays nested in arrays would exhaust the stack of a recursive reader.
+  CHECK(DecodeMessage(std::string(kMaxMessageBytes, '\x91')).error().mCode ==
+        OwnershipError::Malformed);
+  CHECK(DecodeMessage(std::string(kMaxMessageBytes + 1, '\x91')).error().mCode ==
+        OwnershipError::TooLarge);
+  // An array that announces 2^32 - 1 elements.
+  CHECK(DecodeMessage("\xdd\xff\xff\xff\xff").error().mCode == OwnershipError::Malformed);
+}
+
+TEST_GROUP(OwnershipPolicy){};
+
+// Guards against a wait that clocks 5% apart in each direction can undercut.
+TEST(OwnershipPolicy, WaitCoversClockDrift)
+{
+  CHECK(OwnershipPolicy().mClockFactor / 1.05 > 1 / 0.95);
+}
--- a/packages/ownership/tests/ownership_simulation.cpp
+++ b/packages/ownership/tests/ownership_simulation.cpp
@@ -169,7 +169,7 @@
     node.mMemory = std::make_unique<KeyMemory>(*node.mClock, "orders", memory);
     node.mCore = std::make_unique<OwnershipCore>(*node.mClock, *node.mRandom, *node.mMemory,
                                                  node.mMember.mIdentity, policy);
-    node.mView = { node.mMember };
+    node.mView.clear();
     node.mWake = INT64_MAX;
     Perform(aNode);
   }
@@ -241,19 +241,19 @@
   void Transmit(size_t aFrom, SendMessage aSend)
   {
     const size_t to = Index(aSend.mNode);
-    OwnershipMessage message = std::move(aSend.mMessage);
+    auto message = std::make_shared<OwnershipMessage>(std::move(aSend.mMessage));
     if (mOptions.mEncode) {
-      const std::string bytes = EncodeMessage(message).value();
+      const std::string bytes = EncodeMessage(*message).value();
       mOutcome.mMessages += Counting() ? 1 : 0;
       mOutcome.mMessageBytes += Counting() ? bytes.size() : 0;
-      message = DecodeMessage(bytes).value();
+      *message = DecodeMessage(bytes).value();
     }
     const int copies = Chance(0.01 + mSlowness / 2) ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       if (!mBlocked[aFrom][to] && !Chance(mLoss)) {
         At(mNow + Delay(), [this, to, message] {
           if (mNodes[to].mCore) {
-            InProcess(to, [this, to, message] { mNodes[to].mCore->OnMessage(message); })();
+            InProcess(to, [this, to, message] { mNodes[to].mCore->OnMessage(*message); })();
           }
         });
       }
@@ -327,6 +327,7 @@
     Node& node = mNodes[aNode];
     if (node.mCore && !node.mFrozen) {
       std::vector<OwnershipMember> view;
+      view.reserve(mNodes.size());
       for (size_t i = 0; i < mNodes.size(); ++i) {
         const auto& identity = mNodes[i].mMember.mIdentity;
         const auto old = std::ranges::find_if(node.mView, [&](const OwnershipMember& aMember) {
@@ -342,8 +343,11 @@
           view.push_back(mNodes[i].mMember);
         }
       }
-      node.mView = view;
-      InProcess(aNode, [this, aNode, view] { mNodes[aNode].mCore->SetMembers(view); })();
+      if (view != node.mView) {
+        node.mView = view;
+        node.mCore->SetMembers(std::move(view));
+        Perform(aNode);
+      }
     }
     At(mNow + Millis(100, 1200), [this, aNode] { UpdateView(aNode); });
   }
