Add the experiment program with its scenarios

Change: virtual-time model of callers, links, nodes and backend servers around the real AdmissionController, Router and retry budgets; Lua scenarios; baselines; switches; EntryFloors, which lets an entry node pass what a rank is owed although the shed level refuses it. Levels are taken as fresh for 0.3 s instead of the router's default of 2 s: levels of upstreams that a node no longer used outvoted those in use.

--- /dev/null
+++ b/packages/experiment/scenarios/bleskovod-freeze-and-cut.lua
@@ -0,0 +1,25 @@
+-- One archive server freezes, and later the link between two data centres is cut.
+rank("alert",    { worth = 100, floor = 0.2, deadline = 0.5 })
+rank("certify",  { worth = 50,  floor = 0.2, deadline = 0.5 })
+rank("book",     { worth = 10,  floor = 0.2, deadline = 1 })
+rank("query",    { worth = 1,   floor = 0.1, deadline = 1 })
+
+link { caller = 3, far = 4, loss = 0.01 }
+service("certification", 20)
+service("archive", 20)
+service("recalibration", 40)
+serve("certification", { upstreams = 3, slots = 120, connections = 800, centres = { "a", "b", "c" } })
+serve("archive",       { upstreams = 5, slots = 70, connections = 500, centres = { "a", "b", "c" } })
+serve("recalibration", { upstreams = 3, slots = 40, connections = 300, centres = { "a", "b", "c" } })
+call("certification", "archive")
+call("archive", "recalibration")
+
+demand("alert",   "certification", 0.1)
+demand("certify", "certification", 0.2)
+demand("book",    "certification", 0.1)
+demand("query",   "certification", 0.2)
+at(6,  freeze, "archive", 1, 3)
+at(12, cut, "a", "b", 3)
+
+run { seconds = 22, measure_from = 5 }
+expect { goodput = 0.95, retries = 0.1 }
--- /dev/null
+++ b/packages/experiment/src/world.cpp
@@ -0,0 +1,981 @@
+#include "world.h"
+
+#include "balsammount/hash.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace balsammount::detail {
+
+namespace {
+
+constexpr size_t kEntries = 4;
+constexpr uint32_t kAttempts = 3;
+// A message lost between data centres arrives after one retransmission timeout of TCP.
+constexpr double kRetransmission = 0.2;
+// A silent connection is given up after this time.
+constexpr double kSilence = 0.8;
+// The load figures of backend servers are this old.
+constexpr double kLoadLag = 2;
+constexpr double kBucket = 0.1;
+// Levels of upstreams that a node no longer uses must not outvote the ones it uses.
+constexpr double kShedLevelFresh = 0.3;
+
+double SecondsOf(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+Duration DurationOf(double aSeconds)
+{
+  return Duration(static_cast<int64_t>(aSeconds * 1e9));
+}
+
+} // namespace
+
+struct World::Service
+{
+  std::string mName;
+  double mSeconds = 0;
+  double mSlow = 1;
+  std::vector<size_t> mCalls;
+  std::vector<std::unique_ptr<Instance>> mInstances;
+};
+
+struct World::Node
+{
+  uint16_t mDataCentre = 0;
+  std::unique_ptr<Router> mRouter;
+  std::vector<RetryRatio> mRatios;        // per service
+  std::vector<EntryFloors> mFloors;       // per service
+  std::unique_ptr<CallerBudget> mCallers; // entry nodes only
+};
+
+struct World::Instance
+{
+  size_t mService = 0;
+  size_t mIndex = 0;
+  uint64_t mId = 0;
+  InstanceSettings mSettings;
+  std::unique_ptr<Node> mNode;
+  std::unique_ptr<AdmissionController> mAdmission;
+  SteadyTime mTimer = SteadyTime::max();
+  uint64_t mTimerVersion = 0;
+  // The backend server.
+  bool mAlive = true;
+  bool mFrozen = false;
+  uint64_t mEpoch = 0; // of the backend process
+  SteadyTime mStarted{};
+  uint32_t mRunning = 0;
+  std::deque<std::shared_ptr<Attempt>> mBacklog; // connections beyond the slots
+  std::vector<std::function<void()>> mStalled;
+  double mReportedLoad = 0;                                         // lagging
+  std::unordered_map<uint64_t, std::shared_ptr<Attempt>> mAttempts; // by id
+};
+
+// One send of a caller.
+struct World::Root
+{
+  size_t mRank = 0;
+  uint64_t mCaller = 0;
+  uint64_t mHash = 0;
+  SteadyTime mDeadline;
+  RequestBudget mBudget;
+  CallerSend mSend;
+  double mWork = 0;
+  bool mOver = false;
+  bool mMeasured = false;
+};
+
+struct World::Call
+{
+  std::shared_ptr<Root> mRoot;
+  Node* mFrom = nullptr;
+  size_t mService = 0;
+  bool mEntry = false;
+  uint32_t mAttempts = 0;
+  std::vector<UpstreamId> mTried;
+  std::function<void(Reply)> mDone;
+};
+
+struct World::Attempt
+{
+  uint64_t mId = 0;
+  std::shared_ptr<Call> mCall;
+  Instance* mTarget = nullptr;
+  SteadyTime mSent;
+  bool mClosed = false; // the sender no longer waits
+  // At the upstream.
+  AdmissionId mAdmission = 0;
+  uint64_t mEpoch = 0;
+  bool mInFlight = false;
+  size_t mStep = 0; // phases and sub-calls done
+};
+
+// A request of a caller, over all its sends.
+struct World::Logical
+{
+  Source* mSource = nullptr;
+  uint64_t mCaller = 0;
+  uint64_t mHash = 0;
+  uint32_t mTriesLeft = 0;
+  bool mMeasured = false;
+};
+
+struct World::Source
+{
+  size_t mRank = 0;
+  size_t mService = 0;
+  DemandSettings mSettings;
+  double mRate = 0;
+  uint64_t mVersion = 0;
+};
+
+World::World(const ExperimentOptions& aOptions)
+  : mOptions(aOptions)
+  , mStart(mClock.Now())
+  , mRandom(aOptions.mSeed)
+{
+}
+
+World::~World() = default;
+
+// Construction.
+
+void World::AddService(const std::string& aName, double aSeconds)
+{
+  auto service = std::make_unique<Service>();
+  service->mName = aName;
+  service->mSeconds = aSeconds;
+  mServices.push_back(std::move(service));
+}
+
+void World::AddInstances(size_t aService, const InstanceSettings& aSettings)
+{
+  for (size_t i = 0; i < aSettings.mCount; ++i) {
+    auto instance = std::make_unique<Instance>();
+    instance->mService = aService;
+    instance->mIndex = mServices[aService]->mInstances.size();
+    instance->mId = ++mLastId;
+    instance->mSettings = aSettings;
+    mServices[aService]->mInstances.push_back(std::move(instance));
+  }
+}
+
+void World::AddCall(size_t aFrom, size_t aTo)
+{
+  mServices[aFrom]->mCalls.push_back(aTo);
+}
+
+size_t World::FindRank(const std::string& aName) const
+{
+  return static_cast<size_t>(std::ranges::find(mRankSettings, aName, &RankSettings::mName) -
+                             mRankSettings.begin());
+}
+
+size_t World::FindService(const std::string& aName) const
+{
+  const auto found =
+    std::ranges::find_if(mServices, [&](const auto& aService) { return aService->mName == aName; });
+  return static_cast<size_t>(found - mServices.begin());
+}
+
+size_t World::InstanceCount(size_t aService) const
+{
+  return mServices[aService]->mInstances.size();
+}
+
+uint16_t World::DataCentreIndex(const std::string& aName)
+{
+  const auto found = std::ranges::find(mDataCentres, aName);
+  const auto index = static_cast<uint16_t>(found - mDataCentres.begin());
+  if (found == mDataCentres.end()) {
+    mDataCentres.push_back(aName);
+  }
+  return index;
+}
+
+AdmissionPolicy World::PolicyOf(const Instance& aInstance) const
+{
+  AdmissionPolicy policy;
+  policy.mSlots = aInstance.mSettings.mSlots;
+  policy.mMaxQueue = 2 * policy.mSlots;
+  policy.mMinConcurrency = std::max(2U, policy.mSlots / 10);
+  if (Project()) {
+    policy.mRankCount = mRankSettings.size();
+    for (size_t i = 0; i < mRankSettings.size(); ++i) {
+      policy.mRanks[i] = { mRankSettings[i].mWorth, mRankSettings[i].mFloor };
+    }
+    policy.mFloors = mOptions.mOn.mFloors;
+    policy.mShedLevel = mOptions.mOn.mShedLevel;
+    policy.mDeadlineCheck = mOptions.mOn.mDeadlineCheck;
+    policy.mAdaptiveLimit = mOptions.mOn.mAdaptiveLimit;
+    return policy;
+  }
+  policy.mAdaptiveLimit = policy.mFloors = policy.mDeadlineCheck = policy.mShedLevel = false;
+  if (mOptions.mPolicy == ControlPolicy::None) {
+    policy.mSlots = aInstance.mSettings.mConnections;
+    policy.mMaxQueue = 0;
+  }
+  return policy;
+}
+
+std::unique_ptr<World::Node> World::MakeNode(uint16_t aDataCentre, uint64_t aSelf)
+{
+  auto node = std::make_unique<Node>();
+  node->mDataCentre = aDataCentre;
+  RoutingPolicy policy;
+  policy.mSelf = Hash64(std::to_string(aSelf));
+  policy.mDataCentre = DataCentreId(aDataCentre);
+  policy.mShedLevelFresh = DurationOf(kShedLevelFresh);
+  for (uint16_t i = 0; i < mDataCentres.size(); ++i) {
+    const double delay = i == aDataCentre ? mLink.mNear : mLink.mFar;
+    policy.mCosts.push_back({ DataCentreId(i), delay * 1000 });
+  }
+  std::vector<double> floors;
+  for (const RankSettings& rank : mRankSettings) {
+    policy.mRankWorths.push_back(rank.mWorth);
+    floors.push_back(mOptions.mOn.mFloors ? rank.mFloor : 0);
+  }
+  node->mRouter = std::make_unique<Router>(mClock, mRandom, policy);
+  for (const auto& service : mServices) {
+    node->mRatios.emplace_back(mClock, RetryRatioPolicy{});
+    node->mFloors.emplace_back(floors);
+    for (const auto& instance : service->mInstances) {
+      const auto& names = instance->mSettings.mDataCentres;
+      node->mRouter->UpsertUpstream(
+        { UpstreamId(instance->mId), ServiceId(static_cast<uint32_t>(instance->mService)),
+          DataCentreId(DataCentreIndex(names[instance->mIndex % names.size()])), 1 });
+    }
+  }
+  return node;
+}
+
+void World::Prepare()
+{
+  mPrepared = true;
+  for (const auto& service : mServices) {
+    for (const auto& instance : service->mInstances) {
+      for (const std::string& name : instance->mSettings.mDataCentres) {
+        DataCentreIndex(name);
+      }
+    }
+  }
+  uint64_t self = 0;
+  for (const auto& service : mServices) {
+    for (const auto& instance : service->mInstances) {
+      const auto& names = instance->mSettings.mDataCentres;
+      instance->mNode = MakeNode(DataCentreIndex(names[instance->mIndex % names.size()]), ++self);
+      instance->mAdmission = std::make_unique<AdmissionController>(mClock, PolicyOf(*instance));
+      instance->mStarted = mStart - std::chrono::hours(1);
+      ReportLoad(*instance);
+    }
+  }
+  for (size_t i = 0; i < kEntries; ++i) {
+    mEntries.push_back(MakeNode(static_cast<uint16_t>(i % mDataCentres.size()), ++self));
+    mEntries.back()->mCallers = std::make_unique<CallerBudget>(mClock, CallerBudgetPolicy{});
+  }
+  for (const RankSettings& rank : mRankSettings) {
+    mResults.push_back({ rank.mName, 0, 0, 0, 0, rank.mFloor, 1 });
+  }
+}
+
+// The time that a request holds a slot when nothing waits.
+double World::HoldTime(size_t aService) const
+{
+  const Service& service = *mServices[aService];
+  double hold = service.mSeconds * service.mSlow;
+  for (const size_t called : service.mCalls) {
+    hold += HoldTime(called) + 2 * mLink.mNear;
+  }
+  return hold;
+}
+
+double World::CapacityOf(size_t aService) const
+{
+  double slots = 0;
+  for (const auto& instance : mServices[aService]->mInstances) {
+    slots += instance->mAlive && !instance->mFrozen ? instance->mSettings.mSlots : 0;
+  }
+  double capacity = slots / HoldTime(aService);
+  std::map<size_t, double> calls;
+  for (const size_t called : mServices[aService]->mCalls) {
+    calls[called] += 1;
+  }
+  for (const auto& [called, count] : calls) {
+    capacity = std::min(capacity, CapacityOf(called) / count);
+  }
+  return capacity;
+}
+
+// Time and links.
+
+void World::After(double aSeconds, std::function<void()> aAction)
+{
+  mEvents.push_back({ mClock.Now() + DurationOf(aSeconds), ++mLastOrder, std::move(aAction) });
+  std::ranges::push_heap(mEvents, std::greater{}, [](const Event& aEvent) {
+    return std::pair(aEvent.mTime, aEvent.mOrder);
+  });
+}
+
+void World::At(double aSeconds, std::function<void()> aAction)
+{
+  After(std::max(0.0, aSeconds - SecondsOf(mClock.Now() - mStart)), std::move(aAction));
+}
+
+double World::Exponential(double aMean)
+{
+  return -std::log(1 - mRandom.Uniform()) * aMean;
+}
+
+bool World::IsCut(uint16_t aLeft, uint16_t aRight) const
+{
+  return mCuts.contains(std::minmax(aLeft, aRight));
+}
+
+double World::DelayBetween(uint16_t aLeft, uint16_t aRight)
+{
+  if (aLeft == aRight) {
+    return mLink.mNear;
+  }
+  const double lost = mRandom.Uniform() < mLink.mLoss ? kRetransmission : 0;
+  return mLink.mFar * (0.8 + 0.4 * mRandom.Uniform()) + lost;
+}
+
+// Events of a scenario.
+
+void World::SetDemand(size_t aRank, size_t aService, const DemandSettings& aDemand)
+{
+  auto& source = mSources[{ aRank, aService }];
+  if (!source) {
+    source = std::make_unique<Source>();
+  }
+  source->mRank = aRank;
+  source->mService = aService;
+  source->mSettings = aDemand;
+  // Against the nominal capacity: a slow server does not lower the demand.
+  std::vector<double> slow;
+  for (const auto& service : mServices) {
+    slow.push_back(std::exchange(service->mSlow, 1));
+  }
+  source->mRate = aDemand.mTimes * CapacityOf(aService);
+  for (size_t i = 0; i < slow.size(); ++i) {
+    mServices[i]->mSlow = slow[i];
+  }
+  ++source->mVersion;
+  if (source->mRate > 0) {
+    Source* const raw = source.get();
+    After(Exponential(1 / source->mRate),
+          [this, raw, version = source->mVersion] { NextArrival(*raw, version); });
+  }
+}
+
+void World::Slow(size_t aService, double aFactor, double aSeconds)
+{
+  mServices[aService]->mSlow = aFactor;
+  if (aSeconds > 0) {
+    After(aSeconds, [this, aService] { mServices[aService]->mSlow = 1; });
+  }
+}
+
+void World::Kill(size_t aService, size_t aCount, double aSeconds)
+{
+  auto& instances = mServices[aService]->mInstances;
+  for (size_t i = 0; i < std::min(aCount, instances.size()); ++i) {
+    Instance& instance = *instances[i];
+    instance.mAlive = false;
+    ++instance.mEpoch;
+    instance.mRunning = 0;
+    instance.mBacklog.clear();
+    instance.mStalled.clear();
+    instance.mAdmission->SetAvailable(false);
+    // What had been dispatched ends as a lost connection.
+    const auto attempts = instance.mAttempts;
+    for (const auto& [id, attempt] : attempts) {
+      if (attempt->mInFlight) {
+        attempt->mInFlight = false;
+        instance.mAdmission->Complete(attempt->mAdmission, Outcome::Failed);
+        instance.mAttempts.erase(id);
+        Respond(attempt, { ReplyKind::Late, false });
+      }
+    }
+    Drive(instance);
+    if (aSeconds > 0) {
+      After(aSeconds, [this, raw = &instance] {
+        raw->mAlive = true;
+        raw->mStarted = mClock.Now();
+        raw->mAdmission->SetAvailable(true);
+      });
+    }
+  }
+}
+
+void World::Freeze(size_t aService, size_t aCount, double aSeconds)
+{
+  auto& instances = mServices[aService]->mInstances;
+  for (size_t i = 0; i < std::min(aCount, instances.size()); ++i) {
+    instances[i]->mFrozen = true;
+    if (aSeconds > 0) {
+      After(aSeconds, [raw = instances[i].get()] {
+        raw->mFrozen = false;
+        for (const auto& action : std::exchange(raw->mStalled, {})) {
+          action();
+        }
+      });
+    }
+  }
+}
+
+void World::Cut(const std::string& aLeft, const std::string& aRight, double aSeconds)
+{
+  const std::pair<uint16_t, uint16_t> cut =
+    std::minmax({ DataCentreIndex(aLeft), DataCentreIndex(aRight) });
+  mCuts.insert(cut);
+  if (aSeconds > 0) {
+    After(aSeconds, [this, cut] { mCuts.erase(cut); });
+  }
+}
+
+// Callers.
+
+void World::NextArrival(Source& aSource, uint64_t aVersion)
+{
+  if (aVersion != aSource.mVersion) {
+    return;
+  }
+  auto logical = std::make_shared<Logical>();
+  logical->mSource = &aSource;
+  logical->mCaller = HashCombine(aSource.mRank, mRandom.Below(aSource.mSettings.mCallers));
+  logical->mHash = mRandom.Next();
+  logical->mTriesLeft = std::max(1U, aSource.mSettings.mTries);
+  logical->mMeasured = mMeasuring;
+  if (mMeasuring) {
+    ++mResults[aSource.mRank].mOffered;
+  }
+  Send(logical);
+  After(Exponential(1 / aSource.mRate),
+        [this, raw = &aSource, aVersion] { NextArrival(*raw, aVersion); });
+}
+
+void World::Send(const std::shared_ptr<Logical>& aLogical)
+{
+  --aLogical->mTriesLeft;
+  const Source& source = *aLogical->mSource;
+  mSends += aLogical->mMeasured ? 1 : 0;
+  auto root = std::make_shared<Root>();
+  root->mRank = source.mRank;
+  root->mCaller = aLogical->mCaller;
+  root->mHash = aLogical->mHash;
+  root->mMeasured = aLogical->mMeasured;
+  root->mDeadline = mClock.Now() + DurationOf(mRankSettings[source.mRank].mDeadline);
+  Node* const entry = mEntries[aLogical->mCaller % mEntries.size()].get();
+  After(mLink.mCaller, [this, aLogical, root, entry, service = source.mService] {
+    root->mBudget = RequestBudget::ForAttempts(kAttempts);
+    if (Project() && mOptions.mOn.mRetryBudget) {
+      auto send = entry->mCallers->Open(aLogical->mHash);
+      if (!send) {
+        After(mLink.mCaller, [this, aLogical, root] {
+          OnRootReply(aLogical, root, { ReplyKind::Refused, false });
+        });
+        return;
+      }
+      root->mSend = std::move(*send);
+      root->mBudget = std::move(root->mSend.mBudget);
+    }
+    auto call = std::make_shared<Call>();
+    call->mRoot = root;
+    call->mFrom = entry;
+    call->mService = service;
+    call->mEntry = true;
+    call->mDone = [this, aLogical, root, entry](Reply aReply) {
+      if (Project() && mOptions.mOn.mRetryBudget) {
+        root->mSend.mBudget = std::move(root->mBudget);
+        const auto outcome = aReply.mRan
+                               ? (aReply.mKind == ReplyKind::Success ? AttemptOutcome::Complete
+                                                                     : AttemptOutcome::NotRun)
+                               : (aReply.mKind == ReplyKind::Refused ? AttemptOutcome::NotRun
+                                                                     : AttemptOutcome::Unknown);
+        entry->mCallers->Close(aLogical->mHash, std::move(root->mSend), outcome);
+      }
+      After(mLink.mCaller, [this, aLogical, root, aReply] { OnRootReply(aLogical, root, aReply); });
+    };
+    StartCall(call);
+  });
+  // The caller's own timeout, for policies without deadlines.
+  After(mRankSettings[source.mRank].mDeadline + 4 * mLink.mCaller, [this, aLogical, root] {
+    OnRootReply(aLogical, root, { ReplyKind::Late, false });
+  });
+}
+
+void World::OnRootReply(const std::shared_ptr<Logical>& aLogical,
+                        const std::shared_ptr<Root>& aRoot, Reply aReply)
+{
+  if (aRoot->mOver) {
+    return;
+  }
+  const bool late = mClock.Now() > aRoot->mDeadline + DurationOf(2 * mLink.mCaller);
+  const ReplyKind kind = late ? ReplyKind::Late : aReply.mKind;
+  EndRoot(*aRoot, kind == ReplyKind::Success);
+  if (kind == ReplyKind::Success || aLogical->mTriesLeft == 0) {
+    EndLogical(*aLogical, kind);
+    return;
+  }
+  const double pause = aLogical->mSource->mSettings.mPause * (0.5 + mRandom.Uniform());
+  After(pause, [this, aLogical] { Send(aLogical); });
+}
+
+void World::EndLogical(Logical& aLogical, ReplyKind aKind)
+{
+  if (aKind == ReplyKind::Success) {
+    const auto bucket = static_cast<size_t>(SecondsOf(mClock.Now() - mStart) / kBucket);
+    mGoodputBuckets.resize(std::max(mGoodputBuckets.size(), bucket + 1));
+    ++mGoodputBuckets[bucket];
+  }
+  if (!aLogical.mMeasured) {
+    return;
+  }
+  RankResult& result = mResults[aLogical.mSource->mRank];
+  ++(aKind == ReplyKind::Success   ? result.mGoodput
+     : aKind == ReplyKind::Refused ? result.mRefused
+                                   : result.mLate);
+}
+
+void World::AddWork(Root& aRoot, double aSeconds)
+{
+  if (!aRoot.mMeasured) {
+    return;
+  }
+  (aRoot.mOver ? mWastedWork : aRoot.mWork) += aSeconds;
+}
+
+void World::EndRoot(Root& aRoot, bool aSuccess)
+{
+  aRoot.mOver = true;
+  (aSuccess ? mUsefulWork : mWastedWork) += aRoot.mWork;
+}
+
+// Calls between nodes.
+
+void World::StartCall(const std::shared_ptr<Call>& aCall)
+{
+  const auto service = ServiceId(static_cast<uint32_t>(aCall->mService));
+  const size_t rank = aCall->mRoot->mRank;
+  EntryFloors& floors = aCall->mFrom->mFloors[aCall->mService];
+  // Only the entry sheds: what it lets pass for a floor must not be shed further down.
+  if (Project() && mOptions.mOn.mShedLevel && aCall->mEntry && !floors.IsOwed(rank) &&
+      aCall->mFrom->mRouter->ShouldShed(service, RankIndex(static_cast<uint32_t>(rank)),
+                                        aCall->mRoot->mHash)) {
+    FinishCall(*aCall, { ReplyKind::Refused, false });
+    return;
+  }
+  floors.OnSent(rank);
+  aCall->mFrom->mRatios[aCall->mService].OnRequest();
+  mFirstAttempts += aCall->mRoot->mMeasured ? 1 : 0;
+  StartAttempt(aCall);
+}
+
+World::Instance* World::Choose(Call& aCall)
+{
+  auto& instances = mServices[aCall.mService]->mInstances;
+  if (Project()) {
+    const auto chosen = aCall.mFrom->mRouter->Choose(
+      ServiceId(static_cast<uint32_t>(aCall.mService)), { aCall.mTried, true });
+    if (!chosen) {
+      return nullptr;
+    }
+    const auto found = std::ranges::find_if(
+      instances, [&](const auto& aInstance) { return UpstreamId(aInstance->mId) == *chosen; });
+    return found->get();
+  }
+  Instance* const left = instances[mRandom.Below(instances.size())].get();
+  Instance* const right = instances[mRandom.Below(instances.size())].get();
+  // The static policy trusts the load figures of the backend servers.
+  return mOptions.mPolicy == ControlPolicy::Static && right->mReportedLoad < left->mReportedLoad
+           ? right
+           : left;
+}
+
+void World::StartAttempt(const std::shared_ptr<Call>& aCall)
+{
+  Instance* const target = Choose(*aCall);
+  if (!target) {
+    FinishCall(*aCall, { ReplyKind::Refused, false });
+    return;
+  }
+  ++aCall->mAttempts;
+  aCall->mTried.push_back(UpstreamId(target->mId));
+  auto attempt = std::make_shared<Attempt>();
+  attempt->mId = ++mLastId;
+  attempt->mCall = aCall;
+  attempt->mTarget = target;
+  attempt->mSent = mClock.Now();
+  aCall->mFrom->mRouter->OnStart(UpstreamId(target->mId));
+  const double left = SecondsOf(aCall->mRoot->mDeadline - mClock.Now());
+  if (IsCut(aCall->mFrom->mDataCentre, target->mNode->mDataCentre)) {
+    After(std::clamp(left, 0.0, kSilence), [this, attempt] { OnAttemptTimeout(attempt); });
+    return;
+  }
+  After(DelayBetween(aCall->mFrom->mDataCentre, target->mNode->mDataCentre),
+        [this, attempt] { Arrive(attempt); });
+  After(std::max(0.0, left), [this, attempt] { OnAttemptTimeout(attempt); });
+}
+
+void World::OnAttemptTimeout(const std::shared_ptr<Attempt>& aAttempt)
+{
+  if (aAttempt->mClosed) {
+    return;
+  }
+  Call& call = *aAttempt->mCall;
+  call.mFrom->mRouter->OnFailure(UpstreamId(aAttempt->mTarget->mId));
+  CloseAttempt(*aAttempt);
+  const Reply reply{ ReplyKind::Late, false };
+  if (MayRetry(call, reply)) {
+    StartAttempt(aAttempt->mCall);
+  } else {
+    FinishCall(call, reply);
+  }
+}
+
+// The sender gives up. Only the project cancels what is still queued.
+void World::CloseAttempt(Attempt& aAttempt)
+{
+  aAttempt.mClosed = true;
+  Instance& target = *aAttempt.mTarget;
+  if (Project() && aAttempt.mAdmission != 0 && !aAttempt.mInFlight &&
+      target.mAdmission->Cancel(aAttempt.mAdmission)) {
+    target.mAttempts.erase(aAttempt.mId);
+    Drive(target);
+  }
+}
+
+void World::Respond(const std::shared_ptr<Attempt>& aAttempt, Reply aReply)
+{
+  Instance& target = *aAttempt->mTarget;
+  const uint16_t from = aAttempt->mCall->mFrom->mDataCentre;
+  if (IsCut(from, target.mNode->mDataCentre)) {
+    return;
+  }
+  After(
+    DelayBetween(from, target.mNode->mDataCentre),
+    [this, aAttempt, aReply, level = PublishedLevel(target)] { OnReply(aAttempt, aReply, level); });
+}
+
+void World::OnReply(const std::shared_ptr<Attempt>& aAttempt, Reply aReply, uint32_t aLevel)
+{
+  Call& call = *aAttempt->mCall;
+  Router& router = *call.mFrom->mRouter;
+  const auto upstream = static_cast<UpstreamId>(aAttempt->mTarget->mId);
+  router.OnShedLevel(ServiceId(static_cast<uint32_t>(call.mService)), upstream, aLevel);
+  if (aAttempt->mClosed) {
+    return;
+  }
+  aAttempt->mClosed = true;
+  if (aReply.mRan) {
+    router.OnAnswer(upstream, { mClock.Now() - aAttempt->mSent, {}, false });
+  } else if (aReply.mKind == ReplyKind::Refused) {
+    router.OnRefused(upstream);
+  } else {
+    router.OnFailure(upstream);
+  }
+  if (aReply.mKind != ReplyKind::Success && MayRetry(call, aReply)) {
+    StartAttempt(aAttempt->mCall);
+  } else {
+    FinishCall(call, aReply);
+  }
+}
+
+bool World::MayRetry(Call& aCall, Reply aReply)
+{
+  const auto left = aCall.mRoot->mDeadline - mClock.Now();
+  bool retries = false;
+  if (mOptions.mPolicy == ControlPolicy::Static || (Project() && !mOptions.mOn.mRetryBudget)) {
+    retries = aCall.mAttempts < kAttempts && left > Duration{};
+  } else if (Project()) {
+    const auto outcome = aReply.mRan                          ? AttemptOutcome::Complete
+                         : aReply.mKind == ReplyKind::Refused ? AttemptOutcome::NotRun
+                                                              : AttemptOutcome::Unknown;
+    retries = TakeRetry(outcome, true, aCall.mRoot->mBudget, aCall.mFrom->mRatios[aCall.mService],
+                        left) == RetryReason::Retry;
+  }
+  mRetries += retries && aCall.mRoot->mMeasured ? 1 : 0;
+  return retries;
+}
+
+void World::FinishCall(Call& aCall, Reply aReply)
+{
+  if (aCall.mDone) {
+    std::exchange(aCall.mDone, {})(aReply);
+  }
+}
+
+// The upstream's node and its backend server.
+
+void World::Arrive(const std::shared_ptr<Attempt>& aAttempt)
+{
+  Instance& target = *aAttempt->mTarget;
+  if (aAttempt->mClosed && Project()) {
+    return;
+  }
+  const Root& root = *aAttempt->mCall->mRoot;
+  aAttempt->mEpoch = target.mEpoch;
+  const Verdict verdict = target.mAdmission->Offer(
+    { Project() ? root.mRank : 0, root.mCaller, root.mHash, root.mDeadline, aAttempt->mId });
+  if (verdict.mDecision == Decision::Refused) {
+    Respond(aAttempt, { ReplyKind::Refused, false });
+  } else {
+    aAttempt->mAdmission = verdict.mId;
+    target.mAttempts[aAttempt->mId] = aAttempt;
+    if (verdict.mDecision == Decision::Dispatch) {
+      Dispatch(target, aAttempt);
+    }
+  }
+  Drive(target);
+}
+
+// Carries out what the controller decides, and keeps one timer for it.
+void World::Drive(Instance& aInstance)
+{
+  std::array<Action, 16> actions{};
+  size_t count = 0;
+  do {
+    count = aInstance.mAdmission->Poll(actions);
+    for (size_t i = 0; i < count; ++i) {
+      const auto attempt = aInstance.mAttempts.at(actions[i].mContext);
+      if (actions[i].mDecision == Decision::Dispatch) {
+        Dispatch(aInstance, attempt);
+      } else {
+        aInstance.mAttempts.erase(attempt->mId);
+        attempt->mAdmission = 0;
+        Respond(attempt, { ReplyKind::Refused, false });
+      }
+    }
+  } while (count == actions.size());
+  const SteadyTime next = aInstance.mAdmission->NextDeadline();
+  if (next < aInstance.mTimer) {
+    aInstance.mTimer = next;
+    const uint64_t version = ++aInstance.mTimerVersion;
+    After(SecondsOf(next - mClock.Now()) + 1e-6, [this, raw = &aInstance, version] {
+      if (version == raw->mTimerVersion) {
+        raw->mTimer = SteadyTime::max();
+        Drive(*raw);
+      }
+    });
+  }
+}
+
+void World::Dispatch(Instance& aInstance, const std::shared_ptr<Attempt>& aAttempt)
+{
+  aAttempt->mInFlight = true;
+  aAttempt->mEpoch = aInstance.mEpoch;
+  aInstance.mBacklog.push_back(aAttempt);
+  StartNext(aInstance);
+}
+
+void World::StartNext(Instance& aInstance)
+{
+  while (aInstance.mRunning < aInstance.mSettings.mSlots && !aInstance.mBacklog.empty()) {
+    const auto attempt = aInstance.mBacklog.front();
+    aInstance.mBacklog.pop_front();
+    ++aInstance.mRunning;
+    RunPhase(attempt);
+  }
+}
+
+double World::SlowFactor(const Instance& aInstance) const
+{
+  const double age = SecondsOf(mClock.Now() - aInstance.mStarted);
+  const double cold = std::max(0.0, 1 - age / aInstance.mSettings.mColdTime);
+  return mServices[aInstance.mService]->mSlow * (1 + (aInstance.mSettings.mColdFactor - 1) * cold);
+}
+
+// Half of the service time before the sub-calls and half after them.
+void World::RunPhase(const std::shared_ptr<Attempt>& aAttempt)
+{
+  Instance& target = *aAttempt->mTarget;
+  const Service& service = *mServices[target.mService];
+  const double share = service.mCalls.empty() ? 1 : 0.5;
+  const double work = share * service.mSeconds * SlowFactor(target) * (0.5 + Exponential(0.5));
+  After(work, [this, aAttempt, epoch = target.mEpoch, work] { OnPhaseEnd(aAttempt, epoch, work); });
+}
+
+void World::OnPhaseEnd(const std::shared_ptr<Attempt>& aAttempt, uint64_t aEpoch, double aWork)
+{
+  Instance& target = *aAttempt->mTarget;
+  if (target.mEpoch != aEpoch) {
+    return;
+  }
+  if (target.mFrozen) {
+    target.mStalled.emplace_back([=, this] { OnPhaseEnd(aAttempt, aEpoch, aWork); });
+    return;
+  }
+  AddWork(*aAttempt->mCall->mRoot, aWork);
+  NextStep(aAttempt);
+}
+
+void World::NextStep(const std::shared_ptr<Attempt>& aAttempt)
+{
+  Instance& target = *aAttempt->mTarget;
+  const Service& service = *mServices[target.mService];
+  const size_t step = aAttempt->mStep++;
+  // A cancelled request stops here.
+  if (Project() && (aAttempt->mClosed || mClock.Now() >= aAttempt->mCall->mRoot->mDeadline)) {
+    FinishBackend(aAttempt, { ReplyKind::Late, true });
+  } else if (step < service.mCalls.size()) {
+    auto call = std::make_shared<Call>();
+    call->mRoot = aAttempt->mCall->mRoot;
+    call->mFrom = target.mNode.get();
+    call->mService = service.mCalls[step];
+    call->mDone = [this, aAttempt, epoch = target.mEpoch](Reply aReply) {
+      if (aAttempt->mTarget->mEpoch != epoch) {
+        return;
+      }
+      if (aReply.mKind == ReplyKind::Success) {
+        NextStep(aAttempt);
+      } else {
+        FinishBackend(aAttempt, { aReply.mKind, true });
+      }
+    };
+    StartCall(call);
+  } else if (step == service.mCalls.size() && !service.mCalls.empty()) {
+    RunPhase(aAttempt);
+  } else {
+    FinishBackend(aAttempt, { ReplyKind::Success, true });
+  }
+}
+
+void World::FinishBackend(const std::shared_ptr<Attempt>& aAttempt, Reply aReply)
+{
+  Instance& target = *aAttempt->mTarget;
+  aAttempt->mInFlight = false;
+  target.mAttempts.erase(aAttempt->mId);
+  --target.mRunning;
+  const bool complete = aReply.mKind == ReplyKind::Success;
+  const bool timedOut = aReply.mKind == ReplyKind::Late;
+  target.mAdmission->Complete(aAttempt->mAdmission, complete   ? Outcome::Success
+                                                    : timedOut ? Outcome::TimedOut
+                                                               : Outcome::Failed);
+  StartNext(target);
+  Drive(target);
+  if (!aAttempt->mClosed) {
+    Respond(aAttempt, aReply);
+  }
+}
+
+uint32_t World::PublishedLevel(Instance& aInstance)
+{
+  if (!Project() || !mOptions.mOn.mShedLevel) {
+    return 0;
+  }
+  uint32_t level = 0;
+  for (const size_t called : mServices[aInstance.mService]->mCalls) {
+    level = std::max(level,
+                     aInstance.mNode->mRouter->ShedLevel(ServiceId(static_cast<uint32_t>(called))));
+  }
+  aInstance.mAdmission->ReportDownstreamLevel(level);
+  return aInstance.mAdmission->ShedLevel();
+}
+
+void World::ReportLoad(Instance& aInstance)
+{
+  if (mOptions.mPolicy != ControlPolicy::Static) {
+    return;
+  }
+  const double load =
+    static_cast<double>(aInstance.mAdmission->InFlight()) / aInstance.mSettings.mSlots;
+  After(kLoadLag, [this, raw = &aInstance, load] {
+    raw->mReportedLoad = load;
+    ReportLoad(*raw);
+  });
+}
+
+// Measuring.
+
+ExperimentResult World::Run(const RunSettings& aSettings)
+{
+  const SteadyTime end = mStart + DurationOf(aSettings.mSeconds);
+  Prepare();
+  At(aSettings.mFrom, [this] {
+    mMeasuring = true;
+    for (const auto& [key, source] : mSources) {
+      mMeasuredCapacity = std::max(mMeasuredCapacity, CapacityOf(source->mService));
+    }
+  });
+  if (aSettings.mUntil > 0) {
+    At(aSettings.mUntil, [this] { mMeasuring = false; });
+  }
+  const auto key = [](const Event& aEvent) { return std::pair(aEvent.mTime, aEvent.mOrder); };
+  while (!mEvents.empty() && mEvents.front().mTime <= end) {
+    std::ranges::pop_heap(mEvents, std::greater{}, key);
+    const Event event = std::move(mEvents.back());
+    mEvents.pop_back();
+    mClock.Advance(event.mTime - mClock.Now());
+    event.mAction();
+  }
+  ExperimentResult result = Collect(aSettings);
+  // Breaks the cycles between calls and attempts that were under way.
+  mEvents.clear();
+  for (const auto& service : mServices) {
+    for (const auto& instance : service->mInstances) {
+      for (const auto& [id, attempt] : instance->mAttempts) {
+        attempt->mCall->mDone = {};
+      }
+      instance->mStalled.clear();
+    }
+  }
+  return result;
+}
+
+// Time after the end of an overload until goodput stays at 95% of its earlier value: the first
+// half second that reaches it and is followed by another that does.
+double World::Recovery(const RunSettings& aSettings) const
+{
+  const auto sum = [&](size_t aBegin, size_t aCount) {
+    double total = 0;
+    for (size_t i = aBegin; i < std::min(aBegin + aCount, mGoodputBuckets.size()); ++i) {
+      total += mGoodputBuckets[i];
+    }
+    return total / static_cast<double>(aCount);
+  };
+  const auto before = static_cast<size_t>(aSettings.mBefore / kBucket);
+  const auto warm = static_cast<size_t>(aSettings.mFrom / kBucket);
+  const double wanted = 0.95 * sum(warm, before - warm);
+  const auto after = static_cast<size_t>(aSettings.mRecoveryAfter / kBucket);
+  for (size_t i = after; i + 20 <= mGoodputBuckets.size(); ++i) {
+    if (sum(i, 5) >= wanted && sum(i + 5, 15) >= wanted) {
+      return static_cast<double>(i - after) * kBucket;
+    }
+  }
+  return aSettings.mSeconds - aSettings.mRecoveryAfter;
+}
+
+ExperimentResult World::Collect(const RunSettings& aSettings)
+{
+  ExperimentResult result;
+  result.mOptions = mOptions;
+  const double until = aSettings.mUntil > 0 ? aSettings.mUntil : aSettings.mSeconds;
+  result.mSeconds = until - aSettings.mFrom;
+  result.mCapacity = mMeasuredCapacity;
+  const double capacity = mMeasuredCapacity * result.mSeconds;
+  double offered = 0;
+  double goodput = 0;
+  for (RankResult rank : mResults) {
+    // Requests without an end by now count as late unless they are too young to have one.
+    const auto offers = static_cast<double>(rank.mOffered);
+    offered += offers;
+    goodput += static_cast<double>(rank.mGoodput);
+    const double owed = std::min(offers, rank.mFloor * capacity);
+    rank.mFloorKept = owed <= 0 ? 1 : static_cast<double>(rank.mGoodput) / owed;
+    result.mRanks.push_back(std::move(rank));
+  }
+  result.mGoodputShare = goodput / std::max(1.0, std::min(capacity, offered));
+  result.mWasted = mWastedWork / std::max(1e-9, mWastedWork + mUsefulWork);
+  result.mRetries =
+    static_cast<double>(mRetries) / std::max(1.0, static_cast<double>(mFirstAttempts));
+  result.mResends = static_cast<double>(mSends) / std::max(1.0, offered) - 1;
+  if (aSettings.mRecoveryAfter > 0) {
+    result.mRecovery = Recovery(aSettings);
+  }
+  return result;
+}
+
+} // namespace balsammount::detail
--- /dev/null
+++ b/packages/experiment/tests/experiment_test.cpp
@@ -0,0 +1,121 @@
+#include "balsammount/experiment.h"
+
+#include <CppUTest/TestHarness.h>
+// The plugin's header needs the harness before it.
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+using namespace balsammount;
+
+namespace {
+
+const std::string kSmall = R"(
+rank("urgent", { worth = 10, floor = 0.2, deadline = 0.5 })
+rank("other",  { worth = 1,  floor = 0.1, deadline = 0.5 })
+service("front", 10)
+service("back", 20)
+serve("front", { upstreams = 2, slots = 20 })
+serve("back",  { upstreams = 2, slots = 10 })
+call("front", "back")
+demand("urgent", "front", 0.3)
+demand("other",  "front", 3)
+run { seconds = 8, measure_from = 3, measure_until = 7 }
+)";
+
+ExperimentResult RunFile(const std::string& aName)
+{
+  const auto result = RunScenarioFile(std::string(BM_SCENARIOS) + "/" + aName + ".lua", {});
+  CHECK_TEXT(result.has_value(), result ? "" : Describe(result.error()).c_str());
+  return *result;
+}
+
+void CheckMet(const ExperimentResult& aResult)
+{
+  CHECK_TEXT(!aResult.mExpectations.empty(), "the scenario expects nothing");
+  CHECK_TEXT(aResult.Met(), FormatTable(aResult).c_str());
+}
+
+} // namespace
+
+// The leak detector searches a list on every deletion, which takes minutes with the many objects
+// of a run; the sanitizers look for leaks instead.
+TEST_GROUP(Experiment){ void setup() override{ MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+}
+void teardown() override
+{
+  MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
+}
+}
+;
+
+// Guards against a run that its seed does not reproduce.
+TEST(Experiment, SameSeedSameFigures)
+{
+  const auto first = RunScenario(kSmall, "small", { 3, ControlPolicy::Project, {} });
+  const auto second = RunScenario(kSmall, "small", { 3, ControlPolicy::Project, {} });
+  const auto other = RunScenario(kSmall, "small", { 4, ControlPolicy::Project, {} });
+  CHECK(FormatCsv(*first) == FormatCsv(*second));
+  CHECK(FormatCsv(*first) != FormatCsv(*other));
+}
+
+// Guards against requests that the model loses or counts twice.
+TEST(Experiment, EveryRequestEndsOnce)
+{
+  for (const auto policy : { ControlPolicy::None, ControlPolicy::Static, ControlPolicy::Project }) {
+    const auto result = RunScenario(kSmall, "small", { 1, policy, {} });
+    for (const RankResult& rank : result->mRanks) {
+      CHECK(rank.mOffered > 0);
+      CHECK(rank.mGoodput + rank.mRefused + rank.mLate <= rank.mOffered);
+    }
+  }
+}
+
+// Guards against a switch that has no effect.
+TEST(Experiment, SwitchesChangeTheRun)
+{
+  const auto all = RunScenario(kSmall, "small", {});
+  for (const char* name : { "floors", "shed", "retry", "deadline", "limit" }) {
+    ExperimentOptions options;
+    CHECK(SwitchOff(options.mOn, name).has_value());
+    const auto result = RunScenario(kSmall, "small", options);
+    CHECK(FormatTable(*result).find(std::string("project-") + name) != std::string::npos);
+    CHECK(result->mRanks[1].mGoodput != all->mRanks[1].mGoodput);
+  }
+  Mechanisms on;
+  CHECK(SwitchOff(on, "luck").error().mCode == ExperimentError::UnknownMechanism);
+  CHECK(ParsePolicy("luck").error().mCode == ExperimentError::UnknownPolicy);
+}
+
+// Guards against a misspelt scenario that runs as something else.
+TEST(Experiment, ReportsTheLineOfAMistake)
+{
+  const auto fails = [](const std::string& aLine, const std::string& aMessage) {
+    const auto result = RunScenario(kSmall + aLine, "small", {});
+    CHECK(!result.has_value());
+    CHECK(result.error().mCode == ExperimentError::Scenario);
+    CHECK_TEXT(result.error().mDetail.find("small:12: " + aMessage) != std::string::npos,
+               result.error().mDetail.c_str());
+  };
+  fails("slow('bakc', 3)", "unknown service 'bakc'");
+  fails("demand('urgent', 'front', 1, { trys = 3 })", "unknown setting 'trys'");
+  fails("expect { floor = 1 }", "floor needs a rank");
+  fails("call('back', 'front')", "a service may only call");
+  fails("run { seconds = 5, measure_from = 6 }", "the times are not in order");
+}
+
+// Guards the stated targets: goodput, floors and the most urgent rank at ten times the demand.
+TEST(Experiment, DemandOfTenTimesCapacity)
+{
+  CheckMet(RunFile("fast-demand-10"));
+}
+
+// Guards the floors of the other ranks in a flood of the most urgent one.
+TEST(Experiment, MostUrgentFlood)
+{
+  CheckMet(RunFile("fast-most-flood"));
+}
+
+// Guards the recovery time after a slow deep service with callers that resend.
+TEST(Experiment, RetryStorm)
+{
+  CheckMet(RunFile("fast-retry-storm"));
+}
