Serve keyed requests until their shards are handed over

Cause: a draining owner refused keyed requests at once while it still owned their shards, and no other node may run them.

--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -316,12 +316,6 @@
   PollAdmission();
 }
 
-void Executor::SetLeaving()
-{
-  mLeaving = true;
-  SetDraining(true);
-}
-
 void Executor::SetAvailabilityCallback(std::function<void(bool)> aCallback)
 {
   mOnAvailability = std::move(aCallback);
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -57,8 +57,8 @@
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
-  // The node itself leaves: drains for good and says so on every answer.
-  void SetLeaving();
+  // Says on every answer from now on that the node leaves.
+  void SetLeaving() { mLeaving = true; }
   void SetObserver(DispatchObserver* aObserver) { mObserver = aObserver; }
   // Called when the backend server becomes available or unavailable.
   void SetAvailabilityCallback(std::function<void(bool)> aCallback);
