--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -30,6 +30,9 @@
 
 // How often a draining node looks whether its requests are finished.
 constexpr auto kDrainCheck = 20ms;
+// A draining node still takes the keyed requests of the shards that it has not handed over. After
+// this time it refuses them, so that a leaving backend server gets no new work after a few seconds.
+constexpr auto kMaxHandover = 3000ms;
 // A draining node keeps its listeners open at least this long, so that other nodes learn that it
 // leaves before they meet a closed port.
 constexpr auto kMinDrain = 1000ms;
@@ -190,6 +193,9 @@
 void Node::Parts::CheckDrained()
 {
   const Duration waited = mClock.Now() - mDrainStarted;
+  if (mOwner->Drained() || waited >= kMaxHandover) {
+    mExecutor->SetDraining(true);
+  }
   const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 && mOwner->Drained();
   if (waited >= kMinDrain) {
     // Connections of callers close with their next answer, before the process ends.
