--- a/packages/ctl/include/balsammount/ctl.h
+++ b/packages/ctl/include/balsammount/ctl.h
@@ -50,6 +50,7 @@
 // One group per source file; a new group is added to the list in ctl.cpp.
 std::span<const CtlCommand> ConfigCommands(); // check, diff and show of directories
 std::span<const CtlCommand> SyncCommands();   // push, pull, sync and history of the store's value
+std::span<const CtlCommand> NodeCommands();   // state, members, drain and the like of a node
 
 // Runs the command line without the program's name.
 ExitCode RunCtl(const std::vector<std::string>& aArguments, CtlEnvironment& aEnvironment);
--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -15,7 +15,7 @@
 std::vector<CtlCommand> AllCommands()
 {
   std::vector<CtlCommand> commands;
-  for (const auto& group : { ConfigCommands(), SyncCommands() }) {
+  for (const auto& group : { ConfigCommands(), SyncCommands(), NodeCommands() }) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
--- /dev/null
+++ b/packages/ctl/src/node_commands.cpp
@@ -0,0 +1,300 @@
+// Commands that ask a running node through its admin listener.
+
+#include "balsammount/ctl.h"
+#include "output.h"
+
+#include "balsammount/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <charconv>
+#include <iomanip>
+#include <map>
+#include <ostream>
+#include <thread>
+
+namespace balsammount {
+
+namespace {
+
+using detail::Json;
+namespace po = boost::program_options;
+using namespace std::chrono_literals;
+
+constexpr auto kNodeTimeout = 5s;
+
+// ADDRESS:PORT of an admin listener.
+Result<boost::asio::ip::tcp::endpoint> ParseNode(const std::string& aText)
+{
+  const size_t colon = aText.rfind(':');
+  const std::string portText = colon == std::string::npos ? "" : aText.substr(colon + 1);
+  uint16_t port = 0;
+  const auto [end, portError] =
+    std::from_chars(portText.data(), portText.data() + portText.size(), port);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aText.substr(0, colon), error);
+  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
+    return Failure{ make_error_code(std::errc::invalid_argument),
+                    "\"" + aText + "\" is not ADDRESS:PORT of a node's admin listener" };
+  }
+  return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+Result<HttpResponse> Ask(const std::string& aNode, HttpRequest aRequest)
+{
+  const auto endpoint = ParseNode(aNode);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  boost::asio::io_context context;
+  HttpClient client(context, *endpoint);
+  Result<HttpResponse> result = Failure{ TransportError::TimedOut, aNode };
+  const auto call =
+    client.Send(std::move(aRequest), kNodeTimeout, [&](Result<HttpResponse> aAnswer) {
+      result = std::move(aAnswer);
+      context.stop();
+    });
+  context.run();
+  return result;
+}
+
+Result<Json> AskJson(const std::string& aNode, HttpRequest aRequest)
+{
+  auto response = Ask(aNode, std::move(aRequest));
+  if (!response) {
+    return response.error();
+  }
+  auto body = Json::parse(response->mBody, nullptr, false);
+  if (body.is_discarded()) {
+    return Failure{ make_error_code(std::errc::protocol_error),
+                    aNode + " answered status " + std::to_string(response->mStatus) };
+  }
+  if (response->mStatus >= 400) {
+    return Failure{ make_error_code(std::errc::operation_not_permitted),
+                    aNode + ": " + body.value("error", std::to_string(response->mStatus)) };
+  }
+  return body;
+}
+
+Result<Json> Get(const CtlCall& aCall, const std::string& aTarget)
+{
+  HttpRequest request;
+  request.mTarget = aTarget;
+  return AskJson(aCall.mArguments[0], std::move(request));
+}
+
+// A list of objects as a table with the fields of the first one as columns.
+void PrintTable(std::ostream& aOut, const Json& aRows)
+{
+  if (aRows.empty()) {
+    aOut << "(none)\n";
+    return;
+  }
+  const auto text = [](const Json& aValue) {
+    return detail::Printable(aValue.is_string() ? aValue.get<std::string>() : aValue.dump());
+  };
+  std::map<std::string, size_t> widths;
+  for (const Json& row : aRows) {
+    for (const auto& [name, value] : row.items()) {
+      widths[name] = std::max({ widths[name], name.size(), text(value).size() });
+    }
+  }
+  for (const auto& [name, value] : aRows.front().items()) {
+    aOut << std::left << std::setw(static_cast<int>(widths[name]) + 2) << name;
+  }
+  aOut << '\n';
+  for (const Json& row : aRows) {
+    for (const auto& [name, value] : row.items()) {
+      aOut << std::left << std::setw(static_cast<int>(widths[name]) + 2) << text(value);
+    }
+    aOut << '\n';
+  }
+}
+
+ExitCode PrintRows(const CtlCall& aCall, const Result<Json>& aRows)
+{
+  if (!aRows) {
+    return detail::Refuse(aCall, aRows.error());
+  }
+  if (aCall.mJson) {
+    aCall.Out() << detail::ToText(*aRows) << '\n';
+  } else {
+    PrintTable(aCall.Out(), *aRows);
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode RunState(const CtlCall& aCall)
+{
+  const auto state = Get(aCall, "/state");
+  if (!state) {
+    return detail::Refuse(aCall, state.error());
+  }
+  aCall.Out() << (aCall.mJson ? detail::ToText(*state) : state->dump(2)) << '\n';
+  return ExitCode::Ok;
+}
+
+ExitCode RunServices(const CtlCall& aCall)
+{
+  const auto services = Get(aCall, "/services");
+  if (!services || aCall.mJson) {
+    return PrintRows(aCall, services);
+  }
+  for (const auto& [name, upstreams] : services->items()) {
+    aCall.Out() << name << ":\n";
+    PrintTable(aCall.Out(), upstreams);
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode RunMembers(const CtlCall& aCall)
+{
+  return PrintRows(aCall, Get(aCall, "/members"));
+}
+
+ExitCode RunQuarantine(const CtlCall& aCall)
+{
+  return PrintRows(aCall, Get(aCall, "/quarantine"));
+}
+
+ExitCode RunRelease(const CtlCall& aCall)
+{
+  HttpRequest request;
+  request.mMethod = "DELETE";
+  request.mTarget = "/quarantine";
+  request.mBody = aCall.mArguments[1];
+  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  if (!answer) {
+    return detail::Refuse(aCall, answer.error());
+  }
+  aCall.Out() << (aCall.mJson ? detail::ToText(*answer) : "released " + aCall.mArguments[1])
+              << '\n';
+  return ExitCode::Ok;
+}
+
+ExitCode RunDrain(const CtlCall& aCall)
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/drain";
+  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  if (!answer) {
+    return detail::Refuse(aCall, answer.error());
+  }
+  aCall.Out() << (aCall.mJson ? detail::ToText(*answer) : "draining " + aCall.mArguments[0])
+              << '\n';
+  return ExitCode::Ok;
+}
+
+ExitCode RunLogLevel(const CtlCall& aCall)
+{
+  HttpRequest request;
+  request.mMethod = "PUT";
+  request.mTarget = "/log-level";
+  request.mBody = aCall.mArguments[1];
+  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  if (!answer) {
+    return detail::Refuse(aCall, answer.error());
+  }
+  aCall.Out() << (aCall.mJson ? detail::ToText(*answer) : "log level " + aCall.mArguments[1])
+              << '\n';
+  return ExitCode::Ok;
+}
+
+// Number of members by configuration revision.
+Result<Json> Rollout(const CtlCall& aCall)
+{
+  const auto members = Get(aCall, "/members");
+  if (!members) {
+    return members.error();
+  }
+  std::map<uint64_t, uint64_t, std::greater<>> counts;
+  for (const Json& member : *members) {
+    ++counts[member.value("config_revision", uint64_t(0))];
+  }
+  Json rows = Json::array();
+  for (const auto& [revision, count] : counts) {
+    rows.push_back({ { "revision", revision }, { "nodes", count } });
+  }
+  return rows;
+}
+
+void AddRolloutOptions(po::options_description& aOptions)
+{
+  aOptions.add_options()("wait", po::value<uint32_t>(),
+                         "wait up to this many seconds until all nodes have one revision");
+}
+
+ExitCode RunRollout(const CtlCall& aCall)
+{
+  const auto seconds = aCall.mOptions.count("wait") > 0 ? aCall.mOptions["wait"].as<uint32_t>() : 0;
+  const auto end = std::chrono::steady_clock::now() + std::chrono::seconds(seconds);
+  auto rows = Rollout(aCall);
+  while (rows && rows->size() > 1 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(250ms);
+    rows = Rollout(aCall);
+  }
+  const ExitCode printed = PrintRows(aCall, rows);
+  return rows && rows->size() > 1 && seconds > 0 ? ExitCode::Refused : printed;
+}
+
+void AddTopOptions(po::options_description& aOptions)
+{
+  aOptions.add_options()("count", po::value<uint32_t>()->default_value(0),
+                         "number of views to print; 0 goes on until interrupted")(
+    "interval-ms", po::value<uint32_t>()->default_value(1000), "time between views");
+}
+
+void PrintTopView(const CtlCall& aCall, const Json& aState)
+{
+  const Json& admission = aState.at("admission");
+  aCall.Out() << aState.value("node", "") << "  service " << aState.value("service", "")
+              << "  in flight " << admission.value("in_flight", 0) << " of "
+              << admission.value("limit", 0) << "  queued " << admission.value("queued", 0)
+              << "  shed level " << admission.value("shed_level", 0) << '\n';
+  PrintTable(aCall.Out(), admission.at("ranks"));
+  aCall.Out() << std::endl;
+}
+
+ExitCode RunTop(const CtlCall& aCall)
+{
+  const auto count = aCall.mOptions["count"].as<uint32_t>();
+  const std::chrono::milliseconds interval(aCall.mOptions["interval-ms"].as<uint32_t>());
+  for (uint32_t i = 0; count == 0 || i < count; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(interval);
+    }
+    const auto state = Get(aCall, "/state");
+    if (!state) {
+      return detail::Refuse(aCall, state.error());
+    }
+    if (aCall.mJson) {
+      aCall.Out() << detail::ToText(*state) << std::endl;
+    } else {
+      PrintTopView(aCall, *state);
+    }
+  }
+  return ExitCode::Ok;
+}
+
+} // namespace
+
+std::span<const CtlCommand> NodeCommands()
+{
+  static constexpr CtlCommand kCommands[] = {
+    { "state", "NODE", "Dump the state of a node (its admin address)", nullptr, RunState },
+    { "services", "NODE", "List services and upstreams as a node sees them", nullptr, RunServices },
+    { "members", "NODE", "List the nodes that a node knows", nullptr, RunMembers },
+    { "top", "NODE", "Show load and ranks of a node, again and again", AddTopOptions, RunTop },
+    { "rollout", "NODE", "Count the nodes by configuration revision", AddRolloutOptions,
+      RunRollout },
+    { "drain", "NODE", "Let a node finish its requests and stop", nullptr, RunDrain },
+    { "quarantine", "NODE", "List requests suspected of crashing servers", nullptr, RunQuarantine },
+    { "quarantine release", "NODE FINGERPRINT", "Release a request from quarantine", nullptr,
+      RunRelease },
+    { "log-level", "NODE LEVEL", "Change the log level of a node", nullptr, RunLogLevel },
+  };
+  return kCommands;
+}
+
+} // namespace balsammount
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -1,12 +1,12 @@
 #include "balsammount/etcd_store.h"
 
 #include "balsammount/http_client.h"
+#include "balsammount/log.h"
 #include "balsammount/random.h"
 #include "etcd_json.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <spdlog/spdlog.h>
 
 #include <map>
 
@@ -398,8 +398,8 @@
     const Revision next = aRead.mRevision + 1;
     const auto& entry = aRead.mEntry;
     if (wentBack) {
-      spdlog::warn("store: revision went back from {} to {}, reading {} again", mNext - 1,
-                   aRead.mRevision, mKey);
+      Log("store").warn("revision went back from {} to {}, reading {} again", mNext - 1,
+                        aRead.mRevision, mKey);
     }
     if (entry && (wentBack || entry->mModRevision >= mNext)) {
       Report({ entry->mValue, entry->mModRevision }, next);
@@ -427,7 +427,7 @@
   {
     Disconnect();
     mState->PreferNext();
-    spdlog::warn("store: watch of {} was cut, reconnecting: {}", mKey, aReason);
+    Log("store").warn("watch of {} was cut, reconnecting: {}", mKey, aReason);
     ConnectLater();
   }
 
