Use 1024 cohorts per rank in the scale of shed levels

Cause: at ten times the demand with callers that resend, one of 64 cohorts is 40% of the capacity and the level swings between idle slots and full queues. Change: kShedCohorts 64 to 1024; the experiment compares with IsShed, because Router::ShouldShed has its own constant of 64.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -17,7 +17,9 @@
 
 namespace balsammount {
 
-inline constexpr uint32_t kShedCohorts = 64;
+// At ten times the demand with callers that resend, one of 64 cohorts is 40% of the capacity, which
+// makes the level swing; one of 1024 is 3%.
+inline constexpr uint32_t kShedCohorts = 1024;
 
 // The cohort of a request in the scale of shed levels. Every hop must use the same hash.
 constexpr uint32_t ShedCohort(uint64_t aRequestHash)
@@ -26,7 +28,7 @@
 }
 
 // True when aLevel refuses the request. aRanksBelow is the number of ranks of less worth. Level 0
-// refuses nothing; level 64 * n + c refuses the n ranks of least worth and cohorts below c of the
+// refuses nothing; level kShedCohorts * n + c refuses the n ranks of least worth and cohorts below c of the
 // next one.
 constexpr bool IsShed(uint32_t aLevel, uint32_t aRanksBelow, uint64_t aRequestHash)
 {
--- a/packages/experiment/src/world.cpp
+++ b/packages/experiment/src/world.cpp
@@ -323,6 +323,12 @@
   After(std::max(0.0, aSeconds - SecondsOf(mClock.Now() - mStart)), std::move(aAction));
 }
 
+uint32_t World::RanksBelow(size_t aRank) const
+{
+  return static_cast<uint32_t>(std::ranges::count_if(
+    mRankSettings, [&](const RankSettings& aOther) { return aOther.mWorth < Worth(aRank); }));
+}
+
 double World::Exponential(double aMean)
 {
   return -std::log(1 - mRandom.Uniform()) * aMean;
@@ -563,8 +569,7 @@
   EntryFloors& floors = aCall->mFrom->mFloors[aCall->mService];
   // Only the entry sheds: what it lets pass for a floor must not be shed further down.
   if (Project() && mOptions.mOn.mShedLevel && aCall->mEntry && !floors.IsOwed(rank) &&
-      aCall->mFrom->mRouter->ShouldShed(service, RankIndex(static_cast<uint32_t>(rank)),
-                                        aCall->mRoot->mHash)) {
+      IsShed(aCall->mFrom->mRouter->ShedLevel(service), RanksBelow(rank), aCall->mRoot->mHash)) {
     FinishCall(*aCall, { ReplyKind::Refused, false });
     return;
   }
--- a/packages/experiment/src/world.h
+++ b/packages/experiment/src/world.h
@@ -125,6 +125,7 @@
   double HoldTime(size_t aService) const;
   double CapacityOf(size_t aService) const;
   double Worth(size_t aRank) const { return mRankSettings[aRank].mWorth; }
+  uint32_t RanksBelow(size_t aRank) const;
   bool Project() const { return mOptions.mPolicy == ControlPolicy::Project; }
 
   void After(double aSeconds, std::function<void()> aAction);
