Damp the shed level

Cause: the level rose while a queue left from before was draining, and fell too slowly afterwards. Change: no rise while the queue shrinks without refusals; rises at most by 30% of the arrivals instead of 50%; falls by 5% growing by 1.5 instead of 2% growing by 1.25 per interval.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -312,6 +312,7 @@
   uint32_t mIntervalDispatched = 0;
   uint32_t mIntervalRefused = 0; // for lack of capacity
   uint32_t mIntervalMinQueued = 0;
+  uint32_t mIntervalQueued = 0; // at its start
   uint32_t mCalmIntervals = 0;
 };
 
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -31,10 +31,10 @@
 // react to the level; a refusal costs far less than an idle slot.
 constexpr double kWantedRefusals = 0.05;
 constexpr double kMinRaise = 0.01;
-constexpr double kMaxRaise = 0.5;
-constexpr double kMinLower = 0.02;
+constexpr double kMaxRaise = 0.3;
+constexpr double kMinLower = 0.05;
 constexpr double kMaxLower = 0.25;
-constexpr double kLowerGrowth = 1.25;
+constexpr double kLowerGrowth = 1.5;
 // A quarter of a rank: bounds one step down through steps of the scale without known arrivals.
 constexpr uint32_t kMaxLowerSteps = kShedCohorts / 4;
 constexpr float kArrivalDecay = 0.8F;
@@ -717,7 +717,10 @@
     mIntervalOffered == 0 ? 0 : static_cast<double>(mIntervalRefused) / mIntervalOffered;
   if (delay > Seconds(mPolicy.mQueueTarget)) {
     mCalmIntervals = 0;
-    RaiseLevel(std::clamp((refused - kWantedRefusals) / 2, kMinRaise, kMaxRaise));
+    // A queue that shrinks without refusals is left from before: raising further would overshoot.
+    if (refused > kWantedRefusals || mQueued >= mIntervalQueued) {
+      RaiseLevel(std::clamp((refused - kWantedRefusals) / 2, kMinRaise, kMaxRaise));
+    }
   } else if (mLevel > 0) {
     LowerLevel();
     ++mCalmIntervals;
@@ -730,6 +733,7 @@
   mIntervalDispatched = 0;
   mIntervalRefused = 0;
   mIntervalMinQueued = mQueued;
+  mIntervalQueued = mQueued;
 }
 
 void AdmissionController::RaiseLevel(double aShare)
