--- a/packages/experiment/include/balsammount/experiment.h
+++ b/packages/experiment/include/balsammount/experiment.h
@@ -59,7 +59,8 @@
   uint64_t mRefused = 0;
   uint64_t mLate = 0; // deadline exceeded, connection lost or never answered
   double mFloor = 0;
-  double mFloorKept = 1; // goodput over min(offered, floor * capacity); 1 without a floor
+  double mFloorKept =
+    1; // goodput over min(offered, floor * capacity), second by second; 1 without a floor
 };
 
 struct Expectation
@@ -75,9 +76,9 @@
   std::string mScenario;
   ExperimentOptions mOptions;
   std::vector<RankResult> mRanks;
-  double mSeconds = 0;      // length of the measured window
-  double mCapacity = 0;     // requests per second that the path can serve, slow servers included
-  double mGoodputShare = 0; // goodput over min(capacity, offered)
+  double mSeconds = 0;  // length of the measured window
+  double mCapacity = 0; // mean requests per second that the path can serve, slow servers included
+  double mGoodputShare = 0; // goodput over min(capacity, offered), taken second by second
   double mWasted = 0;       // share of the executed work whose caller got no complete response
   double mRetries = 0;      // attempts added by nodes, over first attempts
   double mResends = 0;      // sends added by callers, over requests
--- a/packages/experiment/src/world.h
+++ b/packages/experiment/src/world.h
@@ -165,6 +165,8 @@
   void ReportLoad(Instance& aInstance);
 
   ExperimentResult Collect(const RunSettings& aSettings);
+  void StartSecond();
+  void EndSecond();
   double Recovery(const RunSettings& aSettings) const;
 
   ExperimentOptions mOptions;
@@ -184,7 +186,12 @@
   bool mPrepared = false;
 
   bool mMeasuring = false;
-  double mMeasuredCapacity = 0;
+  double mMeasuredCapacity = 0; // requests
+  double mAchievable = 0;       // requests: the lesser of demand and capacity
+  std::vector<double> mOwed;    // requests per rank: the lesser of demand and floor
+  SteadyTime mSecondStart{};
+  double mSecondCapacity = 0;
+  std::vector<uint64_t> mSecondOffers;
   std::vector<RankResult> mResults;
   std::vector<uint32_t> mGoodputBuckets; // per 100 ms
   double mUsefulWork = 0;
