Let entry nodes pass a fifth more than the floors

Cause: some of what an entry node sends is refused further on, so a rank that was let through at exactly its floor share was served less. Change: EntryFloors grants 1.2 times the floor; the executing node keeps the floors exactly.

--- a/packages/admission/include/balsammount/entry_floor.h
+++ b/packages/admission/include/balsammount/entry_floor.h
@@ -26,7 +26,7 @@
   void OnSent(size_t aRank)
   {
     for (size_t i = 0; i < mCount; ++i) {
-      mCredit[i] = std::min(mCredit[i] + mFloors[i], 1 + kBurst * mFloors[i]);
+      mCredit[i] = std::min(mCredit[i] + kSlack * mFloors[i], 1 + kBurst * mFloors[i]);
     }
     if (aRank < mCount) {
       mCredit[aRank] = std::max(0.0, mCredit[aRank] - 1);
@@ -40,6 +40,8 @@
   }
 
 private:
+  // Some of what is sent is refused further on, where the floors are kept exactly.
+  static constexpr double kSlack = 1.2;
   // A rank that was idle may send so many requests times its floor at once.
   static constexpr double kBurst = 64;
 
