Move the shed level once per typical service time

Cause: a change of the level takes about a service time to show in the queue; moving it every 50 ms overshot where service takes longer. Change: the interval is the typical service time, from 50 ms to 1 s.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -28,8 +28,8 @@
 }
 
 // True when aLevel refuses the request. aRanksBelow is the number of ranks of less worth. Level 0
-// refuses nothing; level kShedCohorts * n + c refuses the n ranks of least worth and cohorts below c of the
-// next one.
+// refuses nothing; level kShedCohorts * n + c refuses the n ranks of least worth and cohorts below
+// c of the next one.
 constexpr bool IsShed(uint32_t aLevel, uint32_t aRanksBelow, uint64_t aRequestHash)
 {
   return aRanksBelow * kShedCohorts + ShedCohort(aRequestHash) < aLevel;
@@ -282,6 +282,7 @@
   Action Report(uint32_t aIndex);
 
   // Shed level.
+  Duration LevelInterval() const;
   void UpdateLevel(SteadyTime aNow);
   void RaiseLevel(double aShare);
   void LowerLevel();
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -25,7 +25,10 @@
 constexpr auto kMinRetryAfter = std::chrono::milliseconds(10);
 constexpr auto kMaxRetryAfter = std::chrono::seconds(5);
 
-constexpr auto kLevelInterval = std::chrono::milliseconds(50);
+// The level moves once per interval: the typical service time, in which a change takes effect,
+// within these bounds.
+constexpr Duration kMinLevelInterval = std::chrono::milliseconds(50);
+constexpr Duration kMaxLevelInterval = std::chrono::seconds(1);
 constexpr auto kDownstreamValidity = std::chrono::seconds(1);
 // Refusing one request in twenty here keeps the queue from running empty while callers upstream
 // react to the level; a refusal costs far less than an idle slot.
@@ -571,7 +574,7 @@
 size_t AdmissionController::Poll(std::span<Action> aActions)
 {
   const SteadyTime now = mClock.Now();
-  if (now - mIntervalStart >= kLevelInterval) {
+  if (now - mIntervalStart >= LevelInterval()) {
     UpdateLevel(now);
   }
   RefuseLate(now);
@@ -619,7 +622,7 @@
     next = mEntries[mHeap[0]].mLatestStart + Duration(1);
   }
   if (mLevel > 0 || mQueued > 0) {
-    next = std::min(next, mIntervalStart + kLevelInterval);
+    next = std::min(next, mIntervalStart + LevelInterval());
   }
   return next;
 }
@@ -708,6 +711,11 @@
   mDownstreamUntil = mClock.Now() + kDownstreamValidity;
 }
 
+Duration AdmissionController::LevelInterval() const
+{
+  return std::clamp(FromSeconds(mService), kMinLevelInterval, kMaxLevelInterval);
+}
+
 // The level follows the least queue length of an interval: a queue that was empty at some time is
 // a burst, not overload.
 void AdmissionController::UpdateLevel(SteadyTime aNow)
