--- a/packages/experiment/src/world.h
+++ b/packages/experiment/src/world.h
@@ -125,6 +125,7 @@
   double HoldTime(size_t aService) const;
   double CapacityOf(size_t aService) const;
   double Worth(size_t aRank) const { return mRankSettings[aRank].mWorth; }
+  uint32_t RanksBelow(size_t aRank) const;
   bool Project() const { return mOptions.mPolicy == ControlPolicy::Project; }
 
   void After(double aSeconds, std::function<void()> aAction);
@@ -164,6 +165,8 @@
   void ReportLoad(Instance& aInstance);
 
   ExperimentResult Collect(const RunSettings& aSettings);
+  void StartSecond();
+  void EndSecond();
   double Recovery(const RunSettings& aSettings) const;
 
   ExperimentOptions mOptions;
@@ -183,7 +186,12 @@
   bool mPrepared = false;
 
   bool mMeasuring = false;
-  double mMeasuredCapacity = 0;
+  double mMeasuredCapacity = 0; // requests
+  double mAchievable = 0;       // requests: the lesser of demand and capacity
+  std::vector<double> mOwed;    // requests per rank: the lesser of demand and floor
+  SteadyTime mSecondStart{};
+  double mSecondCapacity = 0;
+  std::vector<uint64_t> mSecondOffers;
   std::vector<RankResult> mResults;
   std::vector<uint32_t> mGoodputBuckets; // per 100 ms
   double mUsefulWork = 0;
