Use one scale of shed levels and keep floors at the entry

Cause: admission published levels on a scale of 1,024 cohorts per rank while routing read them on a scale of 64, so entries shed far too much; and the entry shed ranks below their floor. Change: the scale lives in base/shed_level.h; the forwarder asks EntryFloors before it refuses. The routing test states its levels in terms of the scale. Conclusion: one definition, no second scale.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -8,6 +8,7 @@
 
 #include "balsammount/clock.h"
 #include "balsammount/concurrency_limit.h"
+#include "balsammount/shed_level.h"
 
 #include <array>
 #include <cstdint>
@@ -17,24 +18,6 @@
 
 namespace balsammount {
 
-// At ten times the demand with callers that resend, one of 64 cohorts is 40% of the capacity, which
-// makes the level swing; one of 1024 is 3%.
-inline constexpr uint32_t kShedCohorts = 1024;
-
-// The cohort of a request in the scale of shed levels. Every hop must use the same hash.
-constexpr uint32_t ShedCohort(uint64_t aRequestHash)
-{
-  return static_cast<uint32_t>(aRequestHash % kShedCohorts);
-}
-
-// True when aLevel refuses the request. aRanksBelow is the number of ranks of less worth. Level 0
-// refuses nothing; level kShedCohorts * n + c refuses the n ranks of least worth and cohorts below
-// c of the next one.
-constexpr bool IsShed(uint32_t aLevel, uint32_t aRanksBelow, uint64_t aRequestHash)
-{
-  return aRanksBelow * kShedCohorts + ShedCohort(aRequestHash) < aLevel;
-}
-
 struct AdmissionRank
 {
   double mWorth = 0; // the rank of greater worth is served first; ties go to the lower index
--- a/packages/node/src/forwarder.cpp
+++ b/packages/node/src/forwarder.cpp
@@ -1,9 +1,22 @@
 #include "forwarder.h"
 
+#include "balsammount/entry_floor.h"
+
 #include <vector>
 
 namespace balsammount {
 
+struct Forwarder::ServiceState
+{
+  explicit ServiceState(const Clock& aClock)
+    : mRatio(aClock, {})
+    , mFloors({})
+  {
+  }
+  RetryRatio mRatio;
+  EntryFloors mFloors;
+};
+
 class Forwarder::ForwardedCall final
   : public Call
   , public std::enable_shared_from_this<ForwardedCall>
@@ -26,14 +39,17 @@
     const size_t rankIndex =
       rank ? static_cast<size_t>(rank - config.Ranks().data()) : config.Ranks().size();
     Upstreams& upstreams = mForwarder.mUpstreams;
-    if (upstreams.ShouldShed(mContext.mService, rankIndex, mContext.mRequestHash)) {
+    ServiceState& state = mForwarder.StateOf(mContext.mService);
+    if (upstreams.ShouldShed(mContext.mService, rankIndex, mContext.mRequestHash) &&
+        !state.mFloors.IsOwed(rankIndex)) {
       // A request that the upstreams would refuse anyway is refused before it costs them anything.
       Answer answer = Refused(CallReason::Overload, std::move(mBudget), std::chrono::seconds(1));
       answer.mShedLevel = upstreams.ShedLevel(mContext.mService);
       Finish(std::move(answer));
       return;
     }
-    mForwarder.RatioOf(mContext.mService).OnRequest();
+    state.mFloors.OnSent(rankIndex);
+    state.mRatio.OnRequest();
     Attempt();
   }
 
@@ -157,20 +173,31 @@
 void Forwarder::ApplyConfig(const std::shared_ptr<const Config>& aConfig)
 {
   mConfig = aConfig;
+  std::vector<double> floors;
+  for (const RankPolicy& rank : aConfig->Ranks()) {
+    floors.push_back(rank.mFloor);
+  }
   for (const ServicePolicy& service : aConfig->Services()) {
     RetryRatioPolicy policy;
     policy.mRatio = service.mRetries.mRatio;
-    RatioOf(service.mName).SetPolicy(policy);
+    ServiceState& state = StateOf(service.mName);
+    state.mRatio.SetPolicy(policy);
+    state.mFloors.SetFloors(floors);
   }
 }
 
-RetryRatio& Forwarder::RatioOf(const std::string& aService)
+Forwarder::ServiceState& Forwarder::StateOf(const std::string& aService)
 {
-  auto& ratio = mRatios[aService];
-  if (!ratio) {
-    ratio = std::make_unique<RetryRatio>(mClock, RetryRatioPolicy{});
+  auto& state = mServices[aService];
+  if (!state) {
+    state = std::make_unique<ServiceState>(mClock);
   }
-  return *ratio;
+  return *state;
+}
+
+RetryRatio& Forwarder::RatioOf(const std::string& aService)
+{
+  return StateOf(aService).mRatio;
 }
 
 } // namespace balsammount
--- a/packages/node/src/forwarder.h
+++ b/packages/node/src/forwarder.h
@@ -34,6 +34,8 @@
 private:
   class ForwardedCall;
 
+  struct ServiceState;
+  ServiceState& StateOf(const std::string& aService);
   RetryRatio& RatioOf(const std::string& aService);
 
   const Clock& mClock;
@@ -42,7 +44,7 @@
   CallTarget& mLocal;
   Metrics& mMetrics;
   std::shared_ptr<const Config> mConfig;
-  std::map<std::string, std::unique_ptr<RetryRatio>> mRatios;
+  std::map<std::string, std::unique_ptr<ServiceState>> mServices;
   std::function<void(uint32_t)> mOnLevel;
 };
 
--- a/packages/routing/include/balsammount/routing.h
+++ b/packages/routing/include/balsammount/routing.h
@@ -164,7 +164,7 @@
   void OnShedLevel(ServiceId aService, UpstreamId aUpstream, uint32_t aLevel);
 
   // The lower median of the fresh levels of the service's subset; 0 when there is none. The scale
-  // is 64 * (ranks of less worth) + cohort; the cohort is the request hash modulo 64.
+  // is that of shed_level.h.
   uint32_t ShedLevel(ServiceId aService);
   bool ShouldShed(ServiceId aService, RankIndex aRank, uint64_t aRequestHash);
 
--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/routing.h"
 
 #include "balsammount/hash.h"
+#include "balsammount/shed_level.h"
 
 #include <algorithm>
 #include <array>
@@ -13,9 +14,6 @@
 
 namespace {
 
-// Same scale as the admission package's shed level.
-constexpr uint32_t kCohorts = 64;
-
 // A rise is followed faster than a fall, so that an upstream that slows down is left soon and one
 // short response does not bring it back.
 constexpr double kRise = 0.25;
@@ -690,8 +688,7 @@
 bool Router::ShouldShed(ServiceId aService, RankIndex aRank, uint64_t aRequestHash)
 {
   const uint32_t level = ShedLevel(aService);
-  const auto cohort = static_cast<uint32_t>(aRequestHash % kCohorts);
-  return RanksBelow(aRank) * kCohorts + cohort < level;
+  return IsShed(level, RanksBelow(aRank), aRequestHash);
 }
 
 std::vector<UpstreamView> Router::Upstreams(ServiceId aService) const
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -1,5 +1,6 @@
 #include "balsammount/hash.h"
 #include "balsammount/routing.h"
+#include "balsammount/shed_level.h"
 
 #include <algorithm>
 #include <functional>
@@ -308,13 +309,14 @@
 {
   Start({ 5 });
   CHECK_FALSE(mRouter->ShouldShed(kService, RankIndex{ 0 }, 0));
-  mRouter->OnShedLevel(kService, UpstreamId{ 0 }, 500);
-  mRouter->OnShedLevel(kService, UpstreamId{ 1 }, 80);
+  mRouter->OnShedLevel(kService, UpstreamId{ 0 }, 8 * kShedCohorts);
+  mRouter->OnShedLevel(kService, UpstreamId{ 1 }, kShedCohorts + kShedCohorts / 4);
   mRouter->OnShedLevel(kService, UpstreamId{ 2 }, 0);
-  CHECK_EQUAL(80U, mRouter->ShedLevel(kService));
+  CHECK_EQUAL(kShedCohorts + kShedCohorts / 4, mRouter->ShedLevel(kService));
   for (uint64_t hash = 0; hash < 1000; ++hash) {
     CHECK(mRouter->ShouldShed(kService, RankIndex{ 0 }, hash)); // least worth
-    CHECK_EQUAL(hash % 64 < 16, mRouter->ShouldShed(kService, RankIndex{ 2 }, hash));
+    CHECK_EQUAL(hash % kShedCohorts < kShedCohorts / 4,
+                mRouter->ShouldShed(kService, RankIndex{ 2 }, hash));
     CHECK_FALSE(mRouter->ShouldShed(kService, RankIndex{ 1 }, hash)); // most worth
   }
   mClock.Advance(1s);
