Refuse to pull a revision below the directory's own

Cause: a directory that follows a store which lost its data downwards leads to pushes that every node refuses. Change: pull and sync refuse a lower revision; the test's event loop steps are 50 ms.

--- a/packages/ctl/src/sync_commands.cpp
+++ b/packages/ctl/src/sync_commands.cpp
@@ -118,6 +118,19 @@
   }
 }
 
+// Nodes refuse a push that is based on a revision below the one they have, so a directory does not
+// go back unnoticed.
+bool IsRolledBack(const detail::WorkFolder& aFolder, const ConfigRevision& aStored)
+{
+  return aFolder.mBase && aStored.mRevision < aFolder.mBase->mRevision;
+}
+
+PushFailure RolledBack(const detail::WorkFolder& aFolder, const ConfigRevision& aStored)
+{
+  return { PushError::RolledBack, "the store has revision " + std::to_string(aStored.mRevision) +
+                                    ", the directory " + std::to_string(aFolder.mBase->mRevision) };
+}
+
 ExitCode RunPush(const CtlCall& aCall)
 {
   auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
@@ -166,8 +179,11 @@
   if (!revision) {
     return Refuse(aCall, revision.error());
   }
-  if (folder->mFiles != known && folder->mFiles != revision->mFiles &&
-      aCall.mOptions.count("force") == 0) {
+  const bool isForced = aCall.mOptions.count("force") > 0;
+  if (!isForced && IsRolledBack(*folder, *revision)) {
+    return Refuse(aCall, RolledBack(*folder, *revision));
+  }
+  if (!isForced && folder->mFiles != known && folder->mFiles != revision->mFiles) {
     return Refuse(aCall, PushFailure(PushError::LocalChanges, "use sync, or pull --force"));
   }
   if (auto updated = detail::UpdateWorkFolder(*folder, revision->mFiles, *revision); !updated) {
@@ -192,9 +208,8 @@
   if (!revision) {
     return Refuse(aCall, revision.error());
   }
-  if (folder->mBase && revision->mRevision < folder->mBase->mRevision) {
-    return Refuse(
-      aCall, PushFailure(PushError::RolledBack, "revision " + std::to_string(revision->mRevision)));
+  if (IsRolledBack(*folder, *revision)) {
+    return Refuse(aCall, RolledBack(*folder, *revision));
   }
   const FileMap base = folder->mBase ? folder->mBase->mFiles : FileMap();
   // The merge keeps its third argument's side of a conflict.
--- a/packages/ctl/tests/config_push_test.cpp
+++ b/packages/ctl/tests/config_push_test.cpp
@@ -25,7 +25,7 @@
   FakeStore mStore{ mClock };
   std::function<void()> mOnStep;
   BlockingStore mBlocking{ mStore, mClock, [this] {
-                            mClock.Advance(10ms);
+                            mClock.Advance(50ms);
                             if (mOnStep) {
                               mOnStep();
                             }
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -185,6 +185,16 @@
   CHECK_EQUAL(5, history.size());
   CHECK(history[2]["author"] == "bob" && history[2]["files"] == nlohmann::json({ "3.json" }));
   CHECK(history[0]["time"] == "1970-01-01T00:16:40Z");
+  // A store that lost its data is not followed downwards.
+  store.mStandin.Model().Delete("/balsammount/config");
+  CHECK(Run({ "push", "@c", "--author", "ann" }) == ExitCode::Refused);
+  fs::copy_file(mRoot / "a/1.json", mRoot / "c/1.json");
+  CHECK(Run({ "push", "@c" }) == ExitCode::Ok);
+  CHECK(Run({ "pull", "@a" }) == ExitCode::Refused);
+  CHECK(Complained("the store has revision 1, the directory 5"));
+  CHECK(Run({ "push", "@a" }) == ExitCode::Refused);
+  CHECK(Run({ "push", "@a", "--restore", "--above", "8" }) == ExitCode::Ok);
+  CHECK(Printed("revision 9"));
 }
 
 // Guards against removing files of a directory that was named by mistake.
