Add the scenario runner and scenarios on real processes

Faults of whole processes (kill, suspend, SIGTERM, an outage of the store) had no test. The runner starts the store stand-in, nodes and backend stand-ins on loopback and runs a scenario written in Lua; each scenario is a ctest entry.

--- /dev/null
+++ b/testing/scenario/include/balsammount/cluster.h
@@ -0,0 +1,141 @@
+// Real processes on loopback for a scenario: a store stand-in, and services of nodes with their
+// backend stand-ins. Failures are thrown as std::runtime_error.
+#pragma once
+
+#include "balsammount/child_process.h"
+#include "balsammount/http_client.h"
+#include "balsammount/random.h"
+#include "balsammount/store.h"
+
+#include <nlohmann/json.hpp>
+
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace balsammount {
+
+struct ClusterPrograms
+{
+  std::string mNode;
+  std::string mBackend;
+  std::string mStore;
+  std::string mLoad;
+};
+
+struct ServiceSpec
+{
+  std::string mName;
+  size_t mUpstreams = 1;
+  size_t mSlots = 10;
+  double mServiceMs = 5;
+  std::vector<std::string> mCalls; // paths that each execution calls
+  size_t mDataCentres = 3;         // assigned round robin
+};
+
+// A caller's request. The id is made when it is empty.
+struct CallSpec
+{
+  std::string mNode;
+  HttpRequest mRequest;
+  std::string mId;
+  std::chrono::milliseconds mDeadline{ 5000 };
+};
+
+struct LoadSpec
+{
+  std::vector<std::string> mTargets; // nodes
+  std::vector<std::string> mFlows;   // as the load generator reads them
+  double mSeconds = 5;
+};
+
+class Cluster
+{
+public:
+  using Json = nlohmann::json;
+
+  Cluster(ClusterPrograms aPrograms, std::filesystem::path aDirectory, uint64_t aSeed);
+  ~Cluster();
+  Cluster(const Cluster&) = delete;
+  Cluster& operator=(const Cluster&) = delete;
+
+  void StartStore();
+  // Writes the next revision of the configuration value, or the given one, and returns its number.
+  uint64_t WriteConfig(const std::filesystem::path& aFolder,
+                       std::optional<uint64_t> aRevision = std::nullopt);
+  // Replaces the configuration value by any bytes.
+  void WriteRawConfig(const std::string& aBytes);
+  // Returns the names of the nodes; a node's backend stand-in is called NODE/backend.
+  std::vector<std::string> StartService(const ServiceSpec& aSpec);
+
+  void Kill(const std::string& aName);
+  void Freeze(const std::string& aName);
+  void Thaw(const std::string& aName);
+  // Sends SIGTERM and waits for the end, which must be an orderly one.
+  void Stop(const std::string& aName);
+  // Starts it again, with the same addresses.
+  void Start(const std::string& aName);
+  bool Running(const std::string& aName);
+  // How often a backend stand-in ended by itself; it is started again each time.
+  size_t Deaths(const std::string& aName);
+
+  void SetFaults(const std::string& aStandin, const Json& aFaults);
+  void AnnounceLeaving(const std::string& aNode);
+  // JSON of a page of a node's admin listener.
+  Json NodePage(const std::string& aNode, const std::string& aPage);
+  Json Counters(const std::string& aStandin);
+  // Executions by Idempotency-Key and by X-Test-Id, summed over all backend stand-ins.
+  std::map<std::string, uint64_t> Executions();
+  const std::vector<std::string>& Nodes() const { return mNodes; }
+
+  // Sends in the background; Answers() waits for all that are due and returns them in order:
+  // {"node", "id", "key", "status", "outcome", "reason", "body"}. The outcome of a connection that
+  // was refused is "not-run", of one that was lost "lost", and "timeout" without an answer in time.
+  void Send(CallSpec aSpec);
+  Json Answers();
+
+  void StartLoad(const LoadSpec& aSpec);
+  // Waits for the end of the load.
+  Json LoadResults();
+
+  // Runs the background work. Throws when a node ended by itself.
+  void Pump(std::chrono::milliseconds aTime);
+  // Pumps until the condition holds; false when the time is over.
+  bool WaitFor(std::chrono::milliseconds aAtMost, const std::function<bool()>& aCondition);
+
+  // State, counters and last log lines of every process, for people.
+  std::string Report();
+
+private:
+  struct Member;
+
+  Member& Find(const std::string& aName);
+  uint16_t TakePort();
+  void StartNode(const ServiceSpec& aSpec, const std::string& aName, size_t aIndex,
+                 const std::vector<std::string>& aContacts);
+  void WaitUntilUp(const std::string& aName);
+  Result<HttpResponse> Fetch(uint16_t aPort, HttpRequest aRequest,
+                             std::chrono::milliseconds aTimeout);
+  Json FetchJson(const std::string& aName, HttpRequest aRequest);
+  void CheckMembers();
+  void WriteStore(const std::function<std::string(const std::optional<StoreEntry>&)>& aMake);
+
+  ClusterPrograms mPrograms;
+  std::filesystem::path mDirectory;
+  uint64_t mSeed;
+  Random mRandom;
+  boost::asio::io_context mContext;
+  std::unique_ptr<Store> mStore;
+  std::map<std::string, std::unique_ptr<Member>> mMembers;
+  std::vector<std::string> mNodes;
+  std::set<uint16_t> mPorts;
+  struct PendingCall;
+  std::vector<std::shared_ptr<PendingCall>> mCalls;
+  std::string mLoad; // name of the load that runs
+  size_t mLoads = 0;
+  uint64_t mNextId = 0;
+};
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/scenario/src/cluster.cpp
@@ -0,0 +1,304 @@
+#include "balsammount/cluster.h"
+
+#include "member.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <thread>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+using Json = nlohmann::json;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kControlTimeout = 5s;
+constexpr auto kStartTimeout = 60s;
+constexpr auto kStopTimeout = 60s;
+// Below the range from which the kernel takes the ports of outgoing connections, so that a process
+// that starts again finds its port free.
+constexpr uint16_t kFirstPort = 12'000;
+constexpr uint16_t kPorts = 20'000;
+// A node learns the others from a few contacts.
+constexpr size_t kContacts = 3;
+
+std::string Address(uint16_t aPort)
+{
+  return "127.0.0.1:" + std::to_string(aPort);
+}
+
+asio::ip::tcp::endpoint Loopback(uint16_t aPort)
+{
+  return { asio::ip::address_v4::loopback(), aPort };
+}
+
+bool IsFree(asio::io_context& aContext, uint16_t aPort)
+{
+  boost::system::error_code error;
+  asio::ip::tcp::acceptor acceptor(aContext);
+  acceptor.open(asio::ip::tcp::v4(), error);
+  acceptor.bind(Loopback(aPort), error);
+  if (error) {
+    return false;
+  }
+  asio::ip::udp::socket socket(aContext);
+  socket.open(asio::ip::udp::v4(), error);
+  socket.bind({ asio::ip::address_v4::loopback(), aPort }, error);
+  return !error;
+}
+
+std::string BackendName(const std::string& aNode)
+{
+  return aNode + "/backend";
+}
+
+std::string FileName(std::string aName)
+{
+  std::replace(aName.begin(), aName.end(), '/', '-');
+  return aName;
+}
+
+std::string Join(const std::vector<std::string>& aItems)
+{
+  std::string text;
+  for (const std::string& item : aItems) {
+    text += (text.empty() ? "" : ",") + item;
+  }
+  return text;
+}
+
+} // namespace
+
+Cluster::Cluster(ClusterPrograms aPrograms, std::filesystem::path aDirectory, uint64_t aSeed)
+  : mPrograms(std::move(aPrograms))
+  , mDirectory(std::move(aDirectory))
+  , mSeed(aSeed)
+  , mRandom(aSeed)
+  , mContext(1)
+{
+}
+
+Cluster::~Cluster() = default;
+
+Cluster::Member& Cluster::Find(const std::string& aName)
+{
+  const auto found = mMembers.find(aName);
+  if (found == mMembers.end()) {
+    throw std::runtime_error("there is no process " + aName);
+  }
+  return *found->second;
+}
+
+uint16_t Cluster::TakePort()
+{
+  // Scenarios that run at the same time begin at different places.
+  uint32_t offset = static_cast<uint32_t>(getpid()) * 211U;
+  for (size_t i = 0; i < kPorts; ++i, ++offset) {
+    const auto port = static_cast<uint16_t>(kFirstPort + offset % kPorts);
+    if (!mPorts.contains(port) && IsFree(mContext, port)) {
+      mPorts.insert(port);
+      return port;
+    }
+  }
+  throw std::runtime_error("no free port");
+}
+
+void Cluster::StartStore()
+{
+  const uint16_t port = TakePort();
+  const std::vector<std::string> arguments = { mPrograms.mStore, "--listen", Address(port) };
+  const std::string log = mDirectory / "store.log";
+  mMembers["store"] = std::make_unique<Member>(MemberKind::Store, arguments, log, port);
+  Find("store").mProcess.Start();
+  WaitUntilUp("store");
+}
+
+std::vector<std::string> Cluster::StartService(const ServiceSpec& aSpec)
+{
+  std::vector<std::string> names;
+  for (size_t i = 0; i < aSpec.mUpstreams; ++i) {
+    const std::string name = aSpec.mName + "-" + std::to_string(i + 1);
+    if (mMembers.contains(name)) {
+      throw std::runtime_error("there already is a process " + name);
+    }
+    names.push_back(name);
+    // The port of the admin listener, which the member is reached by.
+    mMembers[name] =
+      std::make_unique<Member>(MemberKind::Node,
+                               std::vector<std::string>{ mPrograms.mNode, "--settings",
+                                                         mDirectory / (FileName(name) + ".json") },
+                               mDirectory / (FileName(name) + ".log"), TakePort());
+    Member& node = Find(name);
+    node.mCaller = TakePort();
+    node.mEgress = TakePort();
+    node.mPeer = TakePort();
+    mNodes.push_back(name);
+  }
+  std::vector<std::string> contacts;
+  for (size_t i = 0; i < std::min(kContacts, mNodes.size()); ++i) {
+    contacts.push_back(Address(Find(mNodes[i]).mPeer));
+  }
+  for (size_t i = 0; i < names.size(); ++i) {
+    StartNode(aSpec, names[i], i, contacts);
+  }
+  for (const std::string& name : names) {
+    WaitUntilUp(BackendName(name));
+    WaitUntilUp(name);
+  }
+  return names;
+}
+
+void Cluster::StartNode(const ServiceSpec& aSpec, const std::string& aName, size_t aIndex,
+                        const std::vector<std::string>& aContacts)
+{
+  const Member& node = Find(aName);
+  const std::string backend = BackendName(aName);
+  const uint16_t port = TakePort();
+  std::vector<std::string> arguments = { mPrograms.mBackend,
+                                         "--listen",
+                                         Address(port),
+                                         "--name",
+                                         backend,
+                                         "--slots",
+                                         std::to_string(aSpec.mSlots),
+                                         "--service-time-ms",
+                                         std::to_string(aSpec.mServiceMs),
+                                         "--seed",
+                                         std::to_string(mSeed + aIndex) };
+  if (!aSpec.mCalls.empty()) {
+    arguments.insert(arguments.end(),
+                     { "--calls", Join(aSpec.mCalls), "--egress", Address(node.mEgress) });
+  }
+  mMembers[backend] = std::make_unique<Member>(MemberKind::Backend, arguments,
+                                               mDirectory / (FileName(backend) + ".log"), port);
+
+  const Json settings = { { "node_id", aName },
+                          { "service", aSpec.mName },
+                          { "data_centre", "dc" + std::to_string(aIndex % aSpec.mDataCentres + 1) },
+                          { "caller_listen", Address(node.mCaller) },
+                          { "egress_listen", Address(node.mEgress) },
+                          { "peer_listen", Address(node.mPeer) },
+                          { "admin_listen", Address(node.mPort) },
+                          { "backend", Address(port) },
+                          { "store", { Address(Find("store").mPort) } },
+                          { "contacts", aContacts } };
+  std::ofstream(mDirectory / (FileName(aName) + ".json")) << settings.dump(2) << "\n";
+  Find(backend).mProcess.Start();
+  Find(aName).mProcess.Start();
+}
+
+void Cluster::WaitUntilUp(const std::string& aName)
+{
+  const uint16_t port = Find(aName).mPort;
+  const bool up = WaitFor(kStartTimeout, [&] {
+    return Fetch(port, {}, kControlTimeout).has_value(); // any answer will do
+  });
+  if (!up) {
+    throw std::runtime_error(aName + " does not listen");
+  }
+}
+
+void Cluster::Kill(const std::string& aName)
+{
+  Member& member = Find(aName);
+  member.mWanted = false;
+  member.mProcess.Kill();
+}
+
+void Cluster::Freeze(const std::string& aName)
+{
+  Find(aName).mProcess.Signal(SIGSTOP);
+}
+
+void Cluster::Thaw(const std::string& aName)
+{
+  Find(aName).mProcess.Signal(SIGCONT);
+}
+
+void Cluster::Stop(const std::string& aName)
+{
+  Member& member = Find(aName);
+  member.mWanted = false;
+  member.mProcess.Signal(SIGTERM);
+  if (!WaitFor(kStopTimeout, [&] { return !member.mProcess.Running(); })) {
+    throw std::runtime_error(aName + " did not stop");
+  }
+  if (member.mProcess.ExitStatus() != 0) {
+    throw std::runtime_error(aName + " stopped with status " +
+                             std::to_string(member.mProcess.ExitStatus()));
+  }
+}
+
+void Cluster::Start(const std::string& aName)
+{
+  Member& member = Find(aName);
+  if (member.mProcess.Running()) {
+    throw std::runtime_error(aName + " is running already");
+  }
+  member.mWanted = true;
+  member.mProcess.Start();
+  WaitUntilUp(aName);
+}
+
+bool Cluster::Running(const std::string& aName)
+{
+  return Find(aName).mProcess.Running();
+}
+
+size_t Cluster::Deaths(const std::string& aName)
+{
+  return Find(aName).mDeaths;
+}
+
+void Cluster::Pump(std::chrono::milliseconds aTime)
+{
+  mContext.restart();
+  mContext.run_for(aTime);
+  // Without work the loop returns early.
+  if (mContext.stopped()) {
+    std::this_thread::sleep_for(std::min(aTime, 10ms));
+  }
+  CheckMembers();
+}
+
+void Cluster::CheckMembers()
+{
+  for (const auto& [name, member] : mMembers) {
+    ChildProcess& process = member->mProcess;
+    if (!member->mWanted || process.Running()) {
+      continue;
+    }
+    if (member->mKind == MemberKind::Backend) {
+      ++member->mDeaths;
+      process.Start();
+      continue;
+    }
+    member->mWanted = false;
+    if (member->mKind != MemberKind::Load || process.ExitStatus() != 0) {
+      throw std::runtime_error(name + " ended by itself with status " +
+                               std::to_string(process.ExitStatus()));
+    }
+  }
+}
+
+bool Cluster::WaitFor(std::chrono::milliseconds aAtMost, const std::function<bool()>& aCondition)
+{
+  const auto deadline = steady_clock::now() + aAtMost;
+  while (!aCondition()) {
+    if (steady_clock::now() >= deadline) {
+      return false;
+    }
+    Pump(20ms);
+  }
+  return true;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/scenario/src/lua/language.cpp
@@ -0,0 +1,135 @@
+#include "language.h"
+
+#include "values.h"
+#include "verbs.h"
+
+#include <memory>
+
+namespace balsammount {
+
+using Json = nlohmann::json;
+
+namespace {
+
+Cluster& ClusterOf(lua_State* aLua)
+{
+  return **static_cast<Cluster**>(lua_getextraspace(aLua));
+}
+
+// The lines of the scenario that led here, the innermost first.
+std::string Place(lua_State* aLua)
+{
+  std::string place;
+  lua_Debug frame{};
+  for (int level = 1; lua_getstack(aLua, level, &frame) != 0; ++level) {
+    lua_getinfo(aLua, "Sl", &frame);
+    if (frame.currentline > 0) {
+      place += std::string(static_cast<const char*>(frame.short_src)) + ":" +
+               std::to_string(frame.currentline) + ": ";
+    }
+  }
+  return place;
+}
+
+// Runs C++ code for Lua. A Lua error leaves by longjmp, so no object may be alive when it is
+// raised.
+template <class Run>
+int Guard(lua_State* aLua, const char* aVerb, Run aRun)
+{
+  int count = -1;
+  try {
+    count = aRun();
+  } catch (const std::exception& error) {
+    lua_settop(aLua, 0);
+    lua_pushstring(aLua, (Place(aLua) + aVerb + ": " + error.what()).c_str());
+  }
+  return count < 0 ? lua_error(aLua) : count;
+}
+
+int CallVerb(lua_State* aLua)
+{
+  const auto* verb = static_cast<const Verb*>(lua_touserdata(aLua, lua_upvalueindex(1)));
+  return Guard(aLua, verb->mName, [&] {
+    Json arguments = Json::array();
+    for (int i = 1; i <= lua_gettop(aLua); ++i) {
+      arguments.push_back(ToJson(aLua, i));
+    }
+    Push(aLua, verb->mRun(ClusterOf(aLua), arguments));
+    return 1;
+  });
+}
+
+// expect(condition, text)
+int Expect(lua_State* aLua)
+{
+  return Guard(aLua, "expectation failed", [&] {
+    if (lua_toboolean(aLua, 1) == 0) {
+      throw std::runtime_error(luaL_tolstring(aLua, 2, nullptr));
+    }
+    return 0;
+  });
+}
+
+// wait{"text", at_most = seconds, when = function}. A verb that fails in the condition ends the
+// scenario.
+int Wait(lua_State* aLua)
+{
+  constexpr int kWhen = 2;
+  lua_settop(aLua, 1);
+  lua_getfield(aLua, 1, "when");
+  lua_getfield(aLua, 1, "at_most");
+  lua_geti(aLua, 1, 1);
+  const double atMost = luaL_checknumber(aLua, 3);
+  luaL_checktype(aLua, kWhen, LUA_TFUNCTION);
+  luaL_checkstring(aLua, 4);
+  bool failed = false;
+  const int count = Guard(aLua, "wait", [&] {
+    const auto limit =
+      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::duration<double>(atMost));
+    const bool held = ClusterOf(aLua).WaitFor(limit, [&] {
+      lua_pushvalue(aLua, kWhen);
+      failed = lua_pcall(aLua, 0, 1, 0) != LUA_OK;
+      const bool holds = failed || lua_toboolean(aLua, -1) != 0;
+      lua_pop(aLua, failed ? 0 : 1);
+      return holds;
+    });
+    if (!held) {
+      throw std::runtime_error("after " + std::to_string(atMost) + " s it does not hold that " +
+                               lua_tostring(aLua, 4));
+    }
+    return 0;
+  });
+  return failed ? lua_error(aLua) : count;
+}
+
+void Define(lua_State* aLua, uint64_t aSeed)
+{
+  for (const Verb& verb : Verbs()) {
+    lua_pushlightuserdata(aLua, const_cast<Verb*>(&verb));
+    lua_pushcclosure(aLua, CallVerb, 1);
+    lua_setglobal(aLua, verb.mName);
+  }
+  lua_register(aLua, "expect", Expect);
+  lua_register(aLua, "wait", Wait);
+  lua_pushinteger(aLua, static_cast<lua_Integer>(aSeed));
+  lua_setglobal(aLua, "seed");
+}
+
+} // namespace
+
+std::string RunScenario(Cluster& aCluster, const std::string& aFile, uint64_t aSeed)
+{
+  const std::unique_ptr<lua_State, decltype(&lua_close)> lua(luaL_newstate(), lua_close);
+  luaL_openlibs(lua.get());
+  *static_cast<Cluster**>(lua_getextraspace(lua.get())) = &aCluster;
+  Define(lua.get(), aSeed);
+  const std::string prelude = std::string("math.randomseed(seed)\n") + "package.path = \"" +
+                              BM_SOURCE_DIR + "/testing/scenario/scenarios/lib/?.lua\"\n";
+  if (luaL_dostring(lua.get(), prelude.c_str()) != LUA_OK ||
+      luaL_dofile(lua.get(), aFile.c_str()) != LUA_OK) {
+    return luaL_tolstring(lua.get(), -1, nullptr);
+  }
+  return {};
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/scenario/src/lua/verbs.h
@@ -0,0 +1,21 @@
+// The verbs of the scenario language that act on the cluster; README.md explains them.
+#pragma once
+
+#include "balsammount/cluster.h"
+
+#include <span>
+
+namespace balsammount {
+
+// Takes the arguments as an array; throws std::runtime_error or a JSON exception.
+using VerbFunction = nlohmann::json (*)(Cluster&, const nlohmann::json&);
+
+struct Verb
+{
+  const char* mName;
+  VerbFunction mRun;
+};
+
+std::span<const Verb> Verbs();
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/scenario/src/member.h
@@ -0,0 +1,44 @@
+// A process of the cluster and what it listens on.
+#pragma once
+
+#include "balsammount/cluster.h"
+
+namespace balsammount {
+
+enum class MemberKind
+{
+  Store,
+  Node,
+  Backend,
+  Load,
+};
+
+struct Cluster::Member
+{
+  Member(MemberKind aKind, std::vector<std::string> aArguments, std::string aLogFile,
+         uint16_t aPort)
+    : mKind(aKind)
+    , mPort(aPort)
+    , mProcess(std::move(aArguments), std::move(aLogFile))
+  {
+  }
+
+  MemberKind mKind;
+  uint16_t mPort;       // of the stand-in's or the node's control listener
+  uint16_t mCaller = 0; // of a node
+  uint16_t mEgress = 0; // of a node
+  uint16_t mPeer = 0;   // of a node
+  ChildProcess mProcess;
+  bool mWanted = true; // it ends by itself when it should not
+  size_t mDeaths = 0;
+};
+
+struct Cluster::PendingCall
+{
+  CallSpec mSpec;
+  std::unique_ptr<HttpClient> mClient; // one connection each, so that none is stale
+  std::shared_ptr<Call> mCall;
+  std::optional<Result<HttpResponse>> mResult;
+};
+
+} // namespace balsammount
