Follow the operators' directory with config sync

Cause: operators had to push each change themselves, and the commands of the configuration had no common first word. Change: config push, pull, merge, sync and history; sync pushes every edit and prints when all nodes have it.

--- a/packages/ctl/src/node_commands.cpp
+++ b/packages/ctl/src/node_commands.cpp
@@ -1,13 +1,8 @@
 // Commands that ask a running node through its admin listener.
 
 #include "balsammount/ctl.h"
-#include "output.h"
+#include "node_query.h"
 
-#include "balsammount/http_client.h"
-
-#include <boost/asio/io_context.hpp>
-
-#include <charconv>
 #include <iomanip>
 #include <map>
 #include <ostream>
@@ -21,66 +16,11 @@
 namespace po = boost::program_options;
 using namespace std::chrono_literals;
 
-constexpr auto kNodeTimeout = 5s;
-
-// ADDRESS:PORT of an admin listener.
-Result<boost::asio::ip::tcp::endpoint> ParseNode(const std::string& aText)
-{
-  const size_t colon = aText.rfind(':');
-  const std::string portText = colon == std::string::npos ? "" : aText.substr(colon + 1);
-  uint16_t port = 0;
-  const auto [end, portError] =
-    std::from_chars(portText.data(), portText.data() + portText.size(), port);
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(aText.substr(0, colon), error);
-  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
-    return Failure{ make_error_code(std::errc::invalid_argument),
-                    "\"" + aText + "\" is not ADDRESS:PORT of a node's admin listener" };
-  }
-  return boost::asio::ip::tcp::endpoint(address, port);
-}
-
-Result<HttpResponse> Ask(const std::string& aNode, HttpRequest aRequest)
-{
-  const auto endpoint = ParseNode(aNode);
-  if (!endpoint) {
-    return endpoint.error();
-  }
-  boost::asio::io_context context;
-  HttpClient client(context, *endpoint);
-  Result<HttpResponse> result = Failure{ TransportError::TimedOut, aNode };
-  const auto call =
-    client.Send(std::move(aRequest), kNodeTimeout, [&](Result<HttpResponse> aAnswer) {
-      result = std::move(aAnswer);
-      context.stop();
-    });
-  context.run();
-  return result;
-}
-
-Result<Json> AskJson(const std::string& aNode, HttpRequest aRequest)
-{
-  auto response = Ask(aNode, std::move(aRequest));
-  if (!response) {
-    return response.error();
-  }
-  auto body = Json::parse(response->mBody, nullptr, false);
-  if (body.is_discarded()) {
-    return Failure{ make_error_code(std::errc::protocol_error),
-                    aNode + " answered status " + std::to_string(response->mStatus) };
-  }
-  if (response->mStatus >= 400) {
-    return Failure{ make_error_code(std::errc::operation_not_permitted),
-                    aNode + ": " + body.value("error", std::to_string(response->mStatus)) };
-  }
-  return body;
-}
-
 Result<Json> Get(const CtlCall& aCall, const std::string& aTarget)
 {
   HttpRequest request;
   request.mTarget = aTarget;
-  return AskJson(aCall.mArguments[0], std::move(request));
+  return detail::AskNode(aCall.mArguments[0], std::move(request));
 }
 
 // A list of objects as a table with the fields of the first one as columns.
@@ -163,7 +103,7 @@
   request.mMethod = "DELETE";
   request.mTarget = "/quarantine";
   request.mBody = aCall.mArguments[1];
-  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  const auto answer = detail::AskNode(aCall.mArguments[0], std::move(request));
   if (!answer) {
     return detail::Refuse(aCall, answer.error());
   }
@@ -177,7 +117,7 @@
   HttpRequest request;
   request.mMethod = "POST";
   request.mTarget = "/drain";
-  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  const auto answer = detail::AskNode(aCall.mArguments[0], std::move(request));
   if (!answer) {
     return detail::Refuse(aCall, answer.error());
   }
@@ -192,7 +132,7 @@
   request.mMethod = "PUT";
   request.mTarget = "/log-level";
   request.mBody = aCall.mArguments[1];
-  const auto answer = AskJson(aCall.mArguments[0], std::move(request));
+  const auto answer = detail::AskNode(aCall.mArguments[0], std::move(request));
   if (!answer) {
     return detail::Refuse(aCall, answer.error());
   }
@@ -201,20 +141,15 @@
   return ExitCode::Ok;
 }
 
-// Number of members by configuration revision.
 Result<Json> Rollout(const CtlCall& aCall)
 {
-  const auto members = Get(aCall, "/members");
-  if (!members) {
-    return members.error();
-  }
-  std::map<uint64_t, uint64_t, std::greater<>> counts;
-  for (const Json& member : *members) {
-    ++counts[member.value("config_revision", uint64_t(0))];
+  const auto counts = detail::CountRevisions(aCall.mArguments[0]);
+  if (!counts) {
+    return counts.error();
   }
   Json rows = Json::array();
-  for (const auto& [revision, count] : counts) {
-    rows.push_back({ { "revision", revision }, { "nodes", count } });
+  for (const auto& [revision, nodes] : *counts) {
+    rows.push_back({ { "revision", revision }, { "nodes", nodes } });
   }
   return rows;
 }
--- /dev/null
+++ b/packages/ctl/src/node_query.cpp
@@ -0,0 +1,87 @@
+#include "node_query.h"
+
+#include "balsammount/http_client.h"
+
+#include <boost/asio/io_context.hpp>
+
+#include <charconv>
+
+namespace balsammount::detail {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr auto kNodeTimeout = 5s;
+
+// ADDRESS:PORT of an admin listener.
+Result<boost::asio::ip::tcp::endpoint> ParseNode(const std::string& aText)
+{
+  const size_t colon = aText.rfind(':');
+  const std::string portText = colon == std::string::npos ? "" : aText.substr(colon + 1);
+  uint16_t port = 0;
+  const auto [end, portError] =
+    std::from_chars(portText.data(), portText.data() + portText.size(), port);
+  boost::system::error_code error;
+  const auto address = boost::asio::ip::make_address(aText.substr(0, colon), error);
+  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
+    return Failure{ make_error_code(std::errc::invalid_argument),
+                    "\"" + aText + "\" is not ADDRESS:PORT of a node's admin listener" };
+  }
+  return boost::asio::ip::tcp::endpoint(address, port);
+}
+
+Result<HttpResponse> Ask(const std::string& aNode, HttpRequest aRequest)
+{
+  const auto endpoint = ParseNode(aNode);
+  if (!endpoint) {
+    return endpoint.error();
+  }
+  boost::asio::io_context context;
+  HttpClient client(context, *endpoint);
+  Result<HttpResponse> result = Failure{ TransportError::TimedOut, aNode };
+  const auto call =
+    client.Send(std::move(aRequest), kNodeTimeout, [&](Result<HttpResponse> aAnswer) {
+      result = std::move(aAnswer);
+      context.stop();
+    });
+  context.run();
+  return result;
+}
+
+} // namespace
+
+Result<Json> AskNode(const std::string& aNode, HttpRequest aRequest)
+{
+  auto response = Ask(aNode, std::move(aRequest));
+  if (!response) {
+    return response.error();
+  }
+  auto body = Json::parse(response->mBody, nullptr, false);
+  if (body.is_discarded()) {
+    return Failure{ make_error_code(std::errc::protocol_error),
+                    aNode + " answered status " + std::to_string(response->mStatus) };
+  }
+  if (response->mStatus >= 400) {
+    return Failure{ make_error_code(std::errc::operation_not_permitted),
+                    aNode + ": " + body.value("error", std::to_string(response->mStatus)) };
+  }
+  return body;
+}
+
+Result<std::map<uint64_t, uint64_t, std::greater<>>> CountRevisions(const std::string& aNode)
+{
+  HttpRequest request;
+  request.mTarget = "/members";
+  const auto members = AskNode(aNode, std::move(request));
+  if (!members) {
+    return members.error();
+  }
+  std::map<uint64_t, uint64_t, std::greater<>> counts;
+  for (const Json& member : *members) {
+    ++counts[member.value("config_revision", uint64_t(0))];
+  }
+  return counts;
+}
+
+} // namespace balsammount::detail
--- a/packages/ctl/src/sync_commands.cpp
+++ b/packages/ctl/src/sync_commands.cpp
@@ -1,3 +1,4 @@
+#include "node_query.h"
 #include "output.h"
 #include "work_folder.h"
 
@@ -7,6 +8,7 @@
 #include <ostream>
 #include <random>
 #include <sstream>
+#include <thread>
 
 namespace balsammount {
 
@@ -46,7 +48,7 @@
   aOptions.add_options()("force", "discard changes of the directory");
 }
 
-void AddSyncOptions(po::options_description& aOptions)
+void AddMergeOptions(po::options_description& aOptions)
 {
   AddStoreOptions(aOptions);
   aOptions.add_options()("prefer", po::value<std::string>()->default_value(""),
@@ -184,7 +186,8 @@
     return Refuse(aCall, RolledBack(*folder, *revision));
   }
   if (!isForced && folder->mFiles != known && folder->mFiles != revision->mFiles) {
-    return Refuse(aCall, PushFailure(PushError::LocalChanges, "use sync, or pull --force"));
+    return Refuse(aCall,
+                  PushFailure(PushError::LocalChanges, "use config merge, or config pull --force"));
   }
   if (auto updated = detail::UpdateWorkFolder(*folder, revision->mFiles, *revision); !updated) {
     return Refuse(aCall, updated.error());
@@ -193,7 +196,7 @@
   return ExitCode::Ok;
 }
 
-ExitCode RunSync(const CtlCall& aCall)
+ExitCode RunMerge(const CtlCall& aCall)
 {
   const auto prefer = aCall.mOptions["prefer"].as<std::string>();
   if (!prefer.empty() && prefer != "mine" && prefer != "theirs") {
@@ -233,6 +236,68 @@
   return ExitCode::Ok;
 }
 
+void AddFollowOptions(po::options_description& aOptions)
+{
+  AddPushOptions(aOptions);
+  aOptions.add_options()("node", po::value<std::string>()->default_value(""),
+                         "admin address of a node; its view tells when a change is in force "
+                         "everywhere")("interval-ms", po::value<uint32_t>()->default_value(500),
+                                       "time between looks at the directory")(
+    "count", po::value<uint32_t>()->default_value(0),
+    "number of looks at the directory; 0 goes on until interrupted");
+}
+
+// Prints when all members have one revision; gives up after a time and says how far it got.
+void PrintInForce(const CtlCall& aCall, const std::string& aNode)
+{
+  constexpr std::chrono::seconds kPatience{ 30 };
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  auto counts = detail::CountRevisions(aNode);
+  while (counts && counts->size() > 1 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    counts = detail::CountRevisions(aNode);
+  }
+  if (!counts) {
+    Refuse(aCall, counts.error());
+    return;
+  }
+  for (const auto& [revision, nodes] : *counts) {
+    aCall.Out() << "revision " << revision << " is in force on " << nodes
+                << (counts->size() == 1 ? " nodes: everywhere\n" : " nodes\n");
+  }
+  aCall.Out().flush();
+}
+
+// A change that the store refuses, or that is not valid, is reported once and tried again after the
+// next edit.
+ExitCode RunFollow(const CtlCall& aCall)
+{
+  const auto count = aCall.mOptions["count"].as<uint32_t>();
+  const std::chrono::milliseconds interval(aCall.mOptions["interval-ms"].as<uint32_t>());
+  const auto node = aCall.mOptions["node"].as<std::string>();
+  std::optional<FileMap> tried;
+  ExitCode last = ExitCode::Ok;
+  for (uint32_t i = 0; count == 0 || i < count; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(interval);
+    }
+    const auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+    if (!folder) {
+      return Refuse(aCall, folder.error());
+    }
+    const bool isPushed = folder->mBase && folder->mBase->mFiles == folder->mFiles;
+    if (isPushed || tried == folder->mFiles) {
+      continue;
+    }
+    tried = folder->mFiles;
+    last = RunPush(aCall);
+    if (last == ExitCode::Ok && !node.empty()) {
+      PrintInForce(aCall, node);
+    }
+  }
+  return last;
+}
+
 ExitCode RunHistory(const CtlCall& aCall)
 {
   const auto revision = FetchRevision(aCall);
@@ -267,11 +332,15 @@
 }
 
 constexpr CtlCommand kCommands[] = {
-  { "push", "DIR", "Write a directory to the store, merged with newer changes", AddPushOptions,
-    RunPush },
-  { "pull", "DIR", "Replace a directory by the store's files", AddPullOptions, RunPull },
-  { "sync", "DIR", "Merge the store's changes into a directory", AddSyncOptions, RunSync },
-  { "history", "", "Print the last changes of the configuration", AddStoreOptions, RunHistory },
+  { "config push", "DIR", "Write a directory to the store, merged with newer changes",
+    AddPushOptions, RunPush },
+  { "config pull", "DIR", "Replace a directory by the store's files", AddPullOptions, RunPull },
+  { "config merge", "DIR", "Merge the store's changes into a directory", AddMergeOptions,
+    RunMerge },
+  { "config sync", "DIR", "Follow a directory and push every change of it", AddFollowOptions,
+    RunFollow },
+  { "config history", "", "Print the last changes of the configuration", AddStoreOptions,
+    RunHistory },
 };
 
 } // namespace
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -110,19 +110,19 @@
     { "config", "check", "@a", "@b" },
     { "config", "check", "@a", "--jsn" },
     { "frobnicate" },
-    { "sync", "@a", "--prefer", "x" },
+    { "config", "merge", "@a", "--prefer", "x" },
   };
   for (const auto& arguments : wrong) {
     CHECK(Run(arguments) == ExitCode::Usage);
     CHECK(!mErr.str().empty() && mOut.str().empty());
   }
   CHECK(Run({ "--help" }) == ExitCode::Ok);
-  CHECK(Printed("config diff DIR1 DIR2") && Printed("history"));
+  CHECK(Printed("config diff DIR1 DIR2") && Printed("config history"));
   CHECK(Run({ "--version" }) == ExitCode::Ok);
-  CHECK(Run({ "push", "--help" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "--help" }) == ExitCode::Ok);
   CHECK(Printed("--restore"));
   mEnvironment.mOpenStore = OpenStore;
-  CHECK(Run({ "history", "--store", "localhost" }) == ExitCode::Usage);
+  CHECK(Run({ "config", "history", "--store", "localhost" }) == ExitCode::Usage);
 }
 
 // Guards against a check that passes a faulty directory, and against lost positions.
@@ -152,48 +152,48 @@
   StoreOnLoopback store;
   mEnvironment.mOpenStore = store.Opener();
 
-  CHECK(Run({ "pull", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "pull", "@b" }) == ExitCode::Refused);
   CHECK(Complained("the store has no configuration"));
-  CHECK(Run({ "push", "@a", "--author", "ann" }) == ExitCode::Ok);
-  CHECK(Run({ "pull", "@b" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@a", "--author", "ann" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "pull", "@b" }) == ExitCode::Ok);
   // Different files: both changes survive, and each directory gets the other's.
   Write("a/2.json", R"({"retries": {"s": {"attempts": 4}}})");
   Write("b/3.json", R"({"limits": {"s": {"max_queue": 4}}})");
-  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@a" }) == ExitCode::Ok);
   store.mStandin.SetFaults({ .mLoseAnswers = true });
-  CHECK(Run({ "push", "@b", "--author", "bob" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@b", "--author", "bob" }) == ExitCode::Ok);
   CHECK(Printed("pushed and merged: revision 3"));
   store.mStandin.SetFaults({});
   CHECK(fs::exists(mRoot / "b/2.json"));
-  CHECK(Run({ "sync", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "merge", "@a" }) == ExitCode::Ok);
   CHECK(fs::exists(mRoot / "a/3.json"));
   // The same file: the conflict is named and then resolved.
   Write("a/2.json", R"({"retries": {"s": {"attempts": 5}}})");
   Write("b/2.json", R"({"retries": {"s": {"attempts": 6}}})");
-  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
-  CHECK(Run({ "push", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "push", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@b" }) == ExitCode::Refused);
   CHECK(Complained("2.json: changed here, changed in the store"));
-  CHECK(Run({ "pull", "@b" }) == ExitCode::Refused);
-  CHECK(Run({ "sync", "@b" }) == ExitCode::Refused);
-  CHECK(Run({ "sync", "@b", "--prefer", "mine" }) == ExitCode::Ok);
-  CHECK(Run({ "push", "@b" }) == ExitCode::Ok);
-  CHECK(Run({ "pull", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "pull", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "merge", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "merge", "@b", "--prefer", "mine" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@b" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "pull", "@a" }) == ExitCode::Ok);
   CHECK(Run({ "config", "diff", "@a", "@b" }) == ExitCode::Ok);
   STRCMP_EQUAL("", mOut.str().c_str());
-  CHECK(Run({ "history", "--json" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "history", "--json" }) == ExitCode::Ok);
   const auto history = nlohmann::json::parse(mOut.str());
   CHECK_EQUAL(5, history.size());
   CHECK(history[2]["author"] == "bob" && history[2]["files"] == nlohmann::json({ "3.json" }));
   CHECK(history[0]["time"] == "1970-01-01T00:16:40Z");
   // A store that lost its data is not followed downwards.
   store.mStandin.Model().Delete("/balsammount/config");
-  CHECK(Run({ "push", "@c", "--author", "ann" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "push", "@c", "--author", "ann" }) == ExitCode::Refused);
   fs::copy_file(mRoot / "a/1.json", mRoot / "c/1.json");
-  CHECK(Run({ "push", "@c" }) == ExitCode::Ok);
-  CHECK(Run({ "pull", "@a" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "push", "@c" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "pull", "@a" }) == ExitCode::Refused);
   CHECK(Complained("the store has revision 1, the directory 5"));
-  CHECK(Run({ "push", "@a" }) == ExitCode::Refused);
-  CHECK(Run({ "push", "@a", "--restore", "--above", "8" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@a" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "push", "@a", "--restore", "--above", "8" }) == ExitCode::Ok);
   CHECK(Printed("revision 9"));
 }
 
@@ -202,9 +202,9 @@
 {
   StoreOnLoopback store;
   mEnvironment.mOpenStore = store.Opener();
-  CHECK(Run({ "push", "@a" }) == ExitCode::Ok);
+  CHECK(Run({ "config", "push", "@a" }) == ExitCode::Ok);
   Write("b/notes.txt", "x");
-  CHECK(Run({ "pull", "--force", "@b" }) == ExitCode::Refused);
+  CHECK(Run({ "config", "pull", "--force", "@b" }) == ExitCode::Refused);
   CHECK(fs::exists(mRoot / "b/notes.txt"));
   CHECK_FALSE(fs::exists(mRoot / "b/1.json"));
 }
