Test the call context and its codec

Cause: no test guarded what nodes tell each other about a call. Change: tests for round trip, damaged and mutated headers (seeds 1 to 2000), outcomes. Conclusion: a peer's bytes neither crash a node nor turn into a false refusal.

--- /dev/null
+++ b/packages/node/tests/call_context_test.cpp
@@ -0,0 +1,137 @@
+#include "call_context.h"
+
+#include "balsammount/random.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+const SteadyTime kNow{ 100s };
+
+CallContext Sample()
+{
+  CallContext context;
+  context.mRequestId = "0123-1";
+  context.mService = "orders";
+  context.mRank = "order";
+  context.mKey = "key-1";
+  context.mCallerHash = UINT64_MAX;
+  context.mRequestHash = 7;
+  context.mFingerprint = 9;
+  context.mDeadline = kNow + 250ms;
+  return context;
+}
+
+HttpRequest Encode(const CallContext& aContext, uint32_t aRetries)
+{
+  HttpRequest request;
+  WriteContext(aContext, aRetries, kNow, request.mHeaders);
+  return request;
+}
+
+std::string Outcome(Answer aAnswer)
+{
+  const HttpResponse response = CallerResponse(std::move(aAnswer));
+  return std::to_string(response.mStatus) + " " +
+         std::string(response.mHeaders.Find("Balsam-Outcome")) + " " +
+         std::string(response.mHeaders.Find("Balsam-Reason"));
+}
+
+} // namespace
+
+TEST_GROUP(CallContext){};
+
+// Guards against a hop that loses part of a request's context.
+TEST(CallContext, SurvivesTheWire)
+{
+  const auto received = ReadContext(Encode(Sample(), 2), kNow + 5ms);
+  CHECK(received.has_value());
+  CHECK_EQUAL(2, received->mRetries);
+  CHECK(received->mContext.mDeadline == kNow + 255ms);
+  STRCMP_EQUAL("order", received->mContext.mRank.c_str());
+  STRCMP_EQUAL("key-1", received->mContext.mKey.c_str());
+  CHECK_FALSE(received->mContext.mIdempotent);
+  CHECK(received->mContext.mCallerHash == UINT64_MAX);
+}
+
+// Guards against acting on a context of which a part is missing or not a number.
+TEST(CallContext, RefusesDamagedHeaders)
+{
+  const HttpRequest whole = Encode(Sample(), 2);
+  for (const Header& header : whole.mHeaders.All()) {
+    if (header.mName == "bm-idempotent" || header.mName == "bm-key") {
+      continue;
+    }
+    HttpRequest damaged = Encode(Sample(), 2);
+    damaged.mHeaders.Remove(header.mName);
+    CHECK_FALSE(ReadContext(damaged, kNow).has_value());
+  }
+  HttpRequest damaged = Encode(Sample(), 2);
+  damaged.mHeaders.Set("bm-deadline-us", "18446744073709551615");
+  CHECK_FALSE(ReadContext(damaged, kNow).has_value());
+}
+
+// Guards against a crash, or an overflow the sanitizer sees, on any bytes from a peer. Seeds 1 to
+// 2000.
+TEST(CallContext, SurvivesMutatedHeaders)
+{
+  for (uint64_t seed = 1; seed <= 2000; ++seed) {
+    Random random(seed);
+    HttpRequest request;
+    HttpResponse response;
+    Headers answer = EncodeAnswer(Refused(CallReason::Overload, RequestBudget(1), 5s)).mHeaders;
+    const HttpRequest whole = Encode(Sample(), 2);
+    for (const Header& header : whole.mHeaders.All()) {
+      answer.Add(header.mName, header.mValue);
+    }
+    for (Header header : answer.All()) {
+      for (uint64_t i = random.Below(3); i > 0 && !header.mValue.empty(); --i) {
+        header.mValue[random.Below(header.mValue.size())] = static_cast<char>(random.Below(256));
+      }
+      request.mHeaders.Add(header.mName, header.mValue);
+      response.mHeaders.Add(header.mName, header.mValue);
+    }
+    ReadContext(request, kNow);
+    const Answer decoded = DecodeAnswer(response);
+    CHECK(decoded.mRetryAfter >= Duration::zero());
+  }
+}
+
+// Guards against a peer without an outcome being taken for a refusal: it may have run the request.
+TEST(CallContext, AnswerWithoutOutcomeIsUnknown)
+{
+  CHECK(DecodeAnswer(HttpResponse{}).mOutcome == AttemptOutcome::Unknown);
+  const Answer refused =
+    DecodeAnswer(EncodeAnswer(Refused(CallReason::Draining, RequestBudget(3), 1500ms)));
+  CHECK(refused.mOutcome == AttemptOutcome::NotRun);
+  CHECK(refused.mReason == CallReason::Draining);
+  CHECK(refused.mRetryAfter == 1500ms);
+  CHECK_EQUAL(3, refused.mBudget.Left());
+}
+
+// Guards against a status that tells a caller to send again what may have run.
+TEST(CallContext, StatesStatusAndOutcome)
+{
+  STRCMP_EQUAL("503 not-run overload", Outcome(Refused(CallReason::Overload, {})).c_str());
+  STRCMP_EQUAL("504 not-run deadline", Outcome(Refused(CallReason::Deadline, {})).c_str());
+  STRCMP_EQUAL("504 unknown deadline", Outcome(Unknown(CallReason::Deadline, {})).c_str());
+  STRCMP_EQUAL("502 unknown connection-lost",
+               Outcome(Unknown(CallReason::ConnectionLost, {})).c_str());
+  STRCMP_EQUAL("409 unknown key-unknown", Outcome(Unknown(CallReason::KeyUnknown, {})).c_str());
+  STRCMP_EQUAL("429 not-run retry-budget", Outcome(Refused(CallReason::RetryBudget, {})).c_str());
+}
+
+// Guards against callers and backend servers that set headers which only nodes may set.
+TEST(CallContext, RemovesInternalHeaders)
+{
+  Headers headers;
+  headers.Add("Bm-Rank", "certify");
+  headers.Add("balsam-outcome", "not-run");
+  headers.Add("traceparent", "00-1");
+  RemoveInternalHeaders(headers);
+  CHECK_EQUAL(1, headers.All().size());
+  CHECK(headers.Has("traceparent"));
+}
