--- a/packages/ownership/include/balsammount/ownership.h
+++ b/packages/ownership/include/balsammount/ownership.h
@@ -272,6 +272,7 @@
   std::map<NodeIdentity, SteadyTime> mGoneAt; // absent members of the table
   std::set<std::string> mSeen;                // members of the table that were present
   TablePtr mTable;
+  SteadyTime mAdopted;      // when mTable became known
   bool mStoreEmpty = false; // the store was read and holds no table
   bool mDraining = false;
 
--- a/packages/ownership/src/ownership_core.cpp
+++ b/packages/ownership/src/ownership_core.cpp
@@ -454,6 +454,7 @@
     return;
   }
   mTable = aTable;
+  mAdopted = mClock.Now();
   mStoreEmpty = false;
   mPromised = std::max(mPromised, aTable->mVersion);
   for (ShardId id = 0; id < aTable->mShards.size(); ++id) {
--- a/packages/ownership/tests/ownership_simulation_test.cpp
+++ b/packages/ownership/tests/ownership_simulation_test.cpp
@@ -56,6 +56,10 @@
   for (uint64_t seed = first; seed < first + count; ++seed) {
     Options options;
     options.mSeed = seed;
+    options.mVoters = seed % 4 == 0 ? 5 : 3;
+    options.mReaders = seed % 5 == 0 ? 0 : 2;
+    options.mNodes = 4 + seed % 4;
+    options.mEncode = seed % 16 == 0;
     const Outcome outcome = Simulate(options);
     STRCMP_EQUAL("", outcome.mDoubleExecution.c_str());
     CHECK_TEXT(outcome.mServed && outcome.mServedAfter <= kServedBound,
@@ -80,9 +84,11 @@
 // The first seed that runs a key twice with these checks, 0 when none of the regular seeds does.
 uint64_t FirstDoubleExecution(Options aOptions)
 {
+  aOptions.mKeys = 300; // more chances to notice in each seed
   for (uint64_t seed = 1; seed <= 2000; ++seed) {
     aOptions.mSeed = seed;
     if (!Simulate(aOptions).mDoubleExecution.empty()) {
+      UT_PRINT(("first double execution: seed " + std::to_string(seed)).c_str());
       return seed;
     }
   }
