Test membership in a virtual network

Found and fixed: timers that lay in the past while they were not needed (a waiting gossip interval, the probe of dead members) counted as late wake-ups, so that nodes raised their health score and suspicions were extended.

--- /dev/null
+++ b/packages/membership/bench/membership_bench.cpp
@@ -0,0 +1,242 @@
+// Cost and speed of membership against the number of nodes, in virtual time in one process.
+// Usage: membership_bench [SEED [NODES...]]
+//
+// Processor time and memory include the virtual network, so they are upper bounds for the core.
+#include "../tests/virtual_network.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <vector>
+
+#include <malloc.h>
+
+using namespace balsammount;
+using namespace balsammount::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+double Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+double ProcessorSeconds()
+{
+  return static_cast<double>(std::clock()) / CLOCKS_PER_SEC;
+}
+
+size_t AllocatedBytes()
+{
+  const struct mallinfo2 info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+struct Traffic
+{
+  double mBytesOut = 0; // per node and second
+  double mBytesIn = 0;
+  double mMessages = 0;   // in and out
+  double mLargestOut = 0; // bytes per second of the node that sent most
+  double mProcessor = 0;  // share of a core per node, in per cent
+};
+
+// Traffic while aRun runs; it returns the time that it took.
+template <class Run>
+Traffic Measure(VirtualNetwork& aNet, Run aRun)
+{
+  for (size_t i = 0; i < aNet.Size(); ++i) {
+    VirtualNode& node = aNet.Node(i);
+    node.mBytesOut = node.mBytesIn = node.mMessagesOut = node.mMessagesIn = 0;
+  }
+  const SteadyTime start = aNet.Now();
+  const double processor = ProcessorSeconds();
+  aRun();
+  const double seconds = Seconds(aNet.Now() - start);
+  const auto nodes = static_cast<double>(aNet.Size());
+  Traffic traffic;
+  for (size_t i = 0; i < aNet.Size(); ++i) {
+    const VirtualNode& node = aNet.Node(i);
+    const auto out = static_cast<double>(node.mBytesOut);
+    traffic.mBytesOut += out / seconds / nodes;
+    traffic.mBytesIn += static_cast<double>(node.mBytesIn) / seconds / nodes;
+    traffic.mMessages +=
+      static_cast<double>(node.mMessagesOut + node.mMessagesIn) / seconds / nodes;
+    traffic.mLargestOut = std::max(traffic.mLargestOut, out / seconds);
+  }
+  traffic.mProcessor = 100 * (ProcessorSeconds() - processor) / seconds / nodes;
+  return traffic;
+}
+
+void Print(const char* aPhase, const Traffic& aTraffic)
+{
+  std::printf("  %-34s %7.0f B/s out %7.0f B/s in %6.1f msg/s %7.0f B/s max out %6.3f %% core\n",
+              aPhase, aTraffic.mBytesOut, aTraffic.mBytesIn, aTraffic.mMessages,
+              aTraffic.mLargestOut, aTraffic.mProcessor);
+}
+
+double TimeUntil(VirtualNetwork& aNet, Duration aLimit, const std::function<bool()>& aCondition)
+{
+  const SteadyTime start = aNet.Now();
+  return aNet.RunUntil(aLimit, aCondition) ? Seconds(aNet.Now() - start) : -1;
+}
+
+bool AllHaveRevision(VirtualNetwork& aNet, uint64_t aRevision)
+{
+  for (size_t i = 0; i < aNet.Size(); ++i) {
+    if (aNet.Node(i).mCore && aNet.Core(i).HighestRevision().mRevision != aRevision) {
+      return false;
+    }
+  }
+  return true;
+}
+
+bool AllCountRevision(VirtualNetwork& aNet, uint64_t aRevision)
+{
+  for (size_t i = 0; i < aNet.Size(); ++i) {
+    const auto members = aNet.Core(i).Members();
+    if (!std::all_of(members.begin(), members.end(),
+                     [&](const MemberRecord& aRecord) { return aRecord.mRevision == aRevision; })) {
+      return false;
+    }
+  }
+  return true;
+}
+
+void MeasureSpread(VirtualNetwork& aNet, size_t aNode)
+{
+  double slowest = 0;
+  for (int round = 0; round < 5; ++round) {
+    const bool available = round % 2 != 0;
+    aNet.Core(aNode).UpdateSelf({ available, std::nullopt });
+    aNet.Schedule(aNode);
+    const double time = TimeUntil(aNet, 60s, [&] {
+      return aNet.AllKnow(aNode, [&](const MemberRecord* aRecord) {
+        return aRecord != nullptr && aRecord->mAvailable == available;
+      });
+    });
+    slowest = time < 0 ? 60 : std::max(slowest, time);
+    aNet.Run(10s);
+  }
+  std::printf("  attribute known to all             %7.2f s (slowest of 5)\n", slowest);
+}
+
+// Every node applies the revision 0.5 s after it has heard of it.
+void MeasureRevision(VirtualNetwork& aNet)
+{
+  aNet.Core(0).UpdateSelf({ std::nullopt, 1 });
+  aNet.Schedule(0);
+  double known = 0;
+  double counted = 0;
+  const Traffic traffic = Measure(aNet, [&] {
+    known = TimeUntil(aNet, 60s, [&] { return AllHaveRevision(aNet, 1); });
+    aNet.Run(500ms);
+    for (size_t i = 1; i < aNet.Size(); ++i) {
+      aNet.Core(i).UpdateSelf({ std::nullopt, 1 });
+      aNet.Schedule(i);
+    }
+    for (int second = 0; second < 300 && !AllCountRevision(aNet, 1); ++second) {
+      aNet.Run(1s);
+      counted = second + 1;
+    }
+  });
+  std::printf("  revision known to all              %7.2f s, counted by all after %.0f s\n", known,
+              counted);
+  Print("while a revision is applied", traffic);
+}
+
+void MeasureDeath(VirtualNetwork& aNet, size_t aNode)
+{
+  aNet.ForgetEvents();
+  const SteadyTime start = aNet.Now();
+  aNet.Kill(aNode);
+  const double all = TimeUntil(aNet, 120s, [&] {
+    return aNet.AllKnow(aNode, [](const MemberRecord* aRecord) {
+      return aRecord != nullptr && aRecord->mState == MemberState::Dead;
+    });
+  });
+  double suspect = 1e9;
+  double lastSuspect = 0;
+  double dead = 1e9;
+  for (size_t i = 0; i < aNet.Size(); ++i) {
+    for (const auto& [time, event] : aNet.Node(i).mEvents) {
+      const double after = Seconds(time - start);
+      if (event.mKind == MemberEventKind::Suspect) {
+        suspect = std::min(suspect, after);
+        lastSuspect = std::max(lastSuspect, after);
+      } else if (event.mKind == MemberEventKind::Dead) {
+        dead = std::min(dead, after);
+      }
+    }
+  }
+  std::printf(
+    "  death: first suspect %.2f s, suspect to all %.2f s, first dead %.2f s, dead to all "
+    "%.2f s\n",
+    suspect, lastSuspect, dead, all);
+}
+
+// The regions are halves of the fleet.
+void MeasureSplit(VirtualNetwork& aNet, size_t aDead)
+{
+  aNet.mFaults.mCut = [](size_t aFrom, size_t aTo) { return aFrom % 2 != aTo % 2; };
+  Print("first 5 min of a region split", Measure(aNet, [&] { aNet.Run(5min); }));
+  aNet.mFaults.mCut = nullptr;
+  aNet.ForgetEvents();
+  double healed = 0;
+  const Traffic traffic = Measure(aNet, [&] {
+    healed = TimeUntil(aNet, 10min, [&] { return aNet.AllSee(aNet.Size() - aDead); });
+  });
+  std::printf("  healed after                       %7.2f s, deaths while healing %zu\n", healed,
+              aNet.CountEvents(MemberEventKind::Dead));
+  Print("while healing", traffic);
+}
+
+void MeasureFleet(uint64_t aSeed, size_t aNodes)
+{
+  const size_t before = AllocatedBytes();
+  VirtualNetwork net(aSeed);
+  double joined = 0;
+  const Traffic joining = Measure(net, [&] {
+    net.StartAll(aNodes);
+    joined = TimeUntil(net, 300s, [&] { return net.AllSee(aNodes); });
+  });
+  std::printf("%zu nodes\n  all see all after                  %7.2f s from a common start\n",
+              aNodes, joined);
+  Print("while joining", joining);
+  net.Run(30s);
+  net.ForgetEvents();
+  Print("steady, no loss, 60 s", Measure(net, [&] { net.Run(60s); }));
+  net.mFaults.mLoss = 0.05;
+  Print("steady, 5 % loss, 60 s", Measure(net, [&] { net.Run(60s); }));
+  net.mFaults.mLoss = 0;
+  net.Run(30s);
+  net.ForgetEvents();
+  std::printf("  memory                             %7.0f KB per node\n",
+              static_cast<double>(AllocatedBytes() - before) / 1024 / static_cast<double>(aNodes));
+  MeasureSpread(net, aNodes / 2);
+  MeasureRevision(net);
+  MeasureDeath(net, aNodes - 1);
+  MeasureSplit(net, 1);
+  std::fflush(stdout);
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  const uint64_t seed = aCount > 1 ? std::strtoull(aArguments[1], nullptr, 10) : 1;
+  std::vector<size_t> fleets = { 16, 64, 200, 400, 1400 };
+  if (aCount > 2) {
+    fleets.clear();
+  }
+  for (int i = 2; i < aCount; ++i) {
+    fleets.push_back(std::strtoull(aArguments[i], nullptr, 10));
+  }
+  std::printf("seed %llu, delay 1 to 6 ms\n", static_cast<unsigned long long>(seed));
+  for (const size_t nodes : fleets) {
+    MeasureFleet(seed, nodes);
+  }
+  return 0;
+}
--- a/packages/membership/include/balsammount/membership.h
+++ b/packages/membership/include/balsammount/membership.h
@@ -26,6 +26,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace balsammount {
@@ -47,7 +48,11 @@
   std::string mAddress;
   uint16_t mPort = 0;
 
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
+  bool operator<(const Endpoint& aOther) const
+  {
+    return std::tie(mAddress, mPort) < std::tie(aOther.mAddress, aOther.mPort);
+  }
 };
 
 enum class MemberState : uint8_t
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -700,7 +700,7 @@
     Apply(update);
   }
   Handle(aFrom, *message);
-  mExpectedWake = NextWake();
+  mExpectedWake = std::max(NextWake(), mNow);
   return std::exchange(mOut, {});
 }
 
@@ -802,7 +802,7 @@
   TickDeadProbe();
   TickCleanup();
   TickGossip();
-  mExpectedWake = NextWake();
+  mExpectedWake = std::max(NextWake(), mNow);
   return std::exchange(mOut, {});
 }
 
--- /dev/null
+++ b/packages/membership/tests/membership_test.cpp
@@ -0,0 +1,337 @@
+#include "virtual_network.h"
+
+#include <algorithm>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace balsammount::testing;
+using namespace std::chrono_literals;
+
+namespace {
+
+bool IsDead(const MemberRecord* aRecord)
+{
+  return aRecord != nullptr && aRecord->mState == MemberState::Dead;
+}
+
+bool IsAlive(const MemberRecord* aRecord)
+{
+  return aRecord != nullptr && aRecord->mState == MemberState::Alive;
+}
+
+} // namespace
+
+TEST_GROUP(Membership)
+{
+  VirtualNetwork mNet{ 1 };
+
+  void Form(size_t aCount)
+  {
+    mNet.StartAll(aCount);
+    CHECK(mNet.RunUntil(20s, [&] { return mNet.AllSee(aCount); }));
+    mNet.Run(5s);
+    mNet.ForgetEvents();
+  }
+
+  void teardown() override
+  {
+    CHECK(mNet.mLargest <= kMaxMembershipDatagram);
+  }
+};
+
+// A node that waits for more than its contacts' lists, or a list that does not fit in one chunk.
+TEST(Membership, NodesFindEachOtherThroughContacts)
+{
+  mNet.StartAll(100);
+  CHECK(mNet.RunUntil(10s, [&] { return mNet.AllSee(100); }));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Suspect));
+}
+
+TEST(Membership, KilledNodeIsDeadEverywhereWithinTwentySeconds)
+{
+  for (const size_t count : { size_t{ 2 }, size_t{ 3 }, size_t{ 16 }, size_t{ 64 } }) {
+    mNet = VirtualNetwork(count);
+    Form(count);
+    mNet.Kill(count - 1);
+    CHECK(mNet.RunUntil(20s, [&] { return mNet.AllKnow(count - 1, IsDead); }));
+    mNet.Run(10s);
+    CHECK_EQUAL(count - 1, mNet.CountEvents(MemberEventKind::Dead));
+  }
+}
+
+TEST(Membership, LeavingIsKnownToAllWithinThreeSecondsAtThirtyPercentLoss)
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    mNet = VirtualNetwork(seed);
+    Form(64);
+    mNet.mFaults.mLoss = 0.3;
+    mNet.Core(5).Leave();
+    mNet.Schedule(5);
+    const auto leaving = [](const MemberRecord* aRecord) {
+      return aRecord != nullptr && aRecord->mLeaving;
+    };
+    CHECK(mNet.RunUntil(3s, [&] { return mNet.AllKnow(5, leaving); }));
+  }
+}
+
+// A node that has announced to leave is not reported as a failure.
+TEST(Membership, NodeThatLeftIsNoDeath)
+{
+  Form(32);
+  mNet.Core(5).Leave();
+  mNet.Schedule(5);
+  mNet.Run(3s);
+  mNet.Kill(5);
+  CHECK(mNet.RunUntil(25s, [&] { return mNet.AllKnow(5, IsDead); }));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+  CHECK_EQUAL(31, mNet.CountEvents(MemberEventKind::Left));
+}
+
+TEST(Membership, NoFalseDeathAtTwentyPercentLoss)
+{
+  Form(32);
+  mNet.mFaults.mLoss = 0.2;
+  mNet.Run(10min);
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+  CHECK(mNet.AllSee(32));
+}
+
+// Indirect probes must make up for links that work in one direction only.
+TEST(Membership, NoFalseDeathWithOneWayCuts)
+{
+  Form(16);
+  mNet.mFaults.mCut = [](size_t aFrom, size_t aTo) {
+    return (aFrom == 3 && aTo == 4) || (aFrom == 7 && aTo == 8);
+  };
+  mNet.Run(10min);
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Suspect));
+}
+
+TEST(Membership, PausedNodeRefutesAndAccusesNobody)
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    mNet = VirtualNetwork(seed);
+    Form(16);
+    mNet.Pause(6);
+    mNet.Run(5s);
+    mNet.Resume(6);
+    mNet.Run(1min);
+    CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+    for (const auto& [time, event] : mNet.Node(6).mEvents) {
+      CHECK(event.mKind != MemberEventKind::Suspect);
+    }
+    CHECK(mNet.AllKnow(6, IsAlive));
+    CHECK(mNet.Core(6).Stats().mLateTimers > 0);
+  }
+}
+
+// A pause that outlasts every suspicion: the node must come back, and take nobody with it.
+TEST(Membership, NodePausedForAMinuteComesBack)
+{
+  Form(16);
+  mNet.Pause(6);
+  CHECK(mNet.RunUntil(1min, [&] { return mNet.AllKnow(6, IsDead); }));
+  mNet.Run(30s);
+  mNet.Resume(6);
+  CHECK(mNet.RunUntil(10s, [&] { return mNet.AllKnow(6, IsAlive); }));
+  mNet.Run(1min);
+  CHECK_EQUAL(15, mNet.CountEvents(MemberEventKind::Dead));
+}
+
+TEST(Membership, RestartedNodeReplacesItsOlderProcess)
+{
+  Form(16);
+  const int64_t before = mNet.Core(9).Self().mStartMs;
+  mNet.Kill(9);
+  mNet.Run(500ms);
+  mNet.Start(9);
+  const int64_t start = mNet.Core(9).Self().mStartMs;
+  CHECK(start > before);
+  const auto replaced = [&](const MemberRecord* aRecord) {
+    return IsAlive(aRecord) && aRecord->mStartMs == start;
+  };
+  CHECK(mNet.RunUntil(5s, [&] { return mNet.AllKnow(9, replaced) && mNet.AllSee(16); }));
+  mNet.Run(1min);
+  CHECK(mNet.AllKnow(9, replaced));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+}
+
+TEST(Membership, RestartAfterDeathIsJoinedAgain)
+{
+  Form(16);
+  mNet.Kill(9);
+  CHECK(mNet.RunUntil(20s, [&] { return mNet.AllKnow(9, IsDead); }));
+  mNet.Start(9);
+  CHECK(mNet.RunUntil(5s, [&] { return mNet.AllKnow(9, IsAlive) && mNet.AllSee(16); }));
+}
+
+// On healing, each side hears that its own members are dead. None may be removed because of it.
+TEST(Membership, HalvesFindEachOtherAfterFiveMinutesWithoutFurtherDeaths)
+{
+  Form(32);
+  mNet.mFaults.mCut = [](size_t aFrom, size_t aTo) { return aFrom % 2 != aTo % 2; };
+  mNet.Run(5min);
+  CHECK(mNet.AllSee(16));
+  CHECK_EQUAL(32 * 16, mNet.CountEvents(MemberEventKind::Dead));
+  mNet.ForgetEvents();
+  mNet.mFaults.mCut = nullptr;
+  CHECK(mNet.RunUntil(30s, [&] { return mNet.AllSee(32); }));
+  mNet.Run(2min);
+  CHECK(mNet.AllSee(32));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Suspect));
+}
+
+TEST(Membership, NodeCutOffForAnHourComesBack)
+{
+  Form(16);
+  mNet.mFaults.mCut = [](size_t aFrom, size_t aTo) { return (aFrom == 12) != (aTo == 12); };
+  mNet.Run(1h);
+  CHECK(mNet.AllKnow(12, IsDead));
+  CHECK_EQUAL(1, mNet.Core(12).Count());
+  mNet.mFaults.mCut = nullptr;
+  CHECK(mNet.RunUntil(30s, [&] { return mNet.AllSee(16); }));
+}
+
+// The records that a long separated node still has as alive must not bring dead members back.
+TEST(Membership, OldRecordDoesNotBringADeadMemberBack)
+{
+  Form(16);
+  mNet.Pause(12);
+  mNet.Kill(9);
+  mNet.Run(30min);
+  mNet.ForgetEvents();
+  mNet.Resume(12);
+  CHECK(mNet.RunUntil(1min, [&] { return mNet.AllSee(15); }));
+  for (size_t i = 0; i < mNet.Size(); ++i) {
+    for (const auto& [time, event] : mNet.Node(i).mEvents) {
+      CHECK(event.mKind != MemberEventKind::Joined || event.mRecord.mId != "node-9");
+    }
+  }
+}
+
+TEST(Membership, DeadMembersAreForgottenInTheEnd)
+{
+  Form(8);
+  mNet.Kill(5);
+  mNet.Run(4h + 1min);
+  CHECK(mNet.AllKnow(5, [](const MemberRecord* aRecord) { return aRecord == nullptr; }));
+}
+
+TEST(Membership, AttributesConvergeWithDuplicatesAndReordering)
+{
+  Form(32);
+  mNet.mFaults.mDuplicates = 0.3;
+  mNet.mFaults.mMaxDelay = 400ms;
+  for (uint64_t round = 1; round <= 20; ++round) {
+    const size_t node = round % 32;
+    mNet.Core(node).UpdateSelf({ round % 3 == 0, round });
+    mNet.Schedule(node);
+    mNet.Run(300ms);
+  }
+  const auto same = [&] {
+    for (size_t i = 0; i < 32; ++i) {
+      const MemberRecord& self = mNet.Core(i).Self();
+      const auto equal = [&](const MemberRecord* aRecord) {
+        return aRecord != nullptr && aRecord->mIncarnation == self.mIncarnation &&
+               aRecord->mAvailable == self.mAvailable && aRecord->mRevision == self.mRevision;
+      };
+      if (!mNet.AllKnow(i, equal)) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mNet.RunUntil(20s, same));
+  CHECK_EQUAL(0, mNet.CountEvents(MemberEventKind::Dead));
+}
+
+TEST(Membership, AvailabilityReachesAllWithinTwoSeconds)
+{
+  Form(64);
+  mNet.Core(7).UpdateSelf({ false, std::nullopt });
+  mNet.Schedule(7);
+  const auto unavailable = [](const MemberRecord* aRecord) { return !aRecord->mAvailable; };
+  CHECK(mNet.RunUntil(2s, [&] { return mNet.AllKnow(7, unavailable); }));
+}
+
+TEST(Membership, HighestRevisionReachesAllWithAHolder)
+{
+  Form(64);
+  mNet.mFaults.mLoss = 0.3;
+  mNet.Core(7).UpdateSelf({ std::nullopt, 41 });
+  mNet.Schedule(7);
+  const auto known = [&] {
+    for (size_t i = 0; i < 64; ++i) {
+      const RevisionHolder highest = mNet.Core(i).HighestRevision();
+      if (highest.mRevision != 41 ||
+          (i != 7 && (!highest.mHolder || highest.mHolder->mId != "node-7"))) {
+        return false;
+      }
+    }
+    return true;
+  };
+  CHECK(mNet.RunUntil(3s, known));
+}
+
+// The configuration is applied by all nodes at nearly the same time.
+TEST(Membership, RevisionsInForceOfAllNodesConverge)
+{
+  Form(64);
+  for (size_t i = 0; i < 64; ++i) {
+    mNet.Core(i).UpdateSelf({ std::nullopt, 7 });
+    mNet.Schedule(i);
+  }
+  const auto applied = [](const MemberRecord* aRecord) { return aRecord->mRevision == 7; };
+  CHECK(mNet.RunUntil(30s, [&] {
+    for (size_t i = 0; i < 64; ++i) {
+      if (!mNet.AllKnow(i, applied)) {
+        return false;
+      }
+    }
+    return true;
+  }));
+}
+
+TEST(Membership, ContactCandidatesAreTheSameOnAllNodes)
+{
+  Form(40);
+  const auto candidates = [&] {
+    std::vector<size_t> perDataCentre(4);
+    for (size_t i = 0; i < 40; ++i) {
+      perDataCentre[i % 4] += mNet.Node(i).mCore && mNet.Core(i).IsContactCandidate(3) ? 1 : 0;
+    }
+    return perDataCentre;
+  };
+  CHECK(candidates() == std::vector<size_t>(4, 3));
+  for (size_t i = 0; i < 40; ++i) {
+    if (mNet.Core(i).IsContactCandidate(1) && i > 2) {
+      mNet.Kill(i);
+      break;
+    }
+  }
+  mNet.Run(25s);
+  CHECK(candidates() == std::vector<size_t>(4, 3));
+}
+
+// A later process elsewhere that took the id over.
+TEST(Membership, SecondProcessWithTheIdIsNoticed)
+{
+  Form(4);
+  Random random(9);
+  MemberRecord twin = VirtualNetwork::RecordOf(3);
+  twin.mPeer = VirtualNetwork::EndpointOf(9);
+  twin.mStartMs = mNet.Core(3).Self().mStartMs + 5;
+  ManualClock clock;
+  Membership core(clock, random, {}, twin);
+  core.Join({ VirtualNetwork::EndpointOf(0) });
+  for (const Datagram& datagram : core.Tick()) {
+    CHECK(mNet.Core(0).Receive(twin.mPeer, datagram.mBytes).has_value());
+  }
+  mNet.Schedule(0);
+  mNet.Run(5s);
+  CHECK(mNet.Core(3).Superseded());
+  CHECK(mNet.Core(1).Find("node-3")->mPeer == twin.mPeer);
+}
