--- a/testing/scenario/src/lua/values.cpp
+++ b/testing/scenario/src/lua/values.cpp
@@ -70,9 +70,10 @@
     lua_pushlstring(aLua, text.data(), text.size());
   } else if (aValue.is_array()) {
     lua_newtable(aLua);
-    for (size_t i = 0; i < aValue.size(); ++i) {
-      Push(aLua, aValue[i]);
-      lua_rawseti(aLua, -2, static_cast<lua_Integer>(i + 1));
+    lua_Integer place = 0;
+    for (const Json& item : aValue) {
+      Push(aLua, item);
+      lua_rawseti(aLua, -2, ++place);
     }
   } else if (aValue.is_object()) {
     lua_newtable(aLua);
--- a/testing/scenario/src/lua/verbs.cpp
+++ b/testing/scenario/src/lua/verbs.cpp
@@ -112,7 +112,10 @@
     if (value.is_boolean()) {
       word = value.get<bool>() ? "yes" : "no";
     }
-    text += (text.empty() ? "" : ",") + name + "=" + word;
+    text += text.empty() ? "" : ",";
+    text += name;
+    text += "=";
+    text += word;
   }
   return text;
 }
