--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -8,6 +8,7 @@
 
 #include "balsammount/clock.h"
 #include "balsammount/concurrency_limit.h"
+#include "balsammount/shed_level.h"
 
 #include <array>
 #include <cstdint>
@@ -17,22 +18,6 @@
 
 namespace balsammount {
 
-inline constexpr uint32_t kShedCohorts = 64;
-
-// The cohort of a request in the scale of shed levels. Every hop must use the same hash.
-constexpr uint32_t ShedCohort(uint64_t aRequestHash)
-{
-  return static_cast<uint32_t>(aRequestHash % kShedCohorts);
-}
-
-// True when aLevel refuses the request. aRanksBelow is the number of ranks of less worth. Level 0
-// refuses nothing; level 64 * n + c refuses the n ranks of least worth and cohorts below c of the
-// next one.
-constexpr bool IsShed(uint32_t aLevel, uint32_t aRanksBelow, uint64_t aRequestHash)
-{
-  return aRanksBelow * kShedCohorts + ShedCohort(aRequestHash) < aLevel;
-}
-
 struct AdmissionRank
 {
   double mWorth = 0; // the rank of greater worth is served first; ties go to the lower index
@@ -280,6 +265,7 @@
   Action Report(uint32_t aIndex);
 
   // Shed level.
+  Duration LevelInterval() const;
   void UpdateLevel(SteadyTime aNow);
   void RaiseLevel(double aShare);
   void LowerLevel();
@@ -310,6 +296,7 @@
   uint32_t mIntervalDispatched = 0;
   uint32_t mIntervalRefused = 0; // for lack of capacity
   uint32_t mIntervalMinQueued = 0;
+  uint32_t mIntervalQueued = 0; // at its start
   uint32_t mCalmIntervals = 0;
 };
 
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -25,16 +25,19 @@
 constexpr auto kMinRetryAfter = std::chrono::milliseconds(10);
 constexpr auto kMaxRetryAfter = std::chrono::seconds(5);
 
-constexpr auto kLevelInterval = std::chrono::milliseconds(50);
+// The level moves once per interval: the typical service time, in which a change takes effect,
+// within these bounds.
+constexpr Duration kMinLevelInterval = std::chrono::milliseconds(50);
+constexpr Duration kMaxLevelInterval = std::chrono::seconds(1);
 constexpr auto kDownstreamValidity = std::chrono::seconds(1);
 // Refusing one request in twenty here keeps the queue from running empty while callers upstream
 // react to the level; a refusal costs far less than an idle slot.
 constexpr double kWantedRefusals = 0.05;
 constexpr double kMinRaise = 0.01;
-constexpr double kMaxRaise = 0.5;
-constexpr double kMinLower = 0.02;
+constexpr double kMaxRaise = 0.3;
+constexpr double kMinLower = 0.05;
 constexpr double kMaxLower = 0.25;
-constexpr double kLowerGrowth = 1.25;
+constexpr double kLowerGrowth = 1.5;
 // A quarter of a rank: bounds one step down through steps of the scale without known arrivals.
 constexpr uint32_t kMaxLowerSteps = kShedCohorts / 4;
 constexpr float kArrivalDecay = 0.8F;
@@ -571,7 +574,7 @@
 size_t AdmissionController::Poll(std::span<Action> aActions)
 {
   const SteadyTime now = mClock.Now();
-  if (now - mIntervalStart >= kLevelInterval) {
+  if (now - mIntervalStart >= LevelInterval()) {
     UpdateLevel(now);
   }
   RefuseLate(now);
@@ -619,7 +622,7 @@
     next = mEntries[mHeap[0]].mLatestStart + Duration(1);
   }
   if (mLevel > 0 || mQueued > 0) {
-    next = std::min(next, mIntervalStart + kLevelInterval);
+    next = std::min(next, mIntervalStart + LevelInterval());
   }
   return next;
 }
@@ -708,6 +711,11 @@
   mDownstreamUntil = mClock.Now() + kDownstreamValidity;
 }
 
+Duration AdmissionController::LevelInterval() const
+{
+  return std::clamp(FromSeconds(mService), kMinLevelInterval, kMaxLevelInterval);
+}
+
 // The level follows the least queue length of an interval: a queue that was empty at some time is
 // a burst, not overload.
 void AdmissionController::UpdateLevel(SteadyTime aNow)
@@ -717,7 +725,10 @@
     mIntervalOffered == 0 ? 0 : static_cast<double>(mIntervalRefused) / mIntervalOffered;
   if (delay > Seconds(mPolicy.mQueueTarget)) {
     mCalmIntervals = 0;
-    RaiseLevel(std::clamp((refused - kWantedRefusals) / 2, kMinRaise, kMaxRaise));
+    // A queue that shrinks without refusals is left from before: raising further would overshoot.
+    if (refused > kWantedRefusals || mQueued >= mIntervalQueued) {
+      RaiseLevel(std::clamp((refused - kWantedRefusals) / 2, kMinRaise, kMaxRaise));
+    }
   } else if (mLevel > 0) {
     LowerLevel();
     ++mCalmIntervals;
@@ -730,6 +741,7 @@
   mIntervalDispatched = 0;
   mIntervalRefused = 0;
   mIntervalMinQueued = mQueued;
+  mIntervalQueued = mQueued;
 }
 
 void AdmissionController::RaiseLevel(double aShare)
--- /dev/null
+++ b/packages/ctl/src/sync_commands.cpp
@@ -0,0 +1,353 @@
+#include "node_query.h"
+#include "output.h"
+#include "work_folder.h"
+
+#include <cstdlib>
+#include <ctime>
+#include <iomanip>
+#include <ostream>
+#include <random>
+#include <sstream>
+#include <thread>
+
+namespace balsammount {
+
+namespace {
+
+namespace po = boost::program_options;
+using detail::Json;
+using detail::Refuse;
+
+std::string FromEnvironment(const char* aName, const char* aDefault)
+{
+  const char* value = std::getenv(aName); // NOLINT(concurrency-mt-unsafe)
+  return value ? value : aDefault;
+}
+
+void AddStoreOptions(po::options_description& aOptions)
+{
+  aOptions.add_options()(
+    "store", po::value<std::string>()->default_value(FromEnvironment("BALSAMCTL_STORE", "")),
+    "IP:PORT[,IP:PORT...] of the store; default from BALSAMCTL_STORE");
+}
+
+void AddPushOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()(
+    "author", po::value<std::string>()->default_value(FromEnvironment("USER", "unknown")),
+    "who makes the change, for the history")(
+    "restore", "replace what the store has, after the store lost data")(
+    "above", po::value<uint64_t>()->default_value(0),
+    "with --restore: a revision that some node has; the new one is above it");
+}
+
+void AddPullOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()("force", "discard changes of the directory");
+}
+
+void AddMergeOptions(po::options_description& aOptions)
+{
+  AddStoreOptions(aOptions);
+  aOptions.add_options()("prefer", po::value<std::string>()->default_value(""),
+                         "\"mine\" or \"theirs\": which side to keep of a file that both changed");
+}
+
+// 128 random bits: no two pushes share an id.
+std::string NewChangeId()
+{
+  std::random_device device;
+  std::ostringstream text;
+  for (int i = 0; i < 4; ++i) {
+    text << std::hex << std::setw(8) << std::setfill('0') << device();
+  }
+  return text.str();
+}
+
+std::string TimeText(WallTime aTime)
+{
+  const std::time_t seconds = std::chrono::system_clock::to_time_t(aTime);
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::ostringstream text;
+  text << std::put_time(&parts, "%Y-%m-%dT%H:%M:%SZ");
+  return text.str();
+}
+
+PushOutcome<std::shared_ptr<BlockingStore>> Connect(const CtlCall& aCall)
+{
+  auto store = aCall.mEnvironment.mOpenStore(aCall.mOptions["store"].as<std::string>());
+  if (!store) {
+    return PushFailure(store.error().mCode, store.error().mDetail);
+  }
+  return *store;
+}
+
+// The store's revision; a failure when it has none.
+PushOutcome<ConfigRevision> FetchRevision(const CtlCall& aCall)
+{
+  auto store = Connect(aCall);
+  if (!store) {
+    return store.error();
+  }
+  auto stored = FetchConfig(**store);
+  if (!stored) {
+    return stored.error();
+  }
+  if (!stored->mRevision) {
+    return PushFailure(PushError::NoConfig, kConfigKey);
+  }
+  return std::move(*stored->mRevision);
+}
+
+void PrintRevision(const CtlCall& aCall, std::string_view aAction, const ConfigRevision& aRevision,
+                   const std::vector<FileChange>& aChanges)
+{
+  if (aCall.mJson) {
+    aCall.Out() << detail::ToText({ { "result", aAction },
+                                    { "revision", aRevision.mRevision },
+                                    { "change_id", aRevision.mChangeId },
+                                    { "files", detail::ToJson(aChanges) } })
+                << '\n';
+    return;
+  }
+  aCall.Out() << aAction << ": revision " << aRevision.mRevision << ", change "
+              << aRevision.mChangeId << '\n';
+  for (const FileChange& change : aChanges) {
+    aCall.Out() << "  " << change.mFile << ": " << detail::NameOf(change.mKind) << '\n';
+  }
+}
+
+// Nodes refuse a push that is based on a revision below the one they have, so a directory does not
+// go back unnoticed.
+bool IsRolledBack(const detail::WorkFolder& aFolder, const ConfigRevision& aStored)
+{
+  return aFolder.mBase && aStored.mRevision < aFolder.mBase->mRevision;
+}
+
+PushFailure RolledBack(const detail::WorkFolder& aFolder, const ConfigRevision& aStored)
+{
+  return { PushError::RolledBack, "the store has revision " + std::to_string(aStored.mRevision) +
+                                    ", the directory " + std::to_string(aFolder.mBase->mRevision) };
+}
+
+ExitCode RunPush(const CtlCall& aCall)
+{
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  auto store = Connect(aCall);
+  if (!store) {
+    return Refuse(aCall, store.error());
+  }
+  const PushRequest request{ folder->mFiles,
+                             folder->mBase,
+                             { NewChangeId(), aCall.mOptions["author"].as<std::string>(),
+                               aCall.mEnvironment.mNow() },
+                             aCall.mOptions.count("restore") > 0,
+                             aCall.mOptions["above"].as<uint64_t>() };
+  auto pushed = PushConfig(**store, request);
+  if (!pushed) {
+    if (pushed.error().mCode == PushError::UnknownOutcome) {
+      pushed.error().mDetail += " (change " + request.mAuthor.mChangeId + ")";
+    }
+    return Refuse(aCall, pushed.error());
+  }
+  const ConfigRevision& revision = pushed->mRevision;
+  const std::string_view action = !pushed->mChanged ? "nothing to push"
+                                  : pushed->mMerged ? "pushed and merged"
+                                                    : "pushed";
+  PrintRevision(aCall, action, revision,
+                DiffFiles(folder->mBase ? folder->mBase->mFiles : FileMap(), revision.mFiles));
+  if (auto updated = detail::UpdateWorkFolder(*folder, revision.mFiles, revision); !updated) {
+    // The push itself took effect, so this is a warning.
+    aCall.Err() << "balsamctl: the directory was not updated: "
+                << detail::Printable(Describe(updated.error())) << '\n';
+  }
+  return ExitCode::Ok;
+}
+
+ExitCode RunPull(const CtlCall& aCall)
+{
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  const FileMap known = folder->mBase ? folder->mBase->mFiles : FileMap();
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  const bool isForced = aCall.mOptions.count("force") > 0;
+  if (!isForced && IsRolledBack(*folder, *revision)) {
+    return Refuse(aCall, RolledBack(*folder, *revision));
+  }
+  if (!isForced && folder->mFiles != known && folder->mFiles != revision->mFiles) {
+    return Refuse(aCall,
+                  PushFailure(PushError::LocalChanges, "use config merge, or config pull --force"));
+  }
+  if (auto updated = detail::UpdateWorkFolder(*folder, revision->mFiles, *revision); !updated) {
+    return Refuse(aCall, updated.error());
+  }
+  PrintRevision(aCall, "pulled", *revision, DiffFiles(folder->mFiles, revision->mFiles));
+  return ExitCode::Ok;
+}
+
+ExitCode RunMerge(const CtlCall& aCall)
+{
+  const auto prefer = aCall.mOptions["prefer"].as<std::string>();
+  if (!prefer.empty() && prefer != "mine" && prefer != "theirs") {
+    aCall.Err() << "balsamctl: --prefer: expected \"mine\" or \"theirs\"\n";
+    return ExitCode::Usage;
+  }
+  auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+  if (!folder) {
+    return Refuse(aCall, folder.error());
+  }
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  if (IsRolledBack(*folder, *revision)) {
+    return Refuse(aCall, RolledBack(*folder, *revision));
+  }
+  const FileMap base = folder->mBase ? folder->mBase->mFiles : FileMap();
+  // The merge keeps its third argument's side of a conflict.
+  MergeResult merged = prefer == "mine" ? MergeFiles(base, revision->mFiles, folder->mFiles)
+                                        : MergeFiles(base, folder->mFiles, revision->mFiles);
+  if (!merged.mConflicts.empty() && prefer.empty()) {
+    PushFailure failure(PushError::Conflict, "choose with --prefer");
+    failure.mConflicts = std::move(merged.mConflicts);
+    return Refuse(aCall, failure);
+  }
+  if (auto updated = detail::UpdateWorkFolder(*folder, merged.mFiles, *revision); !updated) {
+    return Refuse(aCall, updated.error());
+  }
+  FolderResult checked = CheckFiles(merged.mFiles);
+  if (!checked.mConfig) {
+    PushFailure failure(PushError::InvalidFiles, "the files were merged and need correction");
+    failure.mDiagnostics = std::move(checked.mDiagnostics);
+    return Refuse(aCall, failure);
+  }
+  PrintRevision(aCall, "synced", *revision, DiffFiles(folder->mFiles, merged.mFiles));
+  return ExitCode::Ok;
+}
+
+void AddFollowOptions(po::options_description& aOptions)
+{
+  AddPushOptions(aOptions);
+  aOptions.add_options()("node", po::value<std::string>()->default_value(""),
+                         "admin address of a node; its view tells when a change is in force "
+                         "everywhere")("interval-ms", po::value<uint32_t>()->default_value(500),
+                                       "time between looks at the directory")(
+    "count", po::value<uint32_t>()->default_value(0),
+    "number of looks at the directory; 0 goes on until interrupted");
+}
+
+// Prints when all members have one revision; gives up after a time and says how far it got.
+void PrintInForce(const CtlCall& aCall, const std::string& aNode)
+{
+  constexpr std::chrono::seconds kPatience{ 30 };
+  const auto end = std::chrono::steady_clock::now() + kPatience;
+  auto counts = detail::CountRevisions(aNode);
+  while (counts && counts->size() > 1 && std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+    counts = detail::CountRevisions(aNode);
+  }
+  if (!counts) {
+    Refuse(aCall, counts.error());
+    return;
+  }
+  for (const auto& [revision, nodes] : *counts) {
+    aCall.Out() << "revision " << revision << " is in force on " << nodes
+                << (counts->size() == 1 ? " nodes: everywhere\n" : " nodes\n");
+  }
+  aCall.Out().flush();
+}
+
+// A change that the store refuses, or that is not valid, is reported once and tried again after the
+// next edit.
+ExitCode RunFollow(const CtlCall& aCall)
+{
+  const auto count = aCall.mOptions["count"].as<uint32_t>();
+  const std::chrono::milliseconds interval(aCall.mOptions["interval-ms"].as<uint32_t>());
+  const auto node = aCall.mOptions["node"].as<std::string>();
+  std::optional<FileMap> tried;
+  ExitCode last = ExitCode::Ok;
+  for (uint32_t i = 0; count == 0 || i < count; ++i) {
+    if (i > 0) {
+      std::this_thread::sleep_for(interval);
+    }
+    const auto folder = detail::ReadWorkFolder(aCall.mArguments[0]);
+    if (!folder) {
+      return Refuse(aCall, folder.error());
+    }
+    const bool isPushed = folder->mBase && folder->mBase->mFiles == folder->mFiles;
+    if (isPushed || tried == folder->mFiles) {
+      continue;
+    }
+    tried = folder->mFiles;
+    last = RunPush(aCall);
+    if (last == ExitCode::Ok && !node.empty()) {
+      PrintInForce(aCall, node);
+    }
+  }
+  return last;
+}
+
+ExitCode RunHistory(const CtlCall& aCall)
+{
+  const auto revision = FetchRevision(aCall);
+  if (!revision) {
+    return Refuse(aCall, revision.error());
+  }
+  Json list = Json::array();
+  for (const ChangeRecord& record : revision->mHistory) {
+    list.push_back({ { "revision", record.mRevision },
+                     { "change_id", record.mChangeId },
+                     { "author", record.mAuthor },
+                     { "time", TimeText(record.mTime) },
+                     { "file_count", record.mFileCount },
+                     { "files", record.mFiles } });
+    if (aCall.mJson) {
+      continue;
+    }
+    aCall.Out() << record.mRevision << "  " << TimeText(record.mTime) << "  "
+                << detail::Printable(record.mAuthor) << "  " << record.mChangeId << " ";
+    for (const std::string& file : record.mFiles) {
+      aCall.Out() << " " << file;
+    }
+    if (record.mFileCount > record.mFiles.size()) {
+      aCall.Out() << " and " << record.mFileCount - record.mFiles.size() << " more";
+    }
+    aCall.Out() << '\n';
+  }
+  if (aCall.mJson) {
+    aCall.Out() << detail::ToText(list) << '\n';
+  }
+  return ExitCode::Ok;
+}
+
+constexpr CtlCommand kCommands[] = {
+  { "config push", "DIR", "Write a directory to the store, merged with newer changes",
+    AddPushOptions, RunPush },
+  { "config pull", "DIR", "Replace a directory by the store's files", AddPullOptions, RunPull },
+  { "config merge", "DIR", "Merge the store's changes into a directory", AddMergeOptions,
+    RunMerge },
+  { "config sync", "DIR", "Follow a directory and push every change of it", AddFollowOptions,
+    RunFollow },
+  { "config history", "", "Print the last changes of the configuration", AddStoreOptions,
+    RunHistory },
+};
+
+} // namespace
+
+std::span<const CtlCommand> SyncCommands()
+{
+  return kCommands;
+}
+
+} // namespace balsammount
--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/routing.h"
 
 #include "balsammount/hash.h"
+#include "balsammount/shed_level.h"
 
 #include <algorithm>
 #include <array>
@@ -13,14 +14,14 @@
 
 namespace {
 
-// Same scale as the admission package's shed level.
-constexpr uint32_t kCohorts = 64;
-
 // A rise is followed faster than a fall, so that an upstream that slows down is left soon and one
 // short response does not bring it back.
 constexpr double kRise = 0.25;
 constexpr double kFall = 0.1;
 constexpr double kServiceLatency = 0.05;
+// Share of the service's latency that is assumed of an upstream whose high latency is forgotten.
+// Below 1, so that it wins a comparison and is measured again also when nothing is in flight.
+constexpr double kForgotten = 0.9;
 
 constexpr double kFailureWeight = 1.0 / 16;
 constexpr uint32_t kMinResponses = 16;
@@ -335,7 +336,6 @@
   aUpstream.mFailedInRow = 0;
   aUpstream.mResponses = 0;
   aUpstream.mFailureRate = 0;
-  EnforceEjectionBound(*aUpstream.mService);
 }
 
 bool Router::IsAvoided(const Upstream& aUpstream, SteadyTime aNow) const
@@ -367,7 +367,8 @@
   }
   const double age =
     Nanos(aNow - aUpstream.mSampled) / std::max(1.0, Nanos(mPolicy.mLatencyMemory));
-  return typical + (aUpstream.mLatency - typical) * std::max(0.0, 1 - age);
+  const double target = kForgotten * typical;
+  return target + (aUpstream.mLatency - target) * std::max(0.0, 1 - age);
 }
 
 double Router::Score(const Upstream& aUpstream, SteadyTime aNow) const
@@ -687,8 +688,7 @@
 bool Router::ShouldShed(ServiceId aService, RankIndex aRank, uint64_t aRequestHash)
 {
   const uint32_t level = ShedLevel(aService);
-  const auto cohort = static_cast<uint32_t>(aRequestHash % kCohorts);
-  return RanksBelow(aRank) * kCohorts + cohort < level;
+  return IsShed(level, RanksBelow(aRank), aRequestHash);
 }
 
 std::vector<UpstreamView> Router::Upstreams(ServiceId aService) const
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -81,8 +81,9 @@
   void Echo(const std::string& aBody)
   {
     const size_t answers = mAnswers.size();
+    const size_t held = mHeld.size();
     auto call = Send(aBody);
-    RunUntil([&] { return !mHeld.empty(); });
+    RunUntil([&] { return mHeld.size() > held; });
     HttpResponse response;
     response.mBody = mHeld.back()->Request().mBody;
     mHeld.back()->Respond(std::move(response));
@@ -91,6 +92,14 @@
     CHECK_EQUAL(aBody, mAnswers.back());
   }
 
+  // Runs what is ready, also when the machine is so busy that a fixed time would run nothing.
+  void RunSome()
+  {
+    for (int i = 0; i < 20; ++i) {
+      mContext.run_one_for(2ms);
+    }
+  }
+
   // Answers one connection with fixed bytes, whatever it is asked.
   void ServeRaw(tcp::acceptor & aAcceptor, const std::string& aBytes)
   {
@@ -186,7 +195,6 @@
   call->Cancel();
   RunUntil([&] { return cancelled; });
   CHECK(mAnswers.empty());
-  mHeld.clear();
   Echo("still served");
 }
 
@@ -197,9 +205,9 @@
   socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
   boost::asio::write(socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost:")));
   RunUntil([&] { return mServer->Connections() == 1; });
-  mContext.run_for(20ms);
+  RunSome();
   mServer->Stop();
-  mContext.run_for(5ms);
+  RunSome();
   boost::asio::write(socket, boost::asio::buffer(std::string(" x\r\n\r\n")));
   RunUntil([&] { return mHeld.size() == 1; });
   mHeld[0]->Respond({});
@@ -210,6 +218,50 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against requests on connections that their server is about to close, and against keeping
+// the connections that a peak has left.
+TEST(Http, OldIdleConnectionsAreDropped)
+{
+  HttpClientLimits limits;
+  limits.mMaxIdleTime = 50ms;
+  mClient = std::make_unique<HttpClient>(
+    mContext, tcp::endpoint(kAnyHttpPort.address(), mServer->Port()), limits);
+  Send("a");
+  Send("b");
+  RunUntil([&] { return mHeld.size() == 2; });
+  CHECK_EQUAL(2, mServer->Connections());
+  mHeld[0]->Respond({});
+  mHeld[1]->Respond({});
+  RunUntil([&] { return mAnswers.size() == 2; });
+  mContext.run_for(60ms);
+  Echo("c");
+  RunUntil([&] { return mServer->Connections() == 1; });
+}
+
+// Guards against a connection limit that leaves clients in doubt whether their request ran.
+TEST(Http, ConnectionOverTheLimitIsRefused)
+{
+  HttpServerLimits limits;
+  limits.mMaxConnections = 1;
+  HttpServer small(mContext, kAnyHttpPort, limits, [this](std::shared_ptr<Exchange> aExchange) {
+    mHeld.push_back(std::static_pointer_cast<HttpExchange>(std::move(aExchange)));
+  });
+  CHECK(small.Start().has_value());
+  mClient = ClientOf(small.Port());
+  Send("first");
+  RunUntil([&] { return mHeld.size() == 1; });
+  std::string outcome;
+  mClient->Send(Post("second"), 5s, [&](const Result<HttpResponse>& aResult) {
+    outcome = aResult ? aResult->mHeaders.Find("Balsam-Outcome") : "failed";
+  });
+  RunUntil([&] { return !outcome.empty(); });
+  CHECK_EQUAL(std::string("not-run"), outcome);
+  CHECK_EQUAL(1, mHeld.size());
+  mHeld[0]->Respond({});
+  RunUntil([&] { return mAnswers.size() == 1; });
+  Echo("third");
+}
+
 // Guards against a client that waits for 100 Continue before it sends its body.
 TEST(Http, ExpectationIsAnswered)
 {
