--- a/testing/scenario/scenarios/lib/common.lua
+++ b/testing/scenario/scenarios/lib/common.lua
@@ -48,4 +48,15 @@
   return refused
 end
 
+-- No request of the load was cut off; some may have been refused as not-run.
+function common.expect_uninterrupted(flows)
+  for name, flow in pairs(flows) do
+    expect(flow.unknown == 0, name .. ": " .. flow.unknown .. " requests are unknown")
+    expect(flow.errors == 0, name .. ": " .. flow.errors .. " errors")
+    expect(flow.wrong == 0, name .. ": " .. flow.wrong .. " wrong answers")
+    expect(flow.timeouts == 0, name .. ": " .. flow.timeouts .. " requests had no answer in time")
+    expect(flow.goodput > 0, name .. ": no good answers")
+  end
+end
+
 return common
--- a/testing/scenario/src/cluster_control.cpp
+++ b/testing/scenario/src/cluster_control.cpp
@@ -100,6 +100,7 @@
 
 void Cluster::SetFaults(const std::string& aStandin, const Json& aFaults)
 {
+  WaitUntilUp(aStandin); // it may have ended by itself and be starting again
   FetchJson(aStandin, Post("/standin/faults", aFaults.dump()));
 }
 
