Refuse requests long past their deadline on the wall clock

Change: bm-expires-ms travels with a call; a node refuses one that is over 5 s late. Ownership members are passed on only when a member of the own service changes.

--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view kService = "bm-service";
 constexpr std::string_view kRank = "bm-rank";
 constexpr std::string_view kDeadline = "bm-deadline-us";
+constexpr std::string_view kExpires = "bm-expires-ms";
 constexpr std::string_view kAttempts = "bm-attempts";
 constexpr std::string_view kCaller = "bm-caller";
 constexpr std::string_view kHash = "bm-hash";
@@ -37,6 +38,8 @@
 
 // A deadline further away than this is malformed: it would overflow the clock's arithmetic.
 constexpr uint64_t kMaxDeadlineUs = 3'600'000'000;
+// The year 2255; nanoseconds since 1970 overflow soon after.
+constexpr uint64_t kMaxExpiresMs = 9'000'000'000'000;
 
 std::optional<uint64_t> ParseNumber(std::string_view aText)
 {
@@ -131,6 +134,9 @@
   aHeaders.Add(kService, aContext.mService);
   aHeaders.Add(kRank, aContext.mRank);
   aHeaders.Add(kDeadline, std::to_string(Microseconds(aContext.mDeadline - aNow)));
+  const auto expires =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aContext.mExpires.time_since_epoch());
+  aHeaders.Add(kExpires, std::to_string(std::max<int64_t>(expires.count(), 0)));
   aHeaders.Add(kAttempts, std::to_string(aRetries));
   aHeaders.Add(kCaller, std::to_string(aContext.mCallerHash));
   aHeaders.Add(kHash, std::to_string(aContext.mRequestHash));
@@ -145,12 +151,14 @@
 {
   const Headers& headers = aRequest.mHeaders;
   const auto deadline = ParseNumber(headers.Find(kDeadline));
+  const auto expires = ParseNumber(headers.Find(kExpires));
   const auto attempts = ParseNumber(headers.Find(kAttempts));
   const auto caller = ParseNumber(headers.Find(kCaller));
   const auto hash = ParseNumber(headers.Find(kHash));
   const auto fingerprint = ParseNumber(headers.Find(kFingerprint));
-  if (!deadline || *deadline > kMaxDeadlineUs || !attempts ||
-      *attempts > std::numeric_limits<uint32_t>::max() || !caller || !hash || !fingerprint) {
+  if (!deadline || *deadline > kMaxDeadlineUs || !expires || *expires > kMaxExpiresMs ||
+      !attempts || *attempts > std::numeric_limits<uint32_t>::max() || !caller || !hash ||
+      !fingerprint) {
     return std::nullopt;
   }
   ReceivedContext received;
@@ -164,6 +172,7 @@
   context.mRequestHash = *hash;
   context.mFingerprint = *fingerprint;
   context.mDeadline = aNow + std::chrono::microseconds(*deadline);
+  context.mExpires = WallTime(std::chrono::milliseconds(*expires));
   received.mRetries = static_cast<uint32_t>(*attempts);
   if (context.mRequestId.empty() || context.mService.empty() || context.mRank.empty()) {
     return std::nullopt;
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -22,6 +22,9 @@
   uint64_t mRequestHash = 0; // of the root request, so that every hop sheds the same requests
   uint64_t mFingerprint = 0; // of this hop's method, path, key and body
   SteadyTime mDeadline{};
+  // The deadline on the wall clock. A request that a frozen node sends long afterwards must not
+  // run: the record of its key may have been forgotten.
+  WallTime mExpires{};
 };
 
 // Why a call was not run or its end is not known. Sent in the Balsam-Reason header.
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -129,7 +129,9 @@
   context.mKey = key;
   context.mCallerHash = Hash64(aCaller);
   const auto bound = found->mService->mDefaultDeadline;
-  context.mDeadline = mClock.Now() + (*deadline > 0ms ? std::min(*deadline, bound) : bound);
+  const auto remaining = *deadline > 0ms ? std::min(*deadline, bound) : bound;
+  context.mDeadline = mClock.Now() + remaining;
+  context.mExpires = mClock.WallNow() + remaining;
   context.mFingerprint = Fingerprint(context.mService, context.mKey, request);
   context.mRequestHash = IdentityHash(context);
   return context;
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -190,6 +190,7 @@
 void MemberService::ApplyEvents()
 {
   const auto events = mCore.TakeEvents();
+  bool ownService = false;
   for (const MemberEvent& event : events) {
     const bool alive = event.mKind != MemberEventKind::Dead && event.mKind != MemberEventKind::Left;
     if (event.mKind != MemberEventKind::Changed) {
@@ -197,8 +198,9 @@
                           alive ? ToString(event.mRecord.mState) : "gone");
     }
     ApplyRecord(event.mRecord, alive);
+    ownService |= event.mRecord.mService == mSettings.mService;
   }
-  if (!events.empty()) {
+  if (ownService) {
     ApplyOwnershipMembers();
   }
 }
--- a/packages/node/src/peer_handler.cpp
+++ b/packages/node/src/peer_handler.cpp
@@ -4,6 +4,9 @@
 
 namespace {
 
+// Bound on the difference of wall clocks between nodes.
+constexpr std::chrono::seconds kClockSkew{ 5 };
+
 HttpResponse BodyResponse(unsigned aStatus, std::string aBody)
 {
   HttpResponse response;
@@ -53,6 +56,11 @@
     aExchange->Respond(std::move(response));
     return;
   }
+  if (mClock.WallNow() > received->mContext.mExpires + kClockSkew) {
+    aExchange->Respond(
+      EncodeAnswer(Refused(CallReason::Deadline, RequestBudget(received->mRetries))));
+    return;
+  }
   auto answered = std::make_shared<bool>(false);
   const auto call =
     mLocal.Handle(std::move(received->mContext), aExchange->Request(),
--- a/packages/node/tests/call_context_test.cpp
+++ b/packages/node/tests/call_context_test.cpp
@@ -22,6 +22,7 @@
   context.mRequestHash = 7;
   context.mFingerprint = 9;
   context.mDeadline = kNow + 250ms;
+  context.mExpires = WallTime(1'700'000'000'000ms);
   return context;
 }
 
@@ -51,6 +52,7 @@
   CHECK(received.has_value());
   CHECK_EQUAL(2, received->mRetries);
   CHECK(received->mContext.mDeadline == kNow + 255ms);
+  CHECK(received->mContext.mExpires == WallTime(1'700'000'000'000ms));
   STRCMP_EQUAL("order", received->mContext.mRank.c_str());
   STRCMP_EQUAL("key-1", received->mContext.mKey.c_str());
   CHECK_FALSE(received->mContext.mIdempotent);
