Shed only where a call chain starts, by fresh levels

Cause: the experiment showed that levels of unused upstreams, valid for 2 s, outvote live ones, and that shedding further down the chain throws work away. Change: the router's levels are fresh for 0.3 s; the forwarder sheds root calls only.

--- a/packages/base/include/balsammount/shed_level.h
+++ b/packages/base/include/balsammount/shed_level.h
@@ -1,5 +1,5 @@
-// The scale of shed levels. Admission publishes a level, entries refuse by it; both must use the same
-// scale and hash.
+// The scale of shed levels. Admission publishes a level, entries refuse by it; both must use the
+// same scale and hash.
 #pragma once
 
 #include <cstdint>
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -18,6 +18,7 @@
   std::string mRank;
   std::string mKey; // idempotency key of the caller; empty when none
   bool mIdempotent = false;
+  bool mIsRoot = false; // starts its call chain at this node; not sent to other nodes
   uint64_t mCallerHash = 0;
   uint64_t mRequestHash = 0; // of the root request, so that every hop sheds the same requests
   uint64_t mFingerprint = 0; // of this hop's method, path, key and body
--- a/packages/node/src/forwarder.cpp
+++ b/packages/node/src/forwarder.cpp
@@ -40,9 +40,11 @@
       rank ? static_cast<size_t>(rank - config.Ranks().data()) : config.Ranks().size();
     Upstreams& upstreams = mForwarder.mUpstreams;
     ServiceState& state = mForwarder.StateOf(mContext.mService);
-    if (upstreams.ShouldShed(mContext.mService, rankIndex, mContext.mRequestHash) &&
+    if (mContext.mIsRoot &&
+        upstreams.ShouldShed(mContext.mService, rankIndex, mContext.mRequestHash) &&
         !state.mFloors.IsOwed(rankIndex)) {
       // A request that the upstreams would refuse anyway is refused before it costs them anything.
+      // Only where the chain starts: further down, the work done so far would be thrown away.
       Answer answer = Refused(CallReason::Overload, std::move(mBudget), std::chrono::seconds(1));
       answer.mShedLevel = upstreams.ShedLevel(mContext.mService);
       Finish(std::move(answer));
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -122,6 +122,7 @@
     return std::nullopt;
   }
   CallContext context;
+  context.mIsRoot = true;
   context.mRequestId = NewRequestId();
   context.mService = found->mService->mName;
   context.mRank = found->mRank->mName;
@@ -177,6 +178,7 @@
   }
   const auto deadline = ReadDeadline(request.mHeaders);
   CallContext context = aParent->mContext;
+  context.mIsRoot = false;
   context.mRequestId = NewRequestId();
   context.mService = found->mService->mName;
   context.mIdempotent = found->mIdempotent;
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -158,11 +158,11 @@
                          Describe(answers.error()));
     return;
   }
-  Run(std::move(*answers));
+  Run(*answers);
 }
 
 // Sends what the core has to say, and applies what it has learned.
-void MemberService::Run(std::vector<Datagram> aDatagrams)
+void MemberService::Run(const std::vector<Datagram>& aDatagrams)
 {
   for (const Datagram& datagram : aDatagrams) {
     Send(datagram);
--- a/packages/node/src/member_service.h
+++ b/packages/node/src/member_service.h
@@ -50,7 +50,7 @@
 
   void Receive();
   void OnDatagram(size_t aSize);
-  void Run(std::vector<Datagram> aDatagrams);
+  void Run(const std::vector<Datagram>& aDatagrams);
   void Send(const Datagram& aDatagram);
   void ApplyEvents();
   void ApplyRecord(const MemberRecord& aRecord, bool aAlive);
--- a/packages/routing/include/balsammount/routing.h
+++ b/packages/routing/include/balsammount/routing.h
@@ -76,7 +76,9 @@
   Duration mMaxEjection = std::chrono::minutes(2);
   Duration mEjectionMemory = std::chrono::minutes(5); // good behaviour that resets the doubling
 
-  Duration mShedLevelFresh = std::chrono::seconds(2);
+  // Levels of upstreams that get no requests must not outvote fresh ones: with 2 s, goodput at
+  // three times the demand fell from 95% to 73% of capacity in the experiment hanul-demand-3.
+  Duration mShedLevelFresh = std::chrono::milliseconds(300);
 
   bool operator==(const RoutingPolicy&) const = default;
 };
