Correct tests that depended on the old scale of shed levels

Cause: Admission.ShedScale had 64 cohorts written out and failed since the scale has 1024. The check that a mechanism's switch has an effect compared one count, which can be equal by chance. Change: the scale test uses kShedCohorts; the switch test compares all counts of all ranks. A loop variable is widened for the linter.

--- a/packages/admission/tests/admission_test.cpp
+++ b/packages/admission/tests/admission_test.cpp
@@ -195,10 +195,10 @@
 TEST(Admission, ShedScale)
 {
   CHECK_FALSE(IsShed(0, 0, 0));
-  CHECK(IsShed(1, 0, 64));
-  CHECK_FALSE(IsShed(1, 0, 65));
-  CHECK(IsShed(64, 0, 63));
-  CHECK_FALSE(IsShed(64, 1, 0));
+  CHECK(IsShed(1, 0, kShedCohorts));
+  CHECK_FALSE(IsShed(1, 0, kShedCohorts + 1));
+  CHECK(IsShed(kShedCohorts, 0, kShedCohorts - 1));
+  CHECK_FALSE(IsShed(kShedCohorts, 1, 0));
   CHECK_EQUAL(1U, mController.RanksBelow(0));
   mController.ReportDownstreamLevel(70);
   CHECK_EQUAL(70U, mController.ShedLevel());
--- a/packages/experiment/include/balsammount/experiment.h
+++ b/packages/experiment/include/balsammount/experiment.h
@@ -59,8 +59,10 @@
   uint64_t mRefused = 0;
   uint64_t mLate = 0; // deadline exceeded, connection lost or never answered
   double mFloor = 0;
-  double mFloorKept =
-    1; // goodput over min(offered, floor * capacity), second by second; 1 without a floor
+  // Goodput over min(offered, floor * capacity), second by second; 1 without a floor.
+  double mFloorKept = 1;
+
+  bool operator==(const RankResult&) const = default;
 };
 
 struct Expectation
--- a/packages/experiment/src/world.cpp
+++ b/packages/experiment/src/world.cpp
@@ -230,9 +230,9 @@
   policy.mSelf = Hash64(std::to_string(aSelf));
   policy.mDataCentre = DataCentreId(aDataCentre);
   policy.mShedLevelFresh = DurationOf(kShedLevelFresh);
-  for (uint16_t i = 0; i < mDataCentres.size(); ++i) {
+  for (size_t i = 0; i < mDataCentres.size(); ++i) {
     const double delay = i == aDataCentre ? mLink.mNear : mLink.mFar;
-    policy.mCosts.push_back({ DataCentreId(i), delay * 1000 });
+    policy.mCosts.push_back({ DataCentreId(static_cast<uint16_t>(i)), delay * 1000 });
   }
   std::vector<double> floors;
   for (const RankSettings& rank : mRankSettings) {
--- a/packages/experiment/tests/experiment_test.cpp
+++ b/packages/experiment/tests/experiment_test.cpp
@@ -78,7 +78,7 @@
     CHECK(SwitchOff(options.mOn, name).has_value());
     const auto result = RunScenario(kSmall, "small", options);
     CHECK(FormatTable(*result).find(std::string("project-") + name) != std::string::npos);
-    CHECK(result->mRanks[1].mGoodput != all->mRanks[1].mGoodput);
+    CHECK(result->mRanks != all->mRanks);
   }
   Mechanisms on;
   CHECK(SwitchOff(on, "luck").error().mCode == ExperimentError::UnknownMechanism);
