--- a/testing/scenario/scenarios/rolling_stop_of_entry.lua
+++ b/testing/scenario/scenarios/rolling_stop_of_entry.lua
@@ -5,13 +5,13 @@
 
 store{}
 local revision = config("examples/hanul/config")
-local orders = service{name = "orders", upstreams = 3, service_ms = 20}
+local orders = service{name = "orders", upstreams = 3, slots = 50, service_ms = 150}
 common.ready(revision)
 
 for _, node in ipairs(orders.nodes) do
   load{nodes = orders.nodes, seconds = 8, flows = {
     {name = "read", path = "/orders/1", rate = 60, deadline_ms = 10000, retries = 5, backoff_ms = 200},
-    {name = "place", path = "/orders/1", method = "POST", rate = 40, deadline_ms = 10000, retries = 5, backoff_ms = 200},
+    {name = "place", path = "/orders/1", method = "POST", rate = 120, deadline_ms = 10000, retries = 5, backoff_ms = 200},
   }}
   pause(1)
   stop(node)
