--- a/packages/ownership/include/balsammount/ownership.h
+++ b/packages/ownership/include/balsammount/ownership.h
@@ -249,6 +249,7 @@
   bool HandoverReady() const;
   void RunProposal();
   void FinishProposalRead(const Result<StoredTable>& aResult);
+  void Announce(const OwnershipTable& aTable);
   std::optional<OwnershipTable> NextTable() const;
   void UpdateAbsences();
   bool Gone(const NodeIdentity& aNode) const;
@@ -272,6 +273,7 @@
   std::map<NodeIdentity, SteadyTime> mGoneAt; // absent members of the table
   std::set<std::string> mSeen;                // members of the table that were present
   TablePtr mTable;
+  SteadyTime mAdopted;      // when mTable became known
   bool mStoreEmpty = false; // the store was read and holds no table
   bool mDraining = false;
 
