Send known members in a short form and believe deaths later

Change: records of known processes take about 20 bytes instead of 60, so that refutations spread sooner. Refutations go before suspicions. A death that is reported by others counts as the last confirmation of an own suspicion and no longer ends it at once.

--- a/packages/membership/include/balsammount/membership.h
+++ b/packages/membership/include/balsammount/membership.h
@@ -5,9 +5,10 @@
 //
 //  * A record is ordered by (start, incarnation, state). A restarted process has a higher start and
 //    replaces every record of the older process.
-//  * A claim that a member is dead is believed only by those that suspect it already. Others probe
-//    the member first and pass the claim on to it. Otherwise the two sides of a healed partition
-//    would declare each other's members dead everywhere until each member had refuted.
+//  * A claim that a member is dead is believed only by those that have suspected it for the
+//    shortest suspicion. Others probe the member first and pass the claim on to it. Otherwise the
+//    two sides of a healed partition would declare each other's members dead everywhere until each
+//    member had refuted.
 //  * A process that finds its own timers late gives up its probe and extends its suspicions by the
 //    delay, because the missing answers may wait in its own socket.
 //  * The highest configuration revision travels in the header of every datagram. A node's own
@@ -150,11 +151,12 @@
   uint64_t mProbes = 0;
   uint64_t mFailedProbes = 0;
   uint64_t mRefutations = 0;
-  uint64_t mRejected = 0;    // datagrams that could not be decoded
-  uint64_t mLateTimers = 0;  // pauses noticed
-  uint64_t mTableFull = 0;   // records dropped at mMaxMembers or mMaxDead
-  uint32_t mHealth = 0;      // 0 healthy to mMaxHealth
-  size_t mPendingGossip = 0; // records
+  uint64_t mRejected = 0;     // datagrams that could not be decoded
+  uint64_t mLateTimers = 0;   // pauses noticed
+  uint64_t mFutureStarts = 0; // records dropped that start over a day ahead of the wall clock
+  uint64_t mTableFull = 0;    // records dropped at mMaxMembers or mMaxDead
+  uint32_t mHealth = 0;       // 0 healthy to mMaxHealth
+  size_t mPendingGossip = 0;  // records
 };
 
 // Not thread-safe. The caller calls Tick at NextWake or earlier, and reads NextWake again after
--- a/packages/membership/src/gossip_queue.h
+++ b/packages/membership/src/gossip_queue.h
@@ -48,6 +48,7 @@
     }
   }
 
+  bool Contains(uint64_t aPosition) const { return mKeys.contains(aPosition); }
   bool Empty() const { return mQueue.empty(); }
   size_t Size() const { return mQueue.size(); }
 
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -31,9 +31,6 @@
 constexpr Duration kRelayTimeout = std::chrono::milliseconds(400);
 constexpr uint32_t kMaxPausePenalty = 3;
 
-// Clocks of two nodes may differ by this when times of deaths and suspicions are compared.
-constexpr int64_t kClockSkewMs = 5'000;
-
 // A start further in the future is a fault and would make the id unusable until then.
 constexpr int64_t kMaxFutureMs = 24 * 3600 * 1000LL;
 
@@ -92,6 +89,7 @@
   {
     MemberRecord mRecord;
     uint32_t mAccuser = 0;
+    bool mSpreadFull = false; // to members that may not know the process yet
     int64_t mDeadAtMs = 0;
     SteadyTime mForwardedAt{}; // last claim about the member that was passed on to it
   };
@@ -122,7 +120,13 @@
 
   // Records.
   Entry* FindEntry(uint64_t aPosition);
-  RecordUpdate UpdateOf(const Entry& aEntry) const;
+  enum class Form
+  {
+    Short,
+    Full,
+  };
+  RecordUpdate UpdateOf(const Entry& aEntry, Form aForm) const;
+  void ApplyShort(const RecordUpdate& aUpdate);
   void Apply(const RecordUpdate& aUpdate);
   void ApplyToSelf(const RecordUpdate& aUpdate);
   void Insert(uint64_t aPosition, const RecordUpdate& aUpdate);
@@ -144,14 +148,15 @@
   }
   SuspicionTimes TimesOfSuspicion() const;
   int32_t RetransmitLimit() const;
-  void Spread(uint64_t aPosition, int32_t aSent = 0) { mQueue.Push(aPosition, aSent); }
+  void Spread(uint64_t aPosition, int32_t aSent = 0, Form aForm = Form::Short);
   void SpreadRevision(uint64_t aPosition);
 
   // Messages.
   Message NewMessage(MessageType aType, uint64_t aSequence) const;
-  size_t Send(const Endpoint& aTo, Message aMessage, std::span<const uint64_t> aFirst);
+  size_t Send(const Endpoint& aTo, Message aMessage, std::span<const uint64_t> aFirst,
+              Form aForm = Form::Short);
   void SendTo(const Entry& aEntry, Message aMessage);
-  bool Attach(Message& aMessage, uint64_t aPosition, size_t& aSize);
+  bool Attach(Message& aMessage, uint64_t aPosition, Form aForm, size_t& aSize);
   void SendPing(const Entry& aEntry, uint64_t aSequence);
   void Handle(const Endpoint& aFrom, const Message& aMessage);
   void OnPing(const Endpoint& aFrom, const Message& aMessage);
@@ -248,10 +253,12 @@
   }
   aSelf.mState = aSelf.mLeaving ? MemberState::Leaving : MemberState::Alive;
   mHighest = aSelf.mRevision;
+  // Answers to an earlier process with the same endpoint must not match.
+  mSequence = mRandom.Below(UINT32_MAX / 2);
   Entry entry;
   entry.mRecord = std::move(aSelf);
   mSelf = &mEntries.emplace(mSelfPosition, std::move(entry)).first->second;
-  Spread(mSelfPosition);
+  Spread(mSelfPosition, 0, Form::Full);
   // The first probe and chunk come at a random time, so that nodes that start together don't act
   // together.
   const auto spread = [&](Duration aInterval) {
@@ -327,9 +334,21 @@
   return found == mEntries.end() ? nullptr : &found->second;
 }
 
-RecordUpdate Membership::Impl::UpdateOf(const Entry& aEntry) const
+RecordUpdate Membership::Impl::UpdateOf(const Entry& aEntry, Form aForm) const
+{
+  RecordUpdate update{ aEntry.mRecord, aEntry.mAccuser, aEntry.mDeadAtMs, std::nullopt };
+  if (aForm == Form::Short) {
+    update.mPosition = PositionOf(aEntry.mRecord.mId);
+  }
+  return update;
+}
+
+// A record that no member may know is spread in full until all its transmissions are done.
+void Membership::Impl::Spread(uint64_t aPosition, int32_t aSent, Form aForm)
 {
-  return { aEntry.mRecord, aEntry.mAccuser, aEntry.mDeadAtMs };
+  Entry& entry = *FindEntry(aPosition);
+  entry.mSpreadFull = aForm == Form::Full || (entry.mSpreadFull && mQueue.Contains(aPosition));
+  mQueue.Push(aPosition, aSent);
 }
 
 void Membership::Impl::AddLive(uint64_t aPosition)
@@ -368,9 +387,32 @@
   }
 }
 
+// Completes the record from the known one. Unknown processes are left to the repair by digests.
+void Membership::Impl::ApplyShort(const RecordUpdate& aUpdate)
+{
+  const Entry* entry = FindEntry(*aUpdate.mPosition);
+  if (entry == nullptr || static_cast<uint32_t>(entry->mRecord.mStartMs) !=
+                            static_cast<uint32_t>(aUpdate.mRecord.mStartMs)) {
+    return;
+  }
+  const MemberRecord& given = aUpdate.mRecord;
+  RecordUpdate update{ entry->mRecord, aUpdate.mAccuser, aUpdate.mDeadAtMs, std::nullopt };
+  update.mRecord.mIncarnation = given.mIncarnation;
+  update.mRecord.mState = given.mState;
+  update.mRecord.mLeaving = given.mLeaving;
+  update.mRecord.mAvailable = given.mAvailable;
+  update.mRecord.mRevision = given.mRevision;
+  Apply(update);
+}
+
 void Membership::Impl::Apply(const RecordUpdate& aUpdate)
 {
+  if (aUpdate.mPosition) {
+    ApplyShort(aUpdate);
+    return;
+  }
   if (aUpdate.mRecord.mStartMs > Millis(mClock.WallNow()) + kMaxFutureMs) {
+    ++mStats.mFutureStarts;
     return;
   }
   const uint64_t position = PositionOf(aUpdate.mRecord.mId);
@@ -402,7 +444,7 @@
     return;
   }
   if (record.mStartMs < self.mStartMs) {
-    Spread(mSelfPosition);
+    Spread(mSelfPosition, 0, Form::Full);
     return;
   }
   const bool newer = record.mStartMs > self.mStartMs ||
@@ -415,6 +457,7 @@
     // An earlier process on this endpoint whose wall clock was ahead.
     self.mStartMs = std::max(self.mStartMs, record.mStartMs) + 1;
     ChangeSelf();
+    Spread(mSelfPosition, 0, Form::Full);
     return;
   }
   if (record.mIncarnation == self.mIncarnation &&
@@ -451,7 +494,7 @@
     return;
   }
   AddLive(aPosition);
-  Spread(aPosition);
+  Spread(aPosition, 0, Form::Full);
   const bool suspect = entry.mRecord.mState == MemberState::Suspect;
   if (suspect) {
     entry.mRecord.mState = MemberState::Alive;
@@ -480,7 +523,7 @@
     return;
   }
   SetState(aPosition, aEntry, state == MemberState::Suspect ? MemberState::Alive : state);
-  Spread(aPosition);
+  Spread(aPosition, 0, Form::Full);
   Emit(MemberEventKind::Joined, aEntry);
   if (state == MemberState::Suspect) {
     StartSuspicion(aPosition, aEntry, aUpdate.mAccuser);
@@ -537,12 +580,16 @@
       StartSuspicion(aPosition, aEntry, aUpdate.mAccuser);
     }
   } else if (state == MemberState::Dead) {
+    // The shortest suspicion must have passed here as well: after a short partition, suspicions and
+    // deaths of the other side arrive together and before the refutations.
     const auto suspicion = mSuspicions.find(aPosition);
-    if (suspicion != mSuspicions.end() &&
-        aUpdate.mDeadAtMs >= suspicion->second.StartedMs() - kClockSkewMs) {
-      MarkDead(aPosition, aEntry, aUpdate.mDeadAtMs);
-    } else {
+    if (suspicion == mSuspicions.end()) {
       Doubt(aPosition, aEntry);
+      return;
+    }
+    suspicion->second.ConfirmFully();
+    if (mNow >= suspicion->second.Deadline()) {
+      MarkDead(aPosition, aEntry, aUpdate.mDeadAtMs);
     }
   }
 }
@@ -561,7 +608,7 @@
   }
   Message ping = NewMessage(MessageType::Ping, ++mSequence);
   ping.mTarget = aEntry.mRecord.mId;
-  RecordUpdate claim = UpdateOf(aEntry);
+  RecordUpdate claim = UpdateOf(aEntry, Form::Short);
   claim.mRecord.mState = MemberState::Dead;
   claim.mDeadAtMs = Millis(mClock.WallNow());
   ping.mRecords.push_back(std::move(claim));
@@ -572,9 +619,8 @@
 {
   SetState(aPosition, aEntry, MemberState::Suspect);
   aEntry.mAccuser = aAccuser;
-  mSuspicions.insert_or_assign(
-    aPosition, Suspicion(mNow, Millis(mClock.WallNow()), TimesOfSuspicion(), aAccuser));
-  Spread(aPosition);
+  mSuspicions.insert_or_assign(aPosition, Suspicion(mNow, TimesOfSuspicion(), aAccuser));
+  Spread(aPosition, 1); // after refutations
   Emit(MemberEventKind::Suspect, aEntry);
 }
 
@@ -583,7 +629,7 @@
   const auto suspicion = mSuspicions.find(aPosition);
   if (suspicion != mSuspicions.end() && suspicion->second.Confirm(aAccuser)) {
     aEntry.mAccuser = aAccuser;
-    Spread(aPosition);
+    Spread(aPosition, RetransmitLimit() / 2);
   }
 }
 
@@ -628,19 +674,21 @@
   return message;
 }
 
-bool Membership::Impl::Attach(Message& aMessage, uint64_t aPosition, size_t& aSize)
+bool Membership::Impl::Attach(Message& aMessage, uint64_t aPosition, Form aForm, size_t& aSize)
 {
   const Entry* entry = FindEntry(aPosition);
   if (entry == nullptr) {
     return true;
   }
   const bool attached =
-    std::any_of(aMessage.mRecords.begin(), aMessage.mRecords.end(),
-                [&](const auto& aUpdate) { return aUpdate.mRecord.mId == entry->mRecord.mId; });
+    std::any_of(aMessage.mRecords.begin(), aMessage.mRecords.end(), [&](const auto& aUpdate) {
+      return aUpdate.mPosition ? *aUpdate.mPosition == aPosition
+                               : aUpdate.mRecord.mId == entry->mRecord.mId;
+    });
   if (attached) {
     return true;
   }
-  RecordUpdate update = UpdateOf(*entry);
+  RecordUpdate update = UpdateOf(*entry, entry->mSpreadFull ? Form::Full : aForm);
   const size_t size = EncodedSize(update);
   if (aSize + size > kMaxMembershipDatagram) {
     return false;
@@ -652,16 +700,16 @@
 
 // Fills the datagram with the records in aFirst and then with waiting ones.
 size_t Membership::Impl::Send(const Endpoint& aTo, Message aMessage,
-                              std::span<const uint64_t> aFirst)
+                              std::span<const uint64_t> aFirst, Form aForm)
 {
   constexpr size_t kArrayHeader = 4;
   size_t size = Encode(aMessage, mCluster).size() + kArrayHeader;
   for (const uint64_t position : aFirst) {
-    Attach(aMessage, position, size);
+    Attach(aMessage, position, aForm, size);
   }
   if (aMessage.mType != MessageType::SyncReply) {
     mQueue.Take(RetransmitLimit(),
-                [&](uint64_t aPosition) { return Attach(aMessage, aPosition, size); });
+                [&](uint64_t aPosition) { return Attach(aMessage, aPosition, Form::Short, size); });
   }
   mOut.push_back({ aTo, Encode(aMessage, mCluster) });
   return mOut.back().mBytes.size();
@@ -741,7 +789,7 @@
   std::vector<uint64_t> first;
   const bool told =
     std::any_of(aMessage.mRecords.begin(), aMessage.mRecords.end(),
-                [&](const auto& aUpdate) { return aUpdate.mRecord.mId == self.mId; });
+                [&](const auto& aUpdate) { return aUpdate.mPosition == mSelfPosition; });
   if (told) {
     first.push_back(mSelfPosition);
   }
@@ -1080,11 +1128,11 @@
   const size_t empty = Encode(message, mCluster).size() + kArrayHeader;
   size_t size = empty;
   for (const uint64_t position : aPositions) {
-    if (!Attach(message, position, size)) {
+    if (!Attach(message, position, Form::Full, size)) {
       mSyncBudget.Spend(
         Send(aTo, std::exchange(message, NewMessage(aLast.mType, aLast.mSequence)), {}));
       size = empty;
-      Attach(message, position, size);
+      Attach(message, position, Form::Full, size);
     }
   }
   const size_t lastSize = Encode(aLast, mCluster).size();
@@ -1117,7 +1165,7 @@
     const bool missing = their == theirs.end();
     const bool differs = !missing && their->second != VersionOf(place->second.mRecord);
     if (missing || differs) {
-      bytes += EncodedSize(UpdateOf(place->second));
+      bytes += EncodedSize(UpdateOf(place->second, Form::Full));
       if (bytes > kSyncReplyDatagrams * (kMaxMembershipDatagram - 2 * kMaxId)) {
         last.mThrough = place->first - 1;
         break;
@@ -1191,7 +1239,7 @@
   const std::array<uint64_t, 1> first = { mSelfPosition };
   for (size_t i = 0; i < kContactsPerTry && i < contacts.size(); ++i) {
     std::swap(contacts[i], contacts[i + mRandom.Below(contacts.size() - i)]);
-    Send(contacts[i], request, first);
+    Send(contacts[i], request, first, Form::Full);
   }
 }
 
--- a/packages/membership/src/suspicion.h
+++ b/packages/membership/src/suspicion.h
@@ -21,9 +21,8 @@
 class Suspicion
 {
 public:
-  Suspicion(SteadyTime aStart, int64_t aStartedMs, SuspicionTimes aTimes, uint32_t aAccuser)
+  Suspicion(SteadyTime aStart, SuspicionTimes aTimes, uint32_t aAccuser)
     : mStart(aStart)
-    , mStartedMs(aStartedMs)
     , mTimes(aTimes)
     , mAccusers{ aAccuser }
   {
@@ -42,7 +41,7 @@
 
   SteadyTime Deadline() const
   {
-    if (mTimes.mConfirmations == 0) {
+    if (mTimes.mConfirmations == 0 || mDeadElsewhere) {
       return mStart + mTimes.mShortest;
     }
     const double part = std::log(static_cast<double>(mAccusers.size())) /
@@ -52,14 +51,16 @@
     return mStart + std::max(mTimes.mShortest, mTimes.mLongest - saved);
   }
 
+  // Another member has declared the suspect dead.
+  void ConfirmFully() { mDeadElsewhere = true; }
+
   void Extend(Duration aBy) { mStart += aBy; }
-  int64_t StartedMs() const { return mStartedMs; }
 
 private:
   SteadyTime mStart;
-  int64_t mStartedMs; // wall clock
   SuspicionTimes mTimes;
   std::vector<uint32_t> mAccusers;
+  bool mDeadElsewhere = false;
 };
 
 } // namespace balsammount::detail
--- a/packages/membership/src/wire.cpp
+++ b/packages/membership/src/wire.cpp
@@ -16,6 +16,7 @@
 constexpr uint64_t kVersion = 1;
 constexpr size_t kFields = 9;
 constexpr size_t kRecordFields = 9;
+constexpr size_t kShortRecordFields = 5;
 
 // Bounds that keep sums from overflowing: year 2500, and more refutations than a process can make.
 constexpr uint64_t kMaxMillis = 16'725'225'600'000;
@@ -120,9 +121,13 @@
 Json ToJson(const RecordUpdate& aUpdate)
 {
   const MemberRecord& record = aUpdate.mRecord;
-  Json json = Json::array({ record.mId, static_cast<uint64_t>(record.mStartMs), record.mIncarnation,
-                            FlagsOf(record), record.mPeer.mAddress, record.mPeer.mPort,
-                            record.mDataCentre, record.mService, record.mRevision });
+  Json json =
+    aUpdate.mPosition
+      ? Json::array({ *aUpdate.mPosition, static_cast<uint32_t>(record.mStartMs),
+                      record.mIncarnation, FlagsOf(record), record.mRevision })
+      : Json::array({ record.mId, static_cast<uint64_t>(record.mStartMs), record.mIncarnation,
+                      FlagsOf(record), record.mPeer.mAddress, record.mPeer.mPort,
+                      record.mDataCentre, record.mService, record.mRevision });
   if (record.mState == MemberState::Suspect) {
     json.push_back(aUpdate.mAccuser);
   } else if (record.mState == MemberState::Dead) {
@@ -131,33 +136,58 @@
   return json;
 }
 
+void ReadFlags(uint64_t aFlags, MemberRecord& aRecord)
+{
+  aRecord.mLeaving = (aFlags & kLeavingFlag) != 0;
+  aRecord.mAvailable = (aFlags & kAvailableFlag) != 0;
+  switch (aFlags & kStateMask) {
+    case WireAlive:
+      aRecord.mState = aRecord.mLeaving ? MemberState::Leaving : MemberState::Alive;
+      break;
+    case WireSuspect:
+      aRecord.mState = MemberState::Suspect;
+      break;
+    case WireDead:
+      aRecord.mState = MemberState::Dead;
+      break;
+    default:
+      throw BadField{ "state" };
+  }
+}
+
 RecordUpdate ReadRecord(const Json& aValue)
 {
-  ReadArray(aValue, kRecordFields, kRecordFields + 1, "record");
+  ReadArray(aValue, kShortRecordFields, kRecordFields + 1, "record");
+  const bool isShort = aValue.size() <= kShortRecordFields + 1;
+  const size_t fields = isShort ? kShortRecordFields : kRecordFields;
+  if (aValue.size() < fields) {
+    throw BadField{ "record" };
+  }
   RecordUpdate update;
   MemberRecord& record = update.mRecord;
-  record.mId = ReadText(aValue[0], 1, kMaxId, "id");
-  record.mStartMs = static_cast<int64_t>(ReadUnsigned(aValue[1], kMaxMillis, "start"));
+  ReadFlags(ReadUnsigned(aValue[3], kAllFlags, "flags"), record);
   record.mIncarnation = ReadUnsigned(aValue[2], kMaxIncarnation, "incarnation");
-  const uint64_t flags = ReadUnsigned(aValue[3], kAllFlags, "flags");
-  record.mLeaving = (flags & kLeavingFlag) != 0;
-  record.mAvailable = (flags & kAvailableFlag) != 0;
-  record.mPeer = ReadEndpoint(aValue[4], aValue[5]);
-  record.mDataCentre = ReadText(aValue[6], 0, kMaxDataCentre, "data centre");
-  record.mService = ReadText(aValue[7], 0, kMaxService, "service");
-  record.mRevision = ReadUnsigned(aValue[8], UINT64_MAX, "revision");
-  const uint64_t state = flags & kStateMask;
-  if (state > WireDead || (aValue.size() > kRecordFields) != (state != WireAlive)) {
+  record.mRevision = ReadUnsigned(aValue[fields - 1], UINT64_MAX, "revision");
+  if (isShort) {
+    update.mPosition = ReadUnsigned(aValue[0], UINT64_MAX, "position");
+    record.mStartMs = static_cast<int64_t>(ReadUnsigned(aValue[1], UINT32_MAX, "start"));
+  } else {
+    record.mId = ReadText(aValue[0], 1, kMaxId, "id");
+    record.mStartMs = static_cast<int64_t>(ReadUnsigned(aValue[1], kMaxMillis, "start"));
+    record.mPeer = ReadEndpoint(aValue[4], aValue[5]);
+    record.mDataCentre = ReadText(aValue[6], 0, kMaxDataCentre, "data centre");
+    record.mService = ReadText(aValue[7], 0, kMaxService, "service");
+  }
+  const bool suspect = record.mState == MemberState::Suspect;
+  const bool dead = record.mState == MemberState::Dead;
+  if ((aValue.size() > fields) != (suspect || dead)) {
     throw BadField{ "state" };
   }
-  if (state == WireAlive) {
-    record.mState = record.mLeaving ? MemberState::Leaving : MemberState::Alive;
-  } else if (state == WireSuspect) {
-    record.mState = MemberState::Suspect;
-    update.mAccuser = static_cast<uint32_t>(ReadUnsigned(aValue[9], UINT32_MAX, "accuser"));
-  } else {
-    record.mState = MemberState::Dead;
-    update.mDeadAtMs = static_cast<int64_t>(ReadUnsigned(aValue[9], kMaxMillis, "time of death"));
+  if (suspect) {
+    update.mAccuser = static_cast<uint32_t>(ReadUnsigned(aValue[fields], UINT32_MAX, "accuser"));
+  } else if (dead) {
+    update.mDeadAtMs =
+      static_cast<int64_t>(ReadUnsigned(aValue[fields], kMaxMillis, "time of death"));
   }
   return update;
 }
@@ -296,10 +326,14 @@
 size_t EncodedSize(const RecordUpdate& aUpdate)
 {
   const MemberRecord& record = aUpdate.mRecord;
-  size_t size = 2 + SizeOf(record.mId) + SizeOf(static_cast<uint64_t>(record.mStartMs)) +
-                SizeOf(record.mIncarnation) + SizeOf(record.mPeer.mAddress) +
-                SizeOf(uint64_t{ record.mPeer.mPort }) + SizeOf(record.mDataCentre) +
-                SizeOf(record.mService) + SizeOf(record.mRevision);
+  size_t size = 2 + SizeOf(record.mIncarnation) + SizeOf(record.mRevision); // with header and flags
+  if (aUpdate.mPosition) {
+    size += SizeOf(*aUpdate.mPosition) + SizeOf(uint64_t{ static_cast<uint32_t>(record.mStartMs) });
+  } else {
+    size += SizeOf(record.mId) + SizeOf(static_cast<uint64_t>(record.mStartMs)) +
+            SizeOf(record.mPeer.mAddress) + SizeOf(uint64_t{ record.mPeer.mPort }) +
+            SizeOf(record.mDataCentre) + SizeOf(record.mService);
+  }
   if (record.mState == MemberState::Suspect) {
     size += SizeOf(uint64_t{ aUpdate.mAccuser });
   } else if (record.mState == MemberState::Dead) {
--- a/packages/membership/src/wire.h
+++ b/packages/membership/src/wire.h
@@ -10,7 +10,9 @@
 //               datagrams of the reply follow
 //
 // A record is [id, start, incarnation, flags, address, port, data centre, service, revision] and
-// for a suspect the accuser, for a dead member the time of death.
+// for a suspect the accuser, for a dead member the time of death. The short form for receivers that
+// know the process is [hash of the id, low 32 bits of the start, incarnation, flags, revision] and
+// the same additions; it has about a third of the size.
 #pragma once
 
 #include "balsammount/membership.h"
@@ -33,6 +35,9 @@
   MemberRecord mRecord;
   uint32_t mAccuser = 0; // hash of the id of the member that suspects
   int64_t mDeadAtMs = 0; // wall clock
+  // Hash of the id; set in the short form, where the record has only the low 32 bits of the start,
+  // the incarnation, the state, the flags and the revision.
+  std::optional<uint64_t> mPosition;
 
   bool operator==(const RecordUpdate&) const = default;
 };
--- a/packages/membership/tests/wire_test.cpp
+++ b/packages/membership/tests/wire_test.cpp
@@ -43,6 +43,15 @@
     update.mAccuser = i % 3 == 1 ? UINT32_MAX : 0;
     update.mDeadAtMs = i % 3 == 2 ? 1'700'000'000'001 : 0;
     samples[i].mRecords.push_back(update);
+    RecordUpdate brief;
+    brief.mPosition = UINT64_MAX - i;
+    brief.mRecord.mStartMs = UINT32_MAX;
+    brief.mRecord.mRevision = i << 30U;
+    brief.mRecord.mState = update.mRecord.mState;
+    brief.mRecord.mLeaving = update.mRecord.mLeaving;
+    brief.mAccuser = update.mAccuser;
+    brief.mDeadAtMs = update.mDeadAtMs;
+    samples[4].mRecords.push_back(brief);
     samples[4].mRecords.push_back(update);
   }
   return samples;
