--- a/packages/membership/bench/membership_bench.cpp
+++ b/packages/membership/bench/membership_bench.cpp
@@ -230,7 +230,6 @@
   MeasureRevision(net);
   MeasureDeath(net, aNodes);
   MeasureSplit(net, 1);
-  std::fflush(stdout);
 }
 
 } // namespace
@@ -245,6 +244,7 @@
   for (int i = 2; i < aCount; ++i) {
     fleets.push_back(std::strtoull(aArguments[i], nullptr, 10));
   }
+  std::setvbuf(stdout, nullptr, _IOLBF, BUFSIZ);
   std::printf("seed %llu, delay 1 to 6 ms\n", static_cast<unsigned long long>(seed));
   for (const size_t nodes : fleets) {
     MeasureFleet(seed, nodes);
--- a/packages/membership/src/suspicion.h
+++ b/packages/membership/src/suspicion.h
@@ -26,6 +26,7 @@
     , mTimes(aTimes)
     , mAccusers{ aAccuser }
   {
+    Update();
   }
 
   // False when the accuser is known or enough have confirmed.
@@ -36,31 +37,44 @@
       return false;
     }
     mAccusers.push_back(aAccuser);
+    Update();
     return true;
   }
 
-  SteadyTime Deadline() const
+  SteadyTime Deadline() const { return mDeadline; }
+
+  // Another member has declared the suspect dead.
+  void ConfirmFully()
+  {
+    mDeadElsewhere = true;
+    Update();
+  }
+
+  void Extend(Duration aBy)
+  {
+    mStart += aBy;
+    Update();
+  }
+
+private:
+  void Update()
   {
     if (mTimes.mConfirmations == 0 || mDeadElsewhere) {
-      return mStart + mTimes.mShortest;
+      mDeadline = mStart + mTimes.mShortest;
+      return;
     }
     const double part = std::log(static_cast<double>(mAccusers.size())) /
                         std::log(static_cast<double>(mTimes.mConfirmations) + 1);
     const auto saved = std::chrono::duration_cast<Duration>(
       std::chrono::duration<double, std::nano>(mTimes.mLongest - mTimes.mShortest) * part);
-    return mStart + std::max(mTimes.mShortest, mTimes.mLongest - saved);
+    mDeadline = mStart + std::max(mTimes.mShortest, mTimes.mLongest - saved);
   }
 
-  // Another member has declared the suspect dead.
-  void ConfirmFully() { mDeadElsewhere = true; }
-
-  void Extend(Duration aBy) { mStart += aBy; }
-
-private:
   SteadyTime mStart;
   SuspicionTimes mTimes;
   std::vector<uint32_t> mAccusers;
   bool mDeadElsewhere = false;
+  SteadyTime mDeadline;
 };
 
 } // namespace balsammount::detail
