Mend two tests after changes of defaults

Cause: the store logs through a logger that is made on first use, which a test's leak check reported; the routing test relied on the default freshness of 2 s. Change: the logger is made before the first test; the routing test sets its freshness. Checks and bounds are unchanged.

--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -2,7 +2,9 @@
 #include "balsammount/etcd_store.h"
 #include "balsammount/store_standin.h"
 
+#include "balsammount/log.h"
 #include <nlohmann/json.hpp>
+
 #include <spdlog/spdlog.h>
 
 #include <CppUTest/TestHarness.h>
@@ -20,7 +22,7 @@
 namespace {
 
 // The logger is made before the first test, whose leak check would report it, and stays silent.
-const bool kLoggerIsSilent = (spdlog::set_level(spdlog::level::off), true);
+const bool kLoggerIsSilent = (spdlog::set_level(spdlog::level::off), Log("store"), true);
 
 const boost::asio::ip::tcp::endpoint kAnyPort(boost::asio::ip::address_v4::loopback(), 0);
 
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -307,7 +307,9 @@
 // Guards against shedding by one upstream's level, by a stale level, or differently at two hops.
 TEST(Router, ShedsByTheMedianOfFreshLevels)
 {
-  Start({ 5 });
+  RoutingPolicy policy = Policy();
+  policy.mShedLevelFresh = 2s;
+  Start({ 5 }, policy);
   CHECK_FALSE(mRouter->ShouldShed(kService, RankIndex{ 0 }, 0));
   mRouter->OnShedLevel(kService, UpstreamId{ 0 }, 8 * kShedCohorts);
   mRouter->OnShedLevel(kService, UpstreamId{ 1 }, kShedCohorts + kShedCohorts / 4);
--- a/packages/store/tests/etcd_store_test.cpp
+++ b/packages/store/tests/etcd_store_test.cpp
@@ -2,6 +2,8 @@
 #include "balsammount/fake_store.h"
 #include "balsammount/store_standin.h"
 
+#include "balsammount/log.h"
+
 #include <spdlog/spdlog.h>
 
 #include <CppUTest/TestHarness.h>
@@ -13,7 +15,7 @@
 namespace {
 
 // The logger is made before the first test, whose leak check would report it, and stays silent.
-const bool kLoggerIsSilent = (spdlog::set_level(spdlog::level::off), true);
+const bool kLoggerIsSilent = (spdlog::set_level(spdlog::level::off), Log("store"), true);
 
 const tcp::endpoint kAnyPort(boost::asio::ip::address_v4::loopback(), 0);
 
