Move endpoint parsing, listening and finished calls to one place

Cause: five parsers of ADDRESS:PORT, two copies of the listening code and three classes for a call that is already answered. Change: transport/endpoint.h and FinishedCall; the callers use them. Conclusion: one definition each.

--- a/packages/ctl/src/blocking_store.cpp
+++ b/packages/ctl/src/blocking_store.cpp
@@ -1,37 +1,14 @@
 #include "balsammount/blocking_store.h"
 
+#include "balsammount/endpoint.h"
 #include "balsammount/etcd_store.h"
 
-#include <charconv>
 #include <sstream>
 
 namespace balsammount {
 
 namespace {
 
-using boost::asio::ip::tcp;
-
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& aText)
-{
-  const size_t colon = aText.rfind(':');
-  if (colon == std::string::npos || colon == 0) {
-    return std::nullopt;
-  }
-  std::string host = aText.substr(0, colon);
-  if (host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(host, error);
-  uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
-  if (error || parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, port);
-}
-
 // What an open store consists of; the store goes before its event loop.
 struct StoreSession
 {
@@ -89,7 +66,7 @@
   std::istringstream stream(aEndpoints);
   for (std::string text; std::getline(stream, text, ',');) {
     const auto endpoint = ParseEndpoint(text);
-    if (!endpoint) {
+    if (!endpoint || endpoint->port() == 0) {
       return Failure{ std::make_error_code(std::errc::invalid_argument),
                       "expected IP:PORT for the store, got \"" + text + "\"" };
     }
--- a/packages/ctl/src/node_query.cpp
+++ b/packages/ctl/src/node_query.cpp
@@ -1,11 +1,10 @@
 #include "node_query.h"
 
+#include "balsammount/endpoint.h"
 #include "balsammount/http_client.h"
 
 #include <boost/asio/io_context.hpp>
 
-#include <charconv>
-
 namespace balsammount::detail {
 
 namespace {
@@ -14,26 +13,9 @@
 
 constexpr auto kNodeTimeout = 5s;
 
-// ADDRESS:PORT of an admin listener.
-Result<boost::asio::ip::tcp::endpoint> ParseNode(const std::string& aText)
-{
-  const size_t colon = aText.rfind(':');
-  const std::string portText = colon == std::string::npos ? "" : aText.substr(colon + 1);
-  uint16_t port = 0;
-  const auto [end, portError] =
-    std::from_chars(portText.data(), portText.data() + portText.size(), port);
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(aText.substr(0, colon), error);
-  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
-    return Failure{ make_error_code(std::errc::invalid_argument),
-                    "\"" + aText + "\" is not ADDRESS:PORT of a node's admin listener" };
-  }
-  return boost::asio::ip::tcp::endpoint(address, port);
-}
-
 Result<HttpResponse> Ask(const std::string& aNode, HttpRequest aRequest)
 {
-  const auto endpoint = ParseNode(aNode);
+  const auto endpoint = ParseEndpoint(aNode);
   if (!endpoint) {
     return endpoint.error();
   }
--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -48,9 +48,6 @@
   bool operator==(const NodeSettings&) const = default;
 };
 
-// "ADDRESS:PORT" or "[IPV6]:PORT"; names are not resolved.
-Result<boost::asio::ip::tcp::endpoint> ParseEndpoint(std::string_view aText);
-
 // Reads JSON with comments. The detail of a failure names the setting and what was expected.
 Result<NodeSettings> ParseNodeSettings(std::string_view aText);
 Result<NodeSettings> ReadNodeSettings(const std::string& aPath);
--- a/packages/node/src/local_target.cpp
+++ b/packages/node/src/local_target.cpp
@@ -2,28 +2,18 @@
 
 namespace balsammount {
 
-namespace {
-
-class NoCall final : public Call
-{
-public:
-  void Cancel() override {}
-};
-
-} // namespace
-
 std::shared_ptr<Call> LocalTarget::Handle(CallContext aContext, HttpRequest aRequest,
                                           RequestBudget aBudget, AnswerCallback aCallback)
 {
   if (aContext.mService != mService) {
     // The sender has an outdated record of this node.
     aCallback(Refused(CallReason::Unavailable, std::move(aBudget)));
-    return std::make_shared<NoCall>();
+    return FinishedCall();
   }
   if (mQuarantine.IsQuarantined(aContext.mFingerprint)) {
     aCallback(Refused(CallReason::Quarantined, std::move(aBudget),
                       mQuarantine.RetryAfter(aContext.mFingerprint)));
-    return std::make_shared<NoCall>();
+    return FinishedCall();
   }
   if (!aContext.mKey.empty() && !aContext.mIdempotent) {
     return mOwner.Handle(std::move(aContext), std::move(aRequest), std::move(aBudget),
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -2,6 +2,7 @@
 
 #include "store_keys.h"
 
+#include "balsammount/endpoint.h"
 #include "balsammount/log.h"
 
 #include <algorithm>
@@ -29,19 +30,11 @@
 constexpr auto kConfigCheck = 250ms;
 constexpr auto kConfigFetchTimeout = 2s;
 
-// Gossip counts datagrams up to this size; larger ones are dropped by the core.
 std::string ContactKey(size_t aSlot)
 {
   return kContactsPrefix + std::to_string(aSlot);
 }
 
-std::string ToText(const asio::ip::tcp::endpoint& aEndpoint)
-{
-  const auto address = aEndpoint.address();
-  const std::string host = address.is_v6() ? "[" + address.to_string() + "]" : address.to_string();
-  return host + ":" + std::to_string(aEndpoint.port());
-}
-
 Endpoint ToCore(const asio::ip::tcp::endpoint& aEndpoint)
 {
   return { aEndpoint.address().to_string(), aEndpoint.port() };
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -1,9 +1,10 @@
 #include "balsammount/node_settings.h"
 
+#include "balsammount/endpoint.h"
+
 #include <nlohmann/json.hpp>
 
 #include <array>
-#include <charconv>
 #include <fstream>
 #include <functional>
 #include <iterator>
@@ -74,7 +75,7 @@
   }
   auto endpoint = ParseEndpoint(aValue.get_ref<const std::string&>());
   if (!endpoint) {
-    return Fail(SettingsError::BadAddress, aName, endpoint.error().mDetail);
+    return Fail(SettingsError::BadAddress, aName, Describe(endpoint.error()));
   }
   aTarget = *endpoint;
   return {};
@@ -120,31 +121,6 @@
   return { static_cast<int>(aError), sCategory };
 }
 
-Result<Endpoint> ParseEndpoint(std::string_view aText)
-{
-  const size_t colon = aText.rfind(':');
-  const Failure malformed{ SettingsError::BadAddress,
-                           "\"" + std::string(aText) +
-                             "\" is not ADDRESS:PORT with an IP address" };
-  if (colon == std::string_view::npos) {
-    return malformed;
-  }
-  std::string host(aText.substr(0, colon));
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  const std::string_view portText = aText.substr(colon + 1);
-  uint16_t port = 0;
-  const auto [end, portError] =
-    std::from_chars(portText.data(), portText.data() + portText.size(), port);
-  boost::system::error_code error;
-  const auto address = boost::asio::ip::make_address(host, error);
-  if (error || portError != std::errc() || end != portText.data() + portText.size()) {
-    return malformed;
-  }
-  return Endpoint(address, port);
-}
-
 Result<NodeSettings> ParseNodeSettings(std::string_view aText)
 {
   Json document;
--- a/packages/node/src/owner_service.cpp
+++ b/packages/node/src/owner_service.cpp
@@ -14,12 +14,6 @@
 // again, so that nodes with different tables do not pass a call in circles.
 constexpr std::string_view kForwarded = "bm-owner-hop";
 
-class NoCall final : public Call
-{
-public:
-  void Cancel() override {}
-};
-
 KeyRequest KeyOf(const CallContext& aContext)
 {
   return { std::to_string(aContext.mCallerHash), aContext.mKey, aContext.mFingerprint };
@@ -166,7 +160,7 @@
   }
   if (!owner || aRequest.mHeaders.Has(kForwarded)) {
     aCallback(Refused(CallReason::NoRight, std::move(aBudget), std::chrono::seconds(1)));
-    return std::make_shared<NoCall>();
+    return FinishedCall();
   }
   const SteadyTime now = mClock.Now();
   // What the owner says about its own load and leaving does not hold for this node.
@@ -189,7 +183,7 @@
     const bool mismatch = begun.error().mCode == OwnershipError::FingerprintMismatch;
     aCallback(
       Refused(mismatch ? CallReason::KeyMismatch : CallReason::KeyMemoryFull, std::move(aBudget)));
-    return std::make_shared<NoCall>();
+    return FinishedCall();
   }
   switch (begun->mDecision) {
     case BeginDecision::Execute: {
@@ -217,7 +211,7 @@
       aCallback(Refused(CallReason::KeyMemoryFull, std::move(aBudget), std::chrono::seconds(1)));
       break;
   }
-  return std::make_shared<NoCall>();
+  return FinishedCall();
 }
 
 std::shared_ptr<Call> OwnerService::Join(const KeyRequest& aRequest, KeyMemory::WaiterId aWaiter,
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -2,16 +2,6 @@
 
 namespace balsammount {
 
-namespace {
-
-class NoCall final : public Call
-{
-public:
-  void Cancel() override {}
-};
-
-} // namespace
-
 Answer AnswerOfFailure(const std::error_code& aError, RequestBudget aBudget)
 {
   if (ProvesNotRun(aError)) {
@@ -69,7 +59,7 @@
   const auto found = mPeers.find(aNodeId);
   if (found == mPeers.end() || aTimeout <= Duration::zero()) {
     aCallback(Failure{ TransportError::ConnectFailed, aNodeId });
-    return std::make_shared<NoCall>();
+    return FinishedCall();
   }
   // The client must outlive its calls, even when the peer is removed meanwhile.
   auto client = found->second.mClient;
--- a/packages/transport/include/balsammount/exchange.h
+++ b/packages/transport/include/balsammount/exchange.h
@@ -18,6 +18,7 @@
   Cancelled,
   TooLarge,
   ListenFailed,
+  BadAddress,
 };
 
 std::error_code make_error_code(TransportError aError);
@@ -50,6 +51,9 @@
   virtual void Cancel() = 0;
 };
 
+// The handle of a call that has been answered already; cancelling it has no effect.
+std::shared_ptr<Call> FinishedCall();
+
 } // namespace balsammount
 
 template <>
--- a/packages/transport/src/exchange.cpp
+++ b/packages/transport/src/exchange.cpp
@@ -6,7 +6,7 @@
 
 std::error_code make_error_code(TransportError aError)
 {
-  static constexpr std::array<const char*, 8> kMessages = {
+  static constexpr std::array<const char*, 9> kMessages = {
     "success",
     "connection failed",
     "request not processed by the peer",
@@ -15,11 +15,23 @@
     "cancelled",
     "message too large",
     "cannot listen",
+    "expected ADDRESS:PORT with an IP address",
   };
   static const EnumCategory sCategory("balsammount.transport", kMessages);
   return { static_cast<int>(aError), sCategory };
 }
 
+std::shared_ptr<Call> FinishedCall()
+{
+  class Finished final : public Call
+  {
+  public:
+    void Cancel() override {}
+  };
+  static const auto sCall = std::make_shared<Finished>();
+  return sCall;
+}
+
 bool ProvesNotRun(const std::error_code& aError)
 {
   return aError == TransportError::ConnectFailed || aError == TransportError::NotProcessed;
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,5 +1,7 @@
 #include "balsammount/http_server.h"
 
+#include "balsammount/endpoint.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -456,22 +458,10 @@
 
 Result<void> HttpServer::Start()
 {
-  beast::error_code error;
-  tcp::acceptor& acceptor = mState->mAcceptor;
-  acceptor.open(mState->mEndpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(mState->mEndpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Failure{ TransportError::ListenFailed, mState->mEndpoint.address().to_string() + ":" +
-                                                    std::to_string(mState->mEndpoint.port()) +
-                                                    ": " + error.message() };
+  if (auto result = Listen(mState->mAcceptor, mState->mEndpoint); !result) {
+    return result;
   }
-  asio::co_spawn(acceptor.get_executor(), State::Accept(mState), asio::detached);
+  asio::co_spawn(mState->mAcceptor.get_executor(), State::Accept(mState), asio::detached);
   return {};
 }
 
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -1,5 +1,6 @@
 #include "balsammount/peer_server.h"
 
+#include "balsammount/endpoint.h"
 #include "h2_connection.h"
 
 #include <boost/asio/post.hpp>
@@ -281,20 +282,8 @@
 
 Result<void> PeerServer::Start()
 {
-  boost::system::error_code error;
-  tcp::acceptor& acceptor = mState->mAcceptor;
-  acceptor.open(mState->mEndpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(asio::socket_base::reuse_address(true), error);
-    acceptor.bind(mState->mEndpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Failure{ TransportError::ListenFailed, mState->mEndpoint.address().to_string() + ":" +
-                                                    std::to_string(mState->mEndpoint.port()) +
-                                                    ": " + error.message() };
+  if (auto result = Listen(mState->mAcceptor, mState->mEndpoint); !result) {
+    return result;
   }
   mState->Accept();
   return {};
--- a/testing/backend/src/main.cpp
+++ b/testing/backend/src/main.cpp
@@ -22,7 +22,7 @@
 BackendSettings ParseSettings(const po::variables_map& aValues)
 {
   BackendSettings settings;
-  settings.mListen = ParseEndpoint(aValues["listen"].as<std::string>());
+  settings.mListen = ParseAddressOption(aValues["listen"].as<std::string>());
   settings.mName = aValues["name"].as<std::string>();
   settings.mSlots = aValues["slots"].as<size_t>();
   settings.mServiceTime = std::chrono::duration_cast<std::chrono::microseconds>(
@@ -32,7 +32,7 @@
   settings.mColdStart = std::chrono::milliseconds(aValues["cold-start-ms"].as<int64_t>());
   settings.mCalls = SplitList(aValues["calls"].as<std::string>());
   if (aValues.contains("egress")) {
-    settings.mEgress = ParseEndpoint(aValues["egress"].as<std::string>());
+    settings.mEgress = ParseAddressOption(aValues["egress"].as<std::string>());
   }
   if (!settings.mCalls.empty() && !settings.mEgress) {
     throw po::error("--calls needs --egress");
--- a/testing/load/src/main.cpp
+++ b/testing/load/src/main.cpp
@@ -13,7 +13,7 @@
   LoadSettings settings;
   for (const std::string& list : aValues["target"].as<std::vector<std::string>>()) {
     for (const std::string& target : SplitList(list)) {
-      settings.mTargets.push_back(ParseEndpoint(target));
+      settings.mTargets.push_back(ParseAddressOption(target));
     }
   }
   try {
--- a/testing/store/src/main.cpp
+++ b/testing/store/src/main.cpp
@@ -15,7 +15,7 @@
   return RunProgram(aCount, aArguments, options,
                     [&](boost::asio::io_context& aContext,
                         const po::variables_map& aValues) -> Result<std::shared_ptr<void>> {
-                      const auto endpoint = ParseEndpoint(aValues["listen"].as<std::string>());
+                      const auto endpoint = ParseAddressOption(aValues["listen"].as<std::string>());
                       auto standin = std::make_shared<StoreStandin>(aContext, endpoint, clock);
                       if (auto started = standin->Start(); !started) {
                         return started.error();
--- a/testing/support/include/balsammount/test_program.h
+++ b/testing/support/include/balsammount/test_program.h
@@ -15,7 +15,7 @@
 namespace balsammount {
 
 // Reads IP:PORT or [IPv6]:PORT. Throws boost::program_options::error.
-boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& aText);
+boost::asio::ip::tcp::endpoint ParseAddressOption(const std::string& aText);
 
 std::vector<std::string> SplitList(const std::string& aText, char aSeparator = ',');
 
--- a/testing/support/src/test_program.cpp
+++ b/testing/support/src/test_program.cpp
@@ -1,8 +1,9 @@
 #include "balsammount/test_program.h"
 
+#include "balsammount/endpoint.h"
+
 #include <boost/asio/signal_set.hpp>
 
-#include <charconv>
 #include <csignal>
 #include <iostream>
 #include <sstream>
@@ -12,25 +13,13 @@
 namespace asio = boost::asio;
 namespace po = boost::program_options;
 
-asio::ip::tcp::endpoint ParseEndpoint(const std::string& aText)
+asio::ip::tcp::endpoint ParseAddressOption(const std::string& aText)
 {
-  const size_t colon = aText.rfind(':');
-  if (colon == std::string::npos) {
-    throw po::error("not IP:PORT: " + aText);
-  }
-  std::string host = aText.substr(0, colon);
-  if (host.size() > 1 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  boost::system::error_code error;
-  const auto address = asio::ip::make_address(host, error);
-  uint16_t port = 0;
-  const char* end = aText.data() + aText.size();
-  const auto [rest, portError] = std::from_chars(aText.data() + colon + 1, end, port);
-  if (error || portError != std::errc() || rest != end) {
-    throw po::error("not IP:PORT: " + aText);
+  const auto endpoint = ParseEndpoint(aText);
+  if (!endpoint) {
+    throw po::error(Describe(endpoint.error()));
   }
-  return { address, port };
+  return *endpoint;
 }
 
 std::vector<std::string> SplitList(const std::string& aText, char aSeparator)
