--- a/testing/scenario/scenarios/stale_owner.lua
+++ b/testing/scenario/scenarios/stale_owner.lua
@@ -32,6 +32,10 @@
 
 wait{"every shard is served", at_most = 90, when = function() return all_served(1, new_keys(200)) end}
 for round = 1, 2 do
+  -- Without shards of its own the node would have nothing that it could run wrongly.
+  wait{"the first node owns shards", at_most = 90, when = function()
+    return state(orders.nodes[1]).ownership.shards > 0
+  end}
   freeze(orders.nodes[1])
   wait{"the others took over every shard", at_most = 90, when = function()
     pause(0.5)
