--- a/packages/membership/bench/membership_bench.cpp
+++ b/packages/membership/bench/membership_bench.cpp
@@ -215,7 +215,7 @@
   std::printf("%zu nodes\n  all see all after                  %7.2f s from a common start\n",
               aNodes, joined);
   Print("while joining", joining);
-  net.Run(30s);
+  net.Run(120s);
   net.ForgetEvents();
   Print("steady, no loss, 60 s", Measure(net, [&] { net.Run(60s); }));
   net.mFaults.mLoss = 0.05;
