Clear early voter sets, settle the listener in a drain

The first tables list one or two voters; such a set was asked for its release only when a shard waited, so it was still listed when its only voter was lost. Ruled out: the wait of W and the proposer's delay, which are seconds. Change: the first proposer clears every earlier set that differs from the voters. In a drain the caller listener stops 100 ms before the process may end.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -19,6 +19,7 @@
 #include "balsammount/http_server.h"
 #include "balsammount/peer_server.h"
 
+#include <optional>
 #include <random>
 
 namespace balsammount {
@@ -37,6 +38,10 @@
 // leaves before they meet a closed port.
 constexpr auto kMinDrain = 1000ms;
 
+// After the caller listener has stopped, requests that were on their way are still served for this
+// long.
+constexpr auto kListenerSettle = 100ms;
+
 EtcdStoreSettings StoreSettings(const NodeSettings& aSettings, Random& aRandom)
 {
   EtcdStoreSettings settings;
@@ -107,6 +112,7 @@
   std::function<void()> mOnDrained;
   std::function<void()> mOnDrainRequest = [] {};
   SteadyTime mDrainStarted{};
+  std::optional<SteadyTime> mListenerStopped;
   bool mBackendLeaving = false;
 };
 
@@ -197,12 +203,14 @@
     mExecutor->SetDraining(true);
   }
   const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 && mOwner->Drained();
-  if (waited >= kMinDrain) {
+  if (waited >= kMinDrain && !mListenerStopped) {
     // Connections of callers close with their next answer, before the process ends.
     mCallerListener->Stop();
+    mListenerStopped = mClock.Now();
   }
   const bool expired = waited >= std::chrono::seconds(mSettings.mDrainSeconds);
-  if ((idle && waited >= kMinDrain) || expired) {
+  const bool settled = mListenerStopped && mClock.Now() - *mListenerStopped >= kListenerSettle;
+  if ((idle && settled) || expired) {
     Log("node").info("drained after {} ms with {} requests left",
                      std::chrono::duration_cast<std::chrono::milliseconds>(waited).count(),
                      mExecutor->Pending() + mGateway->Pending());
--- a/packages/ownership/src/ownership_core.cpp
+++ b/packages/ownership/src/ownership_core.cpp
@@ -564,10 +564,15 @@
   const bool acquiring = std::ranges::any_of(mShards, [](const Shard& aShard) {
     return aShard.mHolding == Holding::Acquiring && !aShard.mReady;
   });
-  if ((!acquiring && mTable->mEarlier.size() < 2) || !Due(mNextRelease)) {
+  // The first tables of a service list few voters. Until such a set is dropped, the loss of one of
+  // its voters blocks every takeover, so it is cleared even when no shard waits for it.
+  const bool pending = std::ranges::any_of(mTable->mEarlier, [this](const EarlierVoters& aSet) {
+    return aSet.mVoters != mTable->mVoters;
+  });
+  if ((!acquiring && !pending) || !Due(mNextRelease)) {
     return;
   }
-  mNextRelease = mClock.Now() + (acquiring ? mPolicy.mAskPeriod : mPolicy.mAskPeriod * 10);
+  mNextRelease = mClock.Now() + mPolicy.mAskPeriod;
   Due(mNextRelease);
   // The first proposer clears the list, or it would fill up and stop changes of the voters.
   if (!acquiring && ProposerDelay() != Duration(0)) {
