Tell the nodes of a service about a server's death at once

Cause: evidence of a crash travelled by gossip every 500 ms, while callers resend sooner; a refused connection to the backend server was probed again only after 1 s. Change: up to 16 nodes of the service are told directly; a refused connection is probed at once; a node reports another process with its id.

--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -195,6 +195,7 @@
     answer.mBudget = std::move(budget);
   } else if (ProvesNotRun(aResult.error().mCode)) {
     SetAvailable(false);
+    ProbeBackend();
     answer = Refused(CallReason::Unavailable, std::move(budget));
   } else if (aResult.error().mCode == TransportError::TimedOut) {
     answer = Unknown(CallReason::Deadline, std::move(budget));
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -29,8 +29,6 @@
   size_t Pending() const { return mPending; }
 
 private:
-  struct Entry;
-
   // Fills in the context of a request that starts a call chain; nothing when it was answered.
   std::optional<CallContext> EntryContext(Exchange& aExchange, std::string_view aCaller);
   void HandleEntry(const std::shared_ptr<Exchange>& aExchange, std::string_view aCaller);
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -182,6 +182,11 @@
 
 void MemberService::ApplyEvents()
 {
+  if (mCore.Superseded() && !mReportedSuperseded) {
+    mReportedSuperseded = true;
+    Log("members").error("another process with the id {} and a later start is in the fleet",
+                         mSettings.mNodeId);
+  }
   const auto events = mCore.TakeEvents();
   bool ownService = false;
   for (const MemberEvent& event : events) {
--- a/packages/node/src/member_service.h
+++ b/packages/node/src/member_service.h
@@ -46,8 +46,6 @@
   const Membership& Core() const { return mCore; }
 
 private:
-  struct Contacts;
-
   void Receive();
   void OnDatagram(size_t aSize);
   void Run(const std::vector<Datagram>& aDatagrams);
@@ -78,6 +76,7 @@
   std::vector<Endpoint> mContacts;
   LeaseId mContactLease = kNoLease; // of the contact record that this node holds
   std::shared_ptr<Call> mFetch;     // configuration on its way from a peer
+  bool mReportedSuperseded = false;
   bool mStopped = false;
 };
 
--- a/packages/node/src/quarantine_service.cpp
+++ b/packages/node/src/quarantine_service.cpp
@@ -14,6 +14,8 @@
 constexpr auto kExchangeInterval = 500ms;
 constexpr auto kMessageTimeout = 2000ms;
 constexpr size_t kFanout = 3;
+// Nodes of the same service that hear of a death directly; gossip reaches the others.
+constexpr size_t kDirectPeers = 16;
 constexpr size_t kMaxGossipBytes = 4096;
 
 constexpr const char* kTarget = "/balsammount/quarantine";
@@ -30,6 +32,7 @@
   : mRandom(aRandom)
   , mPeers(aPeers)
   , mSelf(aSettings.mNodeId)
+  , mService(aSettings.mService)
   , mCore(aClock, Hash64(aSettings.mNodeId), {})
   , mTimer(aContext)
 {
@@ -91,6 +94,18 @@
 {
   const size_t suspects = mCore.OnServerDeath();
   Log("quarantine").warn("the backend server died with {} requests in flight", suspects);
+  if (suspects == 0 || !mMembers) {
+    return;
+  }
+  // A caller may resend sooner than gossip spreads, so the nodes that could run it are told at
+  // once.
+  size_t told = 0;
+  for (const MemberRecord& member : mMembers->Members()) {
+    if (member.mService == mService && member.mId != mSelf && told < kDirectPeers) {
+      SendTo(member.mId, EncodeAll());
+      ++told;
+    }
+  }
 }
 
 void QuarantineService::Exchange()
--- a/packages/node/src/quarantine_service.h
+++ b/packages/node/src/quarantine_service.h
@@ -49,6 +49,7 @@
   Random& mRandom;
   Peers& mPeers;
   std::string mSelf;
+  std::string mService;
   Quarantine mCore;
   const Membership* mMembers = nullptr;
   boost::asio::steady_timer mTimer;
