Route around suspected members

Cause: a frozen node kept getting requests until its connections failed or it was declared dead. Change: suspects get no requests unless more than a third of the service is suspected.

--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -216,7 +216,7 @@
       mUsers.mPeers.Remove(aRecord.mId);
     }
   }
-  if (aAlive && aRecord.mAvailable) {
+  if (aAlive && IsRoutable(aRecord)) {
     mUsers.mUpstreams.Upsert({ aRecord.mId, aRecord.mService, aRecord.mDataCentre,
                                static_cast<uint64_t>(aRecord.mStartMs), aRecord.mLeaving });
   } else {
@@ -224,6 +224,24 @@
   }
 }
 
+// A suspect gets no requests unless more than a third of its service is suspected: then the fault
+// is more likely on this side, and the upstreams' own failures decide.
+bool MemberService::IsRoutable(const MemberRecord& aRecord) const
+{
+  if (!aRecord.mAvailable || aRecord.mState != MemberState::Suspect) {
+    return aRecord.mAvailable;
+  }
+  size_t members = 0;
+  size_t suspects = 0;
+  for (const MemberRecord& record : mCore.Members()) {
+    if (record.mService == aRecord.mService && record.mAvailable) {
+      ++members;
+      suspects += record.mState == MemberState::Suspect;
+    }
+  }
+  return suspects * 3 > members;
+}
+
 void MemberService::ApplyOwnershipMembers()
 {
   std::vector<OwnershipMember> members;
--- a/packages/node/src/member_service.h
+++ b/packages/node/src/member_service.h
@@ -52,6 +52,7 @@
   void Send(const Datagram& aDatagram);
   void ApplyEvents();
   void ApplyRecord(const MemberRecord& aRecord, bool aAlive);
+  bool IsRoutable(const MemberRecord& aRecord) const;
   void ApplyOwnershipMembers();
   void ArmTimer();
   void FollowConfig();
