Use one limit of bodies on every hop

Cause: the caller listener took 8 MB, the streams between nodes 1 MB, so a body in between was refused by the second hop; the configuration allowed 1 GB. Change: kMaxBodyBytes (8 MB) for all listeners and clients, and as the upper bound of max_body_bytes; a response that is too large has its own reason. Conclusion: what the entry takes, every hop carries.

--- a/packages/config/src/settings.h
+++ b/packages/config/src/settings.h
@@ -61,7 +61,7 @@
 // One hour bounds all times: none of them is meant to outlive a request.
 inline constexpr double kMaxMs = 3'600'000;
 inline constexpr double kMaxCount = 100'000;
-inline constexpr double kMaxBody = 1'073'741'824;
+inline constexpr double kMaxBody = 8'388'608; // what the transport carries
 inline constexpr double kMaxPaths = 64;
 
 inline constexpr Setting<ServicePolicy> kServiceSettings[] = {
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -18,14 +18,6 @@
 constexpr auto kProbeWhileDown = 100ms;
 constexpr auto kProbeWhileUp = 1000ms;
 
-HttpClientLimits BackendLimits()
-{
-  HttpClientLimits limits;
-  limits.mConnectTimeout = 1000ms;
-  limits.mMaxBodyBytes = 8 * 1024 * 1024;
-  return limits;
-}
-
 CallReason ReasonOf(RefusalReason aReason)
 {
   switch (aReason) {
@@ -88,7 +80,7 @@
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(aSettings)
-  , mBackend(aContext, aSettings.mBackend, BackendLimits())
+  , mBackend(aContext, aSettings.mBackend)
   , mAdmission(aClock, {})
   , mAdmissionTimer(aContext)
   , mProbeTimer(aContext)
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -118,14 +118,12 @@
 
 Result<void> Node::Parts::RegisterParts()
 {
-  HttpServerLimits callerLimits;
-  callerLimits.mMaxBodyBytes = 8 * 1024 * 1024;
   const auto gateway = mGateway;
   const auto admin = std::make_shared<Admin>(
     AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams, *mGateway, mMetrics, *mMembers,
                 *mOwner, *mQuarantine, [this] { mOnDrainRequest(); } });
   mCallerListener = std::make_shared<HttpServer>(
-    mContext, mSettings.mCallerListen, callerLimits,
+    mContext, mSettings.mCallerListen, HttpServerLimits{},
     [gateway](const std::shared_ptr<Exchange>& aExchange) { gateway->HandleCaller(aExchange); });
   const std::vector<std::pair<std::string, std::shared_ptr<Service>>> services = {
     { "config", mConfig },
@@ -141,7 +139,7 @@
         [this](const std::shared_ptr<Exchange>& aExchange) { mPeerHandler.Handle(aExchange); }) },
     { "egress-listener",
       std::make_shared<HttpServer>(
-        mContext, mSettings.mEgressListen, callerLimits,
+        mContext, mSettings.mEgressListen, HttpServerLimits{},
         [this](const std::shared_ptr<Exchange>& aExchange) { HandleEgress(aExchange); }) },
     { "caller-listener", mCallerListener },
     { "admin-listener",
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -7,6 +7,9 @@
   if (ProvesNotRun(aError)) {
     return Refused(CallReason::Unavailable, std::move(aBudget));
   }
+  if (aError == TransportError::TooLarge) {
+    return Unknown(CallReason::TooLarge, std::move(aBudget));
+  }
   const bool late = aError == TransportError::TimedOut;
   return Unknown(late ? CallReason::Deadline : CallReason::ConnectionLost, std::move(aBudget));
 }
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -17,7 +17,7 @@
   // Below the idle timeout of the servers: a request on a connection that its server closes at the
   // same moment ends as Lost.
   std::chrono::milliseconds mMaxIdleTime{ 30'000 };
-  size_t mMaxBodyBytes = 1024 * 1024;
+  size_t mMaxBodyBytes = kMaxBodyBytes;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
 };
 
--- a/packages/transport/include/balsammount/http_message.h
+++ b/packages/transport/include/balsammount/http_message.h
@@ -1,12 +1,17 @@
 // HTTP messages with whole bodies, shared by the HTTP/1.1 and HTTP/2 sides.
 #pragma once
 
+#include <cstddef>
 #include <string>
 #include <string_view>
 #include <vector>
 
 namespace balsammount {
 
+// Largest body that the listeners and clients of a node take, in either direction. One limit for
+// every hop: a body that one hop takes must not be refused by the next.
+inline constexpr size_t kMaxBodyBytes = 8 * 1024 * 1024;
+
 struct Header
 {
   std::string mName;
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -15,7 +15,7 @@
 struct HttpServerLimits
 {
   size_t mMaxHeaderBytes = 16 * 1024;
-  size_t mMaxBodyBytes = 1024 * 1024;
+  size_t mMaxBodyBytes = kMaxBodyBytes;
   size_t mMaxConnections = 2000;                    // more are answered with 503 not-run and closed
   std::chrono::milliseconds mIdleTimeout{ 60'000 }; // between requests of a connection
   std::chrono::milliseconds mReadTimeout{ 10'000 }; // from the first byte to the whole request
--- a/packages/transport/include/balsammount/peer_client.h
+++ b/packages/transport/include/balsammount/peer_client.h
@@ -18,7 +18,7 @@
   std::chrono::milliseconds mConnectTimeout{ 500 };
   std::chrono::milliseconds mPingAfter{ 200 };
   std::chrono::milliseconds mPingTimeout{ 500 };
-  size_t mMaxBodyBytes = 1024 * 1024;
+  size_t mMaxBodyBytes = kMaxBodyBytes;
 };
 
 class PeerClient
--- a/packages/transport/include/balsammount/peer_server.h
+++ b/packages/transport/include/balsammount/peer_server.h
@@ -15,7 +15,7 @@
 struct PeerServerLimits
 {
   uint32_t mMaxConcurrentStreams = 2000; // per connection
-  size_t mMaxBodyBytes = 1024 * 1024;
+  size_t mMaxBodyBytes = kMaxBodyBytes;
   size_t mMaxHeaderBytes = 32 * 1024;
 };
 
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -82,6 +82,19 @@
   CHECK_EQUAL(200, good);
 }
 
+// Guards against a hop that refuses a body which the entry has taken.
+TEST(Peer, CarriesTheLargestBody)
+{
+  const auto server = MakeServer(Echo);
+  PeerClient client(mContext, EndpointOf(*server));
+  const std::string body(kMaxBodyBytes, 'x');
+  std::optional<Result<HttpResponse>> result;
+  client.Send(Post(body), 20s, [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+  RunUntil([&] { return result.has_value(); });
+  CHECK(result->has_value());
+  CHECK(result->value().mBody == body);
+}
+
 // Guards against reporting a request as possibly run when nothing was sent.
 TEST(Peer, ConnectFailureProvesNotRun)
 {
