Order includes: own header, package headers, public headers

Cause: the move of the logger to its own package left its include among local headers. Change: include order only. Conclusion: done.

--- a/packages/config/src/settings.h
+++ b/packages/config/src/settings.h
@@ -2,9 +2,10 @@
 // and printed.
 #pragma once
 
-#include "balsammount/config.h"
 #include "json_tree.h"
 
+#include "balsammount/config.h"
+
 #include <nlohmann/json.hpp>
 
 #include <optional>
--- a/packages/ctl/src/node_commands.cpp
+++ b/packages/ctl/src/node_commands.cpp
@@ -1,6 +1,7 @@
 // Commands that ask a running node through its admin listener.
 
 #include "balsammount/ctl.h"
+
 #include "node_query.h"
 
 #include <iomanip>
--- a/packages/ctl/src/sync_commands.cpp
+++ b/packages/ctl/src/sync_commands.cpp
@@ -1,4 +1,5 @@
 #include "node_query.h"
+
 #include "output.h"
 #include "work_folder.h"
 
--- a/packages/ctl/tests/ctl_test.cpp
+++ b/packages/ctl/tests/ctl_test.cpp
@@ -1,8 +1,7 @@
 #include "balsammount/ctl.h"
 #include "balsammount/etcd_store.h"
-#include "balsammount/store_standin.h"
-
 #include "balsammount/log.h"
+#include "balsammount/store_standin.h"
 #include <nlohmann/json.hpp>
 
 #include <spdlog/spdlog.h>
--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -1,11 +1,12 @@
 #include "balsammount/membership.h"
 
-#include "balsammount/hash.h"
 #include "gossip_queue.h"
 #include "suspicion.h"
 #include "token_bucket.h"
 #include "wire.h"
 
+#include "balsammount/hash.h"
+
 #include <algorithm>
 #include <array>
 #include <deque>
--- a/packages/node/src/config_service.cpp
+++ b/packages/node/src/config_service.cpp
@@ -1,8 +1,9 @@
 #include "config_service.h"
 
-#include "balsammount/log.h"
 #include "store_keys.h"
 
+#include "balsammount/log.h"
+
 namespace balsammount {
 
 using namespace std::chrono_literals;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -1,8 +1,7 @@
 #include "gateway.h"
 
-#include "balsammount/log.h"
-
 #include "balsammount/hash.h"
+#include "balsammount/log.h"
 
 #include <algorithm>
 #include <charconv>
--- a/packages/node/src/main.cpp
+++ b/packages/node/src/main.cpp
@@ -1,6 +1,7 @@
 // balsammountd: the node that runs beside a backend server.
 
 #include "balsammount/log.h"
+
 #include "balsammount/node.h"
 
 #include <boost/asio/io_context.hpp>
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -1,7 +1,6 @@
 #include "balsammount/node.h"
 
 #include "admin.h"
-#include "balsammount/log.h"
 #include "config_service.h"
 #include "executor.h"
 #include "forwarder.h"
@@ -17,6 +16,7 @@
 
 #include "balsammount/etcd_store.h"
 #include "balsammount/http_server.h"
+#include "balsammount/log.h"
 #include "balsammount/peer_server.h"
 
 #include <optional>
--- a/packages/node/src/owner_service.cpp
+++ b/packages/node/src/owner_service.cpp
@@ -1,8 +1,9 @@
 #include "owner_service.h"
 
-#include "balsammount/log.h"
 #include "store_keys.h"
 
+#include "balsammount/log.h"
+
 namespace balsammount {
 
 namespace {
--- a/packages/ownership/src/ownership_core.cpp
+++ b/packages/ownership/src/ownership_core.cpp
@@ -1,4 +1,5 @@
 #include "balsammount/hash.h"
+
 #include "balsammount/ownership.h"
 
 #include <algorithm>
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -1,9 +1,10 @@
 #include "balsammount/etcd_store.h"
 
+#include "etcd_json.h"
+
 #include "balsammount/http_client.h"
 #include "balsammount/log.h"
 #include "balsammount/random.h"
-#include "etcd_json.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
--- a/packages/store/tests/etcd_store_test.cpp
+++ b/packages/store/tests/etcd_store_test.cpp
@@ -1,8 +1,7 @@
 #include "balsammount/etcd_store.h"
 #include "balsammount/fake_store.h"
-#include "balsammount/store_standin.h"
-
 #include "balsammount/log.h"
+#include "balsammount/store_standin.h"
 
 #include <spdlog/spdlog.h>
 
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -1,8 +1,9 @@
 #include "balsammount/peer_server.h"
 
-#include "balsammount/endpoint.h"
 #include "h2_connection.h"
 
+#include "balsammount/endpoint.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
--- a/testing/backend/src/main.cpp
+++ b/testing/backend/src/main.cpp
@@ -1,4 +1,5 @@
 #include "balsammount/backend_standin.h"
+
 #include "balsammount/test_program.h"
 
 #include <iostream>
--- a/testing/load/src/main.cpp
+++ b/testing/load/src/main.cpp
@@ -1,4 +1,5 @@
 #include "balsammount/load_generator.h"
+
 #include "balsammount/test_program.h"
 
 #include <iostream>
--- a/testing/scenario/src/cluster_control.cpp
+++ b/testing/scenario/src/cluster_control.cpp
@@ -1,10 +1,12 @@
 // Requests to the processes of the cluster: callers' calls, control pages, the store, the load.
 
 #include "balsammount/clock.h"
+
+#include "member.h"
+
 #include "balsammount/cluster.h"
 #include "balsammount/config_revision.h"
 #include "balsammount/etcd_store.h"
-#include "member.h"
 
 #include <fstream>
 
--- a/testing/store/src/main.cpp
+++ b/testing/store/src/main.cpp
@@ -1,4 +1,5 @@
 #include "balsammount/store_standin.h"
+
 #include "balsammount/test_program.h"
 
 #include <iostream>
