Export gauges of limit, queue, members, configuration and shards

Cause: the metrics had counters and latencies only; operators need the limit, the queue and the configuration revision. Change: nine gauges, read at each scrape. Conclusion: done.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -81,6 +81,7 @@
 
   Result<void> RegisterParts();
   void Wire();
+  void AddGauges();
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
   void CheckDrained();
 
@@ -172,6 +173,31 @@
     [this](uint32_t aLevel) { mExecutor->ReportDownstreamLevel(aLevel); });
 }
 
+void Node::Parts::AddGauges()
+{
+  const auto add = [this](const char* aName, const char* aHelp, std::function<double()> aRead) {
+    mMetrics.AddGauge(std::string("balsammount_") + aName, aHelp, std::move(aRead));
+  };
+  add("concurrency_limit", "Requests that may run on the backend server at the same time.",
+      [this] { return mExecutor->Admission().Limit(); });
+  add("requests_in_flight", "Requests on the backend server.",
+      [this] { return mExecutor->Admission().InFlight(); });
+  add("requests_queued", "Requests that wait for the backend server.",
+      [this] { return mExecutor->Admission().QueueLength(); });
+  add("shed_level", "Position on the scale of ranks and cohorts below which entries refuse.",
+      [this] { return mExecutor->Admission().ShedLevel(); });
+  add("members", "Nodes that are not dead, this one included.",
+      [this] { return static_cast<double>(mMembers->Core().Count()); });
+  add("config_revision", "Configuration revision in force.",
+      [this] { return static_cast<double>(mConfig->Holder().Revision()); });
+  add("config_age_seconds", "Time since the configuration in force was applied.",
+      [this] { return std::chrono::duration<double>(mConfig->Age()).count(); });
+  add("owned_shards", "Shards of idempotency keys in which this node may dispatch.",
+      [this] { return static_cast<double>(mOwner->OwnedShards()); });
+  add("key_records", "Recorded idempotency keys.",
+      [this] { return static_cast<double>(mOwner->Memory().Records()); });
+}
+
 // The backend server announces by POST that it is leaving, or that it takes work again. Everything
 // else on this listener is a call to another service.
 void Node::Parts::HandleEgress(const std::shared_ptr<Exchange>& aExchange)
@@ -233,6 +259,7 @@
 Result<void> Node::Start()
 {
   mParts->Wire();
+  mParts->AddGauges();
   if (auto result = mParts->RegisterParts(); !result) {
     return result;
   }
