--- a/packages/config/include/balsammount/config.h
+++ b/packages/config/include/balsammount/config.h
@@ -77,12 +77,51 @@
   bool operator==(const RankRule&) const = default;
 };
 
+// A service that takes a share of a route's requests.
+struct RouteTarget
+{
+  std::string mService;
+  uint32_t mWeight = 1; // relative to the other targets of the route; 0 takes nothing
+
+  bool operator==(const RouteTarget&) const = default;
+};
+
+// Requests of one host under one path prefix. Where a configuration has routes, they alone decide
+// about a request: its service, rank and limits.
+struct RoutePolicy
+{
+  std::string mName;
+  std::string mHost;   // compared without case
+  std::string mPrefix; // begins and ends with '/'; compared with the path as it was sent
+  std::vector<RouteTarget> mTargets;
+  std::string mRank;
+  bool mIdempotent = false;
+  uint32_t mAttempts = 1;               // backend servers that may get one request
+  std::chrono::milliseconds mTimeout{}; // a request waits no longer than this
+  std::chrono::milliseconds mTarget{};  // an answer within this time is in full use
+
+  bool operator==(const RoutePolicy&) const = default;
+};
+
+// What callers may send, and how long they may take.
+struct CallerLimits
+{
+  uint32_t mMaxHeaderBytes = 16 * 1024;
+  uint64_t mMaxBodyBytes = 8 * 1024 * 1024;
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 };
+  std::chrono::milliseconds mIdleTimeout{ 60'000 };
+
+  bool operator==(const CallerLimits&) const = default;
+};
+
 // The values from which a Config is made, in any order.
 struct ConfigValues
 {
   std::vector<ServicePolicy> mServices;
   std::vector<RankPolicy> mRanks;
   std::vector<RankRule> mRules;
+  std::vector<RoutePolicy> mRoutes{};
+  CallerLimits mCallerLimits{};
 
   bool operator==(const ConfigValues&) const = default;
 };
@@ -103,6 +142,14 @@
   // In the order in which they are matched: longest path prefix, a named method before "*", name.
   const std::vector<RankRule>& Rules() const { return mValues.mRules; }
 
+  // By name.
+  const std::vector<RoutePolicy>& Routes() const { return mValues.mRoutes; }
+  const CallerLimits& Limits() const { return mValues.mCallerLimits; }
+
+  // The route of a host with the longest prefix that begins the path; null when there is none. The
+  // host may carry a port, the path a query.
+  const RoutePolicy* FindRoute(std::string_view aHost, std::string_view aPath) const;
+
   // Null when there is none of that name.
   const ServicePolicy* FindService(std::string_view aName) const;
   const RankPolicy* FindRank(std::string_view aName) const;
@@ -123,6 +170,7 @@
 private:
   ConfigValues mValues;
   std::map<std::string, size_t, std::less<>> mServiceByPath;
+  std::map<std::string, std::vector<size_t>, std::less<>> mRoutesByHost; // longest prefix first
   std::vector<std::vector<RuleIndex>> mRulesByService;
 };
 
--- a/packages/config/include/balsammount/config_revision.h
+++ b/packages/config/include/balsammount/config_revision.h
@@ -4,6 +4,7 @@
 #include "balsammount/clock.h"
 #include "balsammount/config_folder.h"
 
+#include <functional>
 #include <optional>
 
 namespace balsammount {
@@ -131,26 +132,48 @@
   std::vector<Diagnostic> mDiagnostics; // RefusedInvalid: the files are not valid
 };
 
+// A configuration in force, as decoded from the value in the store.
+struct VersionedConfig
+{
+  uint64_t mRevision = 0; // from 1; a higher one is newer
+  std::shared_ptr<const Config> mConfig;
+};
+
+// Reads a value of another format than EncodeRevision's. Without it, values are ConfigRevision.
+using ConfigDecoder = std::function<Result<VersionedConfig>(std::string_view aBytes)>;
+
 // Keeps the last valid configuration of a node. The revision in force never decreases. Not
 // synchronised; the shared values it returns may be used from any thread.
 class ConfigHolder
 {
 public:
+  explicit ConfigHolder(ConfigDecoder aDecoder = nullptr)
+    : mDecoder(std::move(aDecoder))
+  {
+  }
+
   // Decides on a value from the store or a peer. aSource is kept for Source().
   OfferResult Offer(std::string_view aBytes, std::string_view aSource);
 
   // Null until a value has been applied.
   const std::shared_ptr<const Config>& Current() const { return mConfig; }
+  // Null also with a decoder.
   const std::shared_ptr<const ConfigRevision>& CurrentRevision() const { return mRevision; }
   // The bytes as they were offered, to be passed on to peers.
   const std::shared_ptr<const std::string>& Value() const { return mValue; }
 
   // 0 until a value has been applied.
-  uint64_t Revision() const { return mRevision ? mRevision->mRevision : 0; }
+  uint64_t Revision() const { return mNumber; }
   // Where the value in force came from.
   const std::string& Source() const { return mSource; }
 
 private:
+  OfferResult OfferDecoded(std::string_view aBytes, std::string_view aSource);
+  void Apply(uint64_t aRevision, std::shared_ptr<const Config> aConfig, std::string_view aBytes,
+             std::string_view aSource);
+
+  ConfigDecoder mDecoder;
+  uint64_t mNumber = 0;
   std::shared_ptr<const Config> mConfig;
   std::shared_ptr<const ConfigRevision> mRevision;
   std::shared_ptr<const std::string> mValue;
--- a/packages/config/src/config.cpp
+++ b/packages/config/src/config.cpp
@@ -25,6 +25,15 @@
   return key(aLeft) < key(aRight);
 }
 
+std::string LowerCase(std::string_view aText)
+{
+  std::string lower(aText);
+  std::ranges::transform(lower, lower.begin(), [](char aByte) {
+    return aByte >= 'A' && aByte <= 'Z' ? static_cast<char>(aByte - 'A' + 'a') : aByte;
+  });
+  return lower;
+}
+
 int HexDigit(char aByte)
 {
   if (aByte >= '0' && aByte <= '9') {
@@ -128,6 +137,14 @@
       mServiceByPath.emplace(path, i);
     }
   }
+  std::ranges::sort(mValues.mRoutes, {}, &RoutePolicy::mName);
+  for (size_t i = 0; i < mValues.mRoutes.size(); ++i) {
+    mRoutesByHost[LowerCase(mValues.mRoutes[i].mHost)].push_back(i);
+  }
+  for (auto& [host, routes] : mRoutesByHost) {
+    std::ranges::sort(routes, std::greater<>(),
+                      [this](size_t aRoute) { return mValues.mRoutes[aRoute].mPrefix.size(); });
+  }
   for (size_t i = 0; i < mValues.mRules.size(); ++i) {
     const ServicePolicy* service = FindService(mValues.mRules[i].mService);
     const RankPolicy* rank = FindRank(mValues.mRules[i].mRank);
@@ -138,6 +155,25 @@
   }
 }
 
+const RoutePolicy* Config::FindRoute(std::string_view aHost, std::string_view aPath) const
+{
+  const size_t colon = aHost.rfind(':');
+  if (colon != std::string_view::npos && aHost.find(']', colon) == std::string_view::npos) {
+    aHost = aHost.substr(0, colon);
+  }
+  const auto found = mRoutesByHost.find(LowerCase(aHost));
+  if (found == mRoutesByHost.end()) {
+    return nullptr;
+  }
+  const std::string_view path = aPath.substr(0, aPath.find_first_of("?#"));
+  for (const size_t route : found->second) {
+    if (path.starts_with(mValues.mRoutes[route].mPrefix)) {
+      return &mValues.mRoutes[route];
+    }
+  }
+  return nullptr;
+}
+
 const ServicePolicy* Config::FindService(std::string_view aName) const
 {
   return FindByName(mValues.mServices, aName);
@@ -211,6 +247,9 @@
   for (const RankPolicy& rank : aConfig.Ranks()) {
     AddFlat<RankPolicy>("ranks." + rank.mName, detail::kRankSettings, rank, flat);
   }
+  for (const RoutePolicy& route : aConfig.Routes()) {
+    AddFlat<RoutePolicy>("routes." + route.mName, detail::kRouteSettings, route, flat);
+  }
   for (const RankRule& rule : aConfig.Rules()) {
     AddFlat<RankRule>("rules." + rule.mName, detail::kRuleSettings, rule, flat);
   }
--- a/packages/config/src/config_folder.cpp
+++ b/packages/config/src/config_folder.cpp
@@ -55,12 +55,13 @@
 constexpr auto kServiceNames = NamesOf(detail::kServiceSettings);
 constexpr auto kRankNames = NamesOf(detail::kRankSettings);
 constexpr auto kRuleNames = NamesOf(detail::kRuleSettings);
+constexpr auto kRouteNames = NamesOf(detail::kRouteSettings);
 constexpr auto kLimitNames = NamesOf(detail::kLimitSettings);
 constexpr auto kRetryNames = NamesOf(detail::kRetrySettings);
 
 constexpr Section kSections[] = {
   { "services", kServiceNames }, { "ranks", kRankNames },    { "rules", kRuleNames },
-  { "limits", kLimitNames },     { "retries", kRetryNames },
+  { "limits", kLimitNames },     { "retries", kRetryNames }, { "routes", kRouteNames },
 };
 
 size_t EditDistance(std::string_view aLeft, std::string_view aRight)
@@ -306,11 +307,13 @@
     mValues.mServices = ParseSection<ServicePolicy>("services", detail::kServiceSettings);
     mValues.mRanks = ParseSection<RankPolicy>("ranks", detail::kRankSettings);
     mValues.mRules = ParseSection<RankRule>("rules", detail::kRuleSettings);
+    mValues.mRoutes = ParseSection<RoutePolicy>("routes", detail::kRouteSettings);
     ParsePerService<LimitPolicy>("limits", detail::kLimitSettings, &ServicePolicy::mLimits);
     ParsePerService<RetryPolicy>("retries", detail::kRetrySettings, &ServicePolicy::mRetries);
     CheckServices();
     CheckRanks();
     CheckRules();
+    CheckRoutes();
   }
 
   // The place of a setting, or of its entry when the setting has its default.
@@ -429,6 +432,39 @@
     }
   }
 
+  void CheckRoutes()
+  {
+    const Entries& services = mSections["services"];
+    const Entries& ranks = mSections["ranks"];
+    std::map<std::pair<std::string, std::string>, std::string> owners;
+    for (const RoutePolicy& route : mValues.mRoutes) {
+      if (!route.mRank.empty() && !ranks.contains(route.mRank)) {
+        ReportSetting("routes", route.mName, "rank",
+                      "unknown rank " + Quoted(route.mRank) +
+                        Suggestion(route.mRank, KeysOf(ranks)));
+      }
+      uint64_t weights = 0;
+      for (const RouteTarget& target : route.mTargets) {
+        weights += target.mWeight;
+        if (!services.contains(target.mService)) {
+          ReportSetting("routes", route.mName, "targets",
+                        "unknown service " + Quoted(target.mService) +
+                          Suggestion(target.mService, KeysOf(services)));
+        }
+      }
+      if (!route.mTargets.empty() && weights == 0) {
+        ReportSetting("routes", route.mName, "targets", "expected a weight above 0");
+      }
+      const auto [owner, added] =
+        owners.emplace(std::make_pair(route.mHost, route.mPrefix), route.mName);
+      if (!added) {
+        ReportSetting("routes", route.mName, "prefix",
+                      "expected a unique host and prefix: route " + Quoted(owner->second) +
+                        " has the same");
+      }
+    }
+  }
+
   FolderResult Finish()
   {
     auto& diagnostics = mResult.mDiagnostics;
--- a/packages/config/src/config_revision.cpp
+++ b/packages/config/src/config_revision.cpp
@@ -416,6 +416,9 @@
   if (mValue && *mValue == aBytes) {
     return { OfferOutcome::AlreadyKnown, Revision(), {}, {} };
   }
+  if (mDecoder) {
+    return OfferDecoded(aBytes, aSource);
+  }
   auto decoded = DecodeRevision(aBytes);
   if (!decoded) {
     return { OfferOutcome::RefusedInvalid, 0, decoded.error(), {} };
@@ -435,11 +438,36 @@
   if (!checked.mConfig) {
     return { OfferOutcome::RefusedInvalid, revision, {}, std::move(checked.mDiagnostics) };
   }
-  mConfig = std::move(checked.mConfig);
   mRevision = std::make_shared<const ConfigRevision>(std::move(*decoded));
+  Apply(revision, std::move(checked.mConfig), aBytes, aSource);
+  return { OfferOutcome::Applied, revision, {}, {} };
+}
+
+OfferResult ConfigHolder::OfferDecoded(std::string_view aBytes, std::string_view aSource)
+{
+  auto decoded = mDecoder(aBytes);
+  if (!decoded) {
+    return { OfferOutcome::RefusedInvalid, 0, decoded.error(), {} };
+  }
+  const uint64_t revision = decoded->mRevision;
+  if (revision < Revision()) {
+    return { OfferOutcome::RefusedLower, revision, {}, {} };
+  }
+  if (revision == Revision()) {
+    const bool same = *decoded->mConfig == *mConfig;
+    return { same ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting, revision, {}, {} };
+  }
+  Apply(revision, std::move(decoded->mConfig), aBytes, aSource);
+  return { OfferOutcome::Applied, revision, {}, {} };
+}
+
+void ConfigHolder::Apply(uint64_t aRevision, std::shared_ptr<const Config> aConfig,
+                         std::string_view aBytes, std::string_view aSource)
+{
+  mNumber = aRevision;
+  mConfig = std::move(aConfig);
   mValue = std::make_shared<const std::string>(aBytes);
   mSource = aSource;
-  return { OfferOutcome::Applied, revision, {}, {} };
 }
 
 } // namespace balsammount
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -1,6 +1,7 @@
 #include "settings.h"
 
 #include <algorithm>
+#include <charconv>
 #include <cmath>
 
 namespace balsammount::detail {
@@ -38,6 +39,27 @@
   return std::nullopt;
 }
 
+// The service and weight of "NAME" or "NAME=WEIGHT"; nothing when it is neither.
+std::optional<RouteTarget> ParseTarget(std::string_view aText)
+{
+  constexpr uint32_t kMaxWeight = 10'000;
+  const size_t equals = aText.find('=');
+  RouteTarget target{ std::string(aText.substr(0, equals)), 1 };
+  if (!IsName(target.mService)) {
+    return std::nullopt;
+  }
+  if (equals != std::string_view::npos) {
+    const std::string_view weight = aText.substr(equals + 1);
+    const auto [end, error] =
+      std::from_chars(weight.data(), weight.data() + weight.size(), target.mWeight);
+    if (error != std::errc() || end != weight.data() + weight.size() ||
+        target.mWeight > kMaxWeight) {
+      return std::nullopt;
+    }
+  }
+  return target;
+}
+
 std::optional<std::string> ReadText(const JsonNode& aNode, const SettingInfo& aInfo,
                                     std::string& aValue)
 {
@@ -84,6 +106,39 @@
                           }));
 }
 
+bool IsHost(std::string_view aText)
+{
+  constexpr size_t kMaxLength = 253;
+  return !aText.empty() && aText.size() <= kMaxLength &&
+         std::ranges::all_of(aText, [](char aByte) {
+           return IsAlphanumeric(aByte) || aByte == '-' || aByte == '.' || aByte == '_';
+         });
+}
+
+bool IsPrefix(std::string_view aText)
+{
+  return aText == "/" || (aText.ends_with('/') && IsPath(aText.substr(0, aText.size() - 1)));
+}
+
+bool IsTarget(std::string_view aText)
+{
+  return ParseTarget(aText).has_value();
+}
+
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::vector<RouteTarget>& aValue)
+{
+  std::vector<std::string> texts;
+  if (auto error = ReadValue(aNode, aInfo, texts)) {
+    return error;
+  }
+  aValue.clear();
+  for (const std::string& text : texts) {
+    aValue.push_back(*ParseTarget(text));
+  }
+  return std::nullopt;
+}
+
 std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
                                      uint64_t& aValue)
 {
--- a/packages/config/src/settings.h
+++ b/packages/config/src/settings.h
@@ -36,7 +36,8 @@
 
 template <class T>
 using Member = std::variant<uint32_t T::*, uint64_t T::*, double T::*, bool T::*, std::string T::*,
-                            std::chrono::milliseconds T::*, std::vector<std::string> T::*>;
+                            std::chrono::milliseconds T::*, std::vector<std::string> T::*,
+                            std::vector<RouteTarget> T::*>;
 
 template <class T>
 struct Setting
@@ -48,6 +49,9 @@
 bool IsName(std::string_view aText);
 bool IsPath(std::string_view aText);
 bool IsMethod(std::string_view aText);
+bool IsHost(std::string_view aText);
+bool IsPrefix(std::string_view aText);
+bool IsTarget(std::string_view aText);
 
 inline constexpr size_t kMaxPathBytes = 256;
 inline constexpr TextForm kNameForm{ IsName,
@@ -57,6 +61,13 @@
   IsPath, "a path that starts with '/', has no trailing '/', empty or dot segment, query, "
           "parameter or percent-encoding, and at most 256 bytes"
 };
+inline constexpr TextForm kHostForm{ IsHost, "a host name without a port, at most 253 bytes" };
+inline constexpr TextForm kPrefixForm{
+  IsPrefix, "a path prefix that starts and ends with '/', at most 256 bytes"
+};
+inline constexpr TextForm kTargetForm{
+  IsTarget, "the name of a service, or NAME=WEIGHT with a weight from 0 to 10000"
+};
 inline constexpr TextForm kMethodForm{ IsMethod, "an upper-case HTTP method or \"*\"" };
 
 // One hour bounds all times: none of them is meant to outlive a request.
@@ -88,6 +99,19 @@
   { { "idempotent", 0, 0, "", false }, &RankRule::mIdempotent },
 };
 
+inline constexpr double kMaxTargets = 16;
+
+inline constexpr Setting<RoutePolicy> kRouteSettings[] = {
+  { { "host", 0, 0, "", Required{}, &kHostForm }, &RoutePolicy::mHost },
+  { { "prefix", 0, 0, "", Required{}, &kPrefixForm }, &RoutePolicy::mPrefix },
+  { { "targets", 1, kMaxTargets, "services", Required{}, &kTargetForm }, &RoutePolicy::mTargets },
+  { { "rank", 0, 0, "", Required{}, &kNameForm }, &RoutePolicy::mRank },
+  { { "idempotent", 0, 0, "", false }, &RoutePolicy::mIdempotent },
+  { { "attempts", 1, 100, "backend servers", 2.0 }, &RoutePolicy::mAttempts },
+  { { "timeout_ms", 1, kMaxMs, "ms", 10'000.0 }, &RoutePolicy::mTimeout },
+  { { "target_ms", 1, kMaxMs, "ms", 1'000.0 }, &RoutePolicy::mTarget },
+};
+
 inline constexpr Setting<LimitPolicy> kLimitSettings[] = {
   { { "min_concurrency", 1, kMaxCount, "requests", 1.0 }, &LimitPolicy::mMinConcurrency },
   { { "max_queue", 0, kMaxCount, "requests", 128.0 }, &LimitPolicy::mMaxQueue },
@@ -118,6 +142,9 @@
 std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
                                      std::vector<std::string>& aValue);
 
+std::optional<std::string> ReadValue(const JsonNode& aNode, const SettingInfo& aInfo,
+                                     std::vector<RouteTarget>& aValue);
+
 inline void AssignDefault(const SettingInfo& aInfo, uint32_t& aValue)
 {
   aValue = static_cast<uint32_t>(std::get<double>(aInfo.mDefault));
@@ -145,6 +172,17 @@
 // Lists have no default.
 inline void AssignDefault(const SettingInfo& /*aInfo*/, std::vector<std::string>& /*aValue*/) {}
 
+inline void AssignDefault(const SettingInfo& /*aInfo*/, std::vector<RouteTarget>& /*aValue*/) {}
+
+inline nlohmann::json ToJson(const std::vector<RouteTarget>& aValue)
+{
+  nlohmann::json targets = nlohmann::json::array();
+  for (const RouteTarget& target : aValue) {
+    targets.push_back(target.mService + "=" + std::to_string(target.mWeight));
+  }
+  return targets;
+}
+
 inline nlohmann::json ToJson(std::chrono::milliseconds aValue)
 {
   return aValue.count();
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -19,8 +19,15 @@
   std::chrono::milliseconds mMaxIdleTime{ 30'000 };
   size_t mMaxBodyBytes = kMaxBodyBytes;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
+  // Takes an answer without a length as whole when its connection ends in an orderly way. Without
+  // this such an answer is Lost.
+  bool mAcceptUnframed = false;
 };
 
+// False for an answer that does not belong to the request, such as a second answer to an earlier
+// one. It is dropped, and the next answer on the connection is read.
+using AnswerFilter = std::function<bool(const HttpResponse&)>;
+
 // Receives an answer as it arrives.
 struct StreamCallbacks
 {
@@ -41,7 +48,7 @@
 
   // A failure with ConnectFailed proves that nothing was sent. Cancelling closes the connection.
   std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
-                             ResponseCallback aCallback);
+                             ResponseCallback aCallback, AnswerFilter aFilter = nullptr);
 
   // Streams an answer of any length on a connection of its own. aIdleTimeout bounds the time until
   // the head and between two pieces.
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -1,4 +1,5 @@
-// HTTP/1.1 server: keep-alive, bounded headers and bodies, bounded time for slow clients.
+// HTTP/1.1 server: keep-alive, pipelining, bounded headers and bodies, bounded time for slow clients.
+// A request without exactly one Host header is answered 400.
 #pragma once
 
 #include "balsammount/exchange.h"
@@ -18,7 +19,8 @@
   size_t mMaxBodyBytes = kMaxBodyBytes;
   size_t mMaxConnections = 2000;                    // more are answered with 503 not-run and closed
   std::chrono::milliseconds mIdleTimeout{ 60'000 }; // between requests of a connection
-  std::chrono::milliseconds mReadTimeout{ 10'000 }; // from the first byte to the whole request
+  std::chrono::milliseconds mHeaderTimeout{ 10'000 }; // from the first byte to the whole header
+  std::chrono::milliseconds mReadTimeout{ 10'000 };   // from the header to the whole body
   std::chrono::milliseconds mWriteTimeout{ 10'000 }; // for the whole answer, or one streamed piece
   size_t mMaxStreamBacklogBytes = 8 * 1024 * 1024;   // streamed and not yet written
 };
@@ -48,6 +50,13 @@
 
   Result<void> Start() override;
 
+  // Every connection closes after the answers that it is due; new ones are still accepted. For the
+  // time in which callers learn that this server leaves.
+  void CloseConnections();
+
+  // Applies to requests that begin to arrive from now on.
+  void SetLimits(const HttpServerLimits& aLimits);
+
   // Stops accepting, closes idle connections; a connection with a request in flight closes after
   // its answer.
   void Stop() override;
--- a/packages/transport/src/endpoint.cpp
+++ b/packages/transport/src/endpoint.cpp
@@ -4,6 +4,8 @@
 
 #include <charconv>
 
+#include <netinet/tcp.h>
+
 namespace balsammount {
 
 namespace asio = boost::asio;
@@ -55,4 +57,21 @@
   return {};
 }
 
+void DetectSilence(tcp::socket& aSocket)
+{
+  // The first probe after one idle second, two more at intervals of one second; unacknowledged data
+  // is given the same time.
+  constexpr int kIdleSeconds = 1;
+  constexpr int kIntervalSeconds = 1;
+  constexpr int kProbes = 2;
+  constexpr unsigned kUnacknowledgedMs = 3000;
+  const int socket = aSocket.native_handle();
+  boost::system::error_code ignored;
+  aSocket.set_option(asio::socket_base::keep_alive(true), ignored);
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPIDLE, &kIdleSeconds, sizeof(kIdleSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPINTVL, &kIntervalSeconds, sizeof(kIntervalSeconds));
+  setsockopt(socket, IPPROTO_TCP, TCP_KEEPCNT, &kProbes, sizeof(kProbes));
+  setsockopt(socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &kUnacknowledgedMs, sizeof(kUnacknowledgedMs));
+}
+
 } // namespace balsammount
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "balsammount/http_client.h"
 
+#include "balsammount/endpoint.h"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -10,6 +12,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <optional>
 
 namespace balsammount {
@@ -32,8 +35,24 @@
   beast::tcp_stream mStream;
   beast::flat_buffer mBuffer;
   std::chrono::steady_clock::time_point mIdleSince;
+  // The server closes the idle connection after this time, as its Keep-Alive header says.
+  std::chrono::milliseconds mServerIdleTime = std::chrono::milliseconds::max();
 };
 
+// The timeout parameter of a Keep-Alive header, in whole seconds; nothing when there is none.
+std::optional<std::chrono::seconds> KeepAliveTimeout(std::string_view aValue)
+{
+  constexpr std::string_view kName = "timeout=";
+  const size_t start = aValue.find(kName);
+  if (start == std::string_view::npos) {
+    return std::nullopt;
+  }
+  uint32_t seconds = 0;
+  const char* first = aValue.data() + start + kName.size();
+  const auto [end, error] = std::from_chars(first, aValue.data() + aValue.size(), seconds);
+  return error == std::errc() ? std::optional(std::chrono::seconds(seconds)) : std::nullopt;
+}
+
 // True when the server has closed an idle connection or sent bytes that nobody asked for.
 bool IsStale(Connection& aConnection)
 {
@@ -90,8 +109,9 @@
 class HttpCall final : public Call
 {
 public:
-  explicit HttpCall(ResponseCallback aCallback)
+  HttpCall(ResponseCallback aCallback, AnswerFilter aFilter)
     : mCallback(std::move(aCallback))
+    , mFilter(std::move(aFilter))
   {
   }
 
@@ -107,6 +127,7 @@
   }
 
   bool IsCancelled() const { return !mCallback; }
+  const AnswerFilter& Filter() const { return mFilter; }
   void Use(const std::shared_ptr<Connection>& aConnection) { mConnection = aConnection; }
 
   void Finish(Result<HttpResponse> aResult)
@@ -119,6 +140,7 @@
 
 private:
   ResponseCallback mCallback;
+  AnswerFilter mFilter;
   std::weak_ptr<Connection> mConnection;
 };
 
@@ -186,14 +208,13 @@
   {
   }
 
-  // The connections are in the order of the time when they became idle.
   void DropOldIdle()
   {
-    const auto limit = std::chrono::steady_clock::now() - mLimits.mMaxIdleTime;
-    const auto kept = std::find_if(mIdle.begin(), mIdle.end(), [limit](const auto& aConnection) {
-      return aConnection->mIdleSince > limit;
+    const auto now = std::chrono::steady_clock::now();
+    std::erase_if(mIdle, [&](const auto& aConnection) {
+      return now - aConnection->mIdleSince >=
+             std::min(mLimits.mMaxIdleTime, aConnection->mServerIdleTime);
     });
-    mIdle.erase(mIdle.begin(), kept);
   }
 
   void PutIdle(std::shared_ptr<Connection> aConnection)
@@ -233,6 +254,7 @@
     if (!error) {
       beast::error_code ignored;
       aConnection.mStream.socket().set_option(tcp::no_delay(true), ignored);
+      DetectSilence(aConnection.mStream.socket());
     }
     co_return error;
   }
@@ -261,40 +283,81 @@
     if (aCall->IsCancelled()) {
       co_return;
     }
-    auto message = ToBeast(std::move(aRequest), self.mHost);
+    auto sending = std::make_shared<Sending>(ToBeast(std::move(aRequest), self.mHost));
     connection->mStream.expires_at(deadline);
-    {
-      auto [error, size] = co_await http::async_write(connection->mStream, message, kAwait);
-      if (error) {
-        aCall->Finish(self.Fail(ToTransportError(error), error));
-        co_return;
-      }
-    }
+    asio::co_spawn(self.mExecutor, Write(connection, sending), asio::detached);
     std::optional<http::response_parser<http::string_body>> parser;
-    do {
+    HttpResponse response;
+    bool isOdd = false;
+    bool belongs = false;
+    bool isFramed = true;
+    while (!belongs && isFramed) {
       parser.emplace();
       parser->body_limit(self.mLimits.mMaxBodyBytes);
-      parser->skip(message.method() == http::verb::head);
+      parser->skip(sending->mMessage.method() == http::verb::head);
       auto [error, size] =
         co_await http::async_read(connection->mStream, connection->mBuffer, *parser, kAwait);
       if (error) {
         aCall->Finish(self.Fail(ToTransportError(error), error));
         co_return;
       }
-    } while (IsInterim(parser->get()));
-    // Without a length or chunks the end of the answer is the end of the connection, and a
-    // truncated answer cannot be told from a whole one.
-    const bool isFramed = parser->content_length() || parser->chunked() || !parser->need_eof();
-    // Bytes after the answer would be taken for the answer to the next request.
-    const bool isClean = connection->mBuffer.size() == 0;
-    if (parser->keep_alive() && isClean && !aCall->IsCancelled()) {
+      if (IsInterim(parser->get())) {
+        continue;
+      }
+      isFramed = parser->content_length() || parser->chunked() || !parser->need_eof();
+      isOdd = isOdd || !parser->keep_alive();
+      NoteIdleTime(*connection, parser->get());
+      response = FromBeast(parser->release());
+      belongs = !aCall->Filter() || aCall->Filter()(response);
+      isOdd = isOdd || !belongs;
+    }
+    // Bytes after the answer would be taken for the answer to the next request, and an answer that
+    // came before the request was sent leaves the rest of the request due.
+    const bool isReusable = isFramed && !isOdd && sending->mSent && connection->mBuffer.size() == 0;
+    if (isReusable && !aCall->IsCancelled()) {
       self.PutIdle(std::move(connection));
+    } else {
+      connection->mStream.close();
     }
-    if (!isFramed) {
-      aCall->Finish(Failure{ TransportError::Lost, self.mHost + ": answer without a length" });
+    if (!belongs || (!isFramed && !self.mLimits.mAcceptUnframed)) {
+      aCall->Finish(Failure{ TransportError::Lost,
+                             self.mHost + (belongs ? ": answer without a length"
+                                                   : ": answer to another request") });
       co_return;
     }
-    aCall->Finish(FromBeast(parser->release()));
+    aCall->Finish(std::move(response));
+  }
+
+  // A request that is being written while its answer may arrive already.
+  struct Sending
+  {
+    explicit Sending(http::request<http::string_body> aMessage)
+      : mMessage(std::move(aMessage))
+    {
+    }
+    http::request<http::string_body> mMessage;
+    bool mSent = false;
+  };
+
+  static asio::awaitable<void> Write(std::shared_ptr<Connection> aConnection,
+                                     std::shared_ptr<Sending> aSending)
+  {
+    auto [error, size] =
+      co_await http::async_write(aConnection->mStream, aSending->mMessage, kAwait);
+    // After an error the reader ends as well: with the rest of what the server sent, or the error.
+    aSending->mSent = !error;
+  }
+
+  static void NoteIdleTime(Connection& aConnection,
+                           const http::response<http::string_body>& aMessage)
+  {
+    const auto value = aMessage[http::field::keep_alive];
+    if (const auto timeout = KeepAliveTimeout({ value.data(), value.size() })) {
+      // A request must not meet the closing connection.
+      constexpr std::chrono::milliseconds kMargin{ 500 };
+      aConnection.mServerIdleTime =
+        std::max(std::chrono::milliseconds(*timeout) - kMargin, std::chrono::milliseconds(0));
+    }
   }
 
   static asio::awaitable<void> RunStream(std::shared_ptr<State> aState, HttpRequest aRequest,
@@ -362,9 +425,9 @@
 HttpClient::~HttpClient() = default;
 
 std::shared_ptr<Call> HttpClient::Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
-                                       ResponseCallback aCallback)
+                                       ResponseCallback aCallback, AnswerFilter aFilter)
 {
-  auto call = std::make_shared<HttpCall>(std::move(aCallback));
+  auto call = std::make_shared<HttpCall>(std::move(aCallback), std::move(aFilter));
   asio::co_spawn(mState->mExecutor, State::Run(mState, std::move(aRequest), aTimeout, call),
                  asio::detached);
   return call;
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -11,6 +11,8 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <array>
+#include <deque>
 #include <optional>
 #include <set>
 
@@ -29,6 +31,13 @@
 // its client in doubt whether its request ran.
 constexpr size_t kRefusalConnections = 256;
 
+// Requests of one connection that are read and not yet answered. Bounds what a client can make the
+// server hold; the rest waits in the socket.
+constexpr size_t kMaxPipelined = 16;
+
+// How long a closed connection still reads, so that the last answer is not lost to a reset.
+constexpr std::chrono::milliseconds kLinger{ 1000 };
+
 class ServerExchange final : public HttpExchange
 {
 public:
@@ -209,19 +218,62 @@
   return std::nullopt;
 }
 
+// Whether a failed read means that the client's side of the connection has ended.
+bool IsDisconnect(const beast::error_code& aError)
+{
+  return aError == http::error::partial_message || aError == http::error::end_of_stream ||
+         (aError.category() == asio::error::get_system_category() &&
+          aError != asio::error::operation_aborted);
+}
+
 } // namespace
 
 struct HttpServer::State : std::enable_shared_from_this<State>
 {
+  // A request that was read and whose answer has not been written.
+  struct Pending
+  {
+    std::shared_ptr<ServerExchange> mExchange;
+    unsigned mVersion = 11;
+    bool mKeepAlive = true;
+    bool mIsHead = false;
+  };
+
+  // One connection. A reader and a writer run beside each other: requests are read ahead, and their
+  // answers are written in the order of the requests.
   struct Session
   {
-    explicit Session(tcp::socket aSocket)
+    Session(tcp::socket aSocket, std::string aAddress)
       : mStream(std::move(aSocket))
+      , mAddress(std::move(aAddress))
+      , mChanged(mStream.get_executor(), asio::steady_timer::time_point::max())
+      , mTimer(mStream.get_executor())
+    {
+    }
+
+    bool IsIdle() const { return mPending.empty() && !mReadingRequest; }
+
+    void NotifyGone()
     {
+      for (auto pending = std::exchange(mPending, {}); const Pending& one : pending) {
+        one.mExchange->NotifyGone();
+      }
+      mChanged.cancel();
     }
+
     beast::tcp_stream mStream;
-    bool mBusy = false;
+    std::string mAddress;
+    beast::flat_buffer mBuffer;
+    std::deque<Pending> mPending;
+    asio::steady_timer mChanged; // cancelled on every change that the reader or writer waits for
+    asio::steady_timer mTimer;   // bounds an idle connection, a request on its way, or the linger
+    bool mReadingRequest = false;
+    bool mTimedOut = false;
     bool mOverLimit = false; // answers one request with a refusal, then closes
+    bool mLastRead = false;  // no further request is read from this connection
+    bool mDisconnected = false; // the client's side has ended; reading again would wait for ever
+    bool mReaderDone = false;
+    bool mWriterDone = false;
   };
 
   State(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpServerLimits aLimits,
@@ -254,113 +306,267 @@
         co_await pause.async_wait(kAwait);
         continue;
       }
-      asio::co_spawn(mAcceptor.get_executor(), Serve(shared_from_this(), std::move(socket)),
-                     asio::detached);
+      StartSession(std::move(socket));
     }
   }
 
-  static asio::awaitable<void> Serve(std::shared_ptr<State> aState, tcp::socket aSocket)
+  void StartSession(tcp::socket aSocket)
   {
     beast::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
+    DetectSilence(aSocket);
     const auto remote = aSocket.remote_endpoint(ignored);
-    const std::string address = remote.address().to_string();
-    auto session = std::make_shared<Session>(std::move(aSocket));
-    session->mOverLimit = aState->mSessions.size() >= aState->mLimits.mMaxConnections;
-    aState->mSessions.insert(session);
-    beast::flat_buffer buffer;
-    while (!aState->mStopping && co_await aState->ServeOne(session, buffer, address)) {
+    auto session = std::make_shared<Session>(std::move(aSocket), remote.address().to_string());
+    session->mOverLimit = mSessions.size() >= mLimits.mMaxConnections;
+    mSessions.insert(session);
+    asio::co_spawn(mAcceptor.get_executor(), ReadLoop(shared_from_this(), session), asio::detached);
+    asio::co_spawn(mAcceptor.get_executor(), WriteLoop(shared_from_this(), session),
+                   asio::detached);
+  }
+
+  static asio::awaitable<void> ReadLoop(std::shared_ptr<State> aState,
+                                        std::shared_ptr<Session> aSession)
+  {
+    bool more = true;
+    while (more && !aState->mStopping && !aSession->mLastRead) {
+      more = co_await aState->ReadOne(aSession);
     }
-    session->mStream.socket().shutdown(tcp::socket::shutdown_both, ignored);
-    session->mStream.close();
-    aState->mSessions.erase(session);
+    aSession->mLastRead = true;
+    aSession->mReadingRequest = false;
+    aSession->mChanged.cancel();
+    co_await aState->WaitForDisconnect(aSession);
+    aSession->mReaderDone = true;
+    // The client went away, or the writer has finished and lingered long enough.
+    aSession->NotifyGone();
+    aState->EndSession(aSession);
   }
 
-  // Serves one request; false when the connection has to close.
-  asio::awaitable<bool> ServeOne(std::shared_ptr<Session> aSession, beast::flat_buffer& aBuffer,
-                                 const std::string& aAddress)
+  // Reads until the client closes its side, so that requests in flight are cancelled when it goes
+  // away, and so that closing a connection with unread bytes does not reset it before the last
+  // answer has arrived.
+  asio::awaitable<void> WaitForDisconnect(std::shared_ptr<Session> aSession)
   {
-    beast::tcp_stream& stream = aSession->mStream;
-    if (aBuffer.size() == 0) {
-      // The idle timeout ends with the first byte of the request.
-      stream.expires_after(aSession->mOverLimit ? mLimits.mReadTimeout : mLimits.mIdleTimeout);
-      auto [waitError, count] = co_await stream.async_read_some(aBuffer.prepare(4096), kAwait);
+    Session& session = *aSession;
+    while (!session.mDisconnected && (!session.mWriterDone || !session.mTimedOut)) {
+      session.mBuffer.consume(session.mBuffer.size());
+      session.mStream.expires_never();
+      auto [error, count] =
+        co_await session.mStream.async_read_some(session.mBuffer.prepare(1024), kAwait);
+      // The timer of a phase that is over may still cancel this wait.
+      session.mDisconnected = error && error != asio::error::operation_aborted;
+    }
+  }
+
+  // Starts to bound the current phase of reading; the socket's operations are cancelled at its end.
+  static void StartTimer(const std::shared_ptr<Session>& aSession,
+                         std::chrono::milliseconds aTimeout)
+  {
+    aSession->mTimedOut = false;
+    aSession->mTimer.expires_after(aTimeout);
+    aSession->mTimer.async_wait([weak = std::weak_ptr(aSession)](const beast::error_code& aError) {
+      const auto session = weak.lock();
+      if (aError || !session) {
+        return;
+      }
+      session->mTimedOut = true;
+      beast::error_code ignored;
+      session->mStream.socket().cancel(ignored);
+    });
+  }
+
+  void StartIdleTimer(const std::shared_ptr<Session>& aSession)
+  {
+    StartTimer(aSession, aSession->mOverLimit ? mLimits.mReadTimeout : mLimits.mIdleTimeout);
+  }
+
+  // Reads one request and hands it on; false when no further request is read.
+  asio::awaitable<bool> ReadOne(std::shared_ptr<Session> aSession)
+  {
+    Session& session = *aSession;
+    while (session.mPending.size() >= kMaxPipelined) {
+      co_await session.mChanged.async_wait(kAwait);
+    }
+    if (session.mBuffer.size() == 0) {
+      if (session.mPending.empty()) {
+        StartIdleTimer(aSession);
+      }
+      session.mStream.expires_never();
+      auto [waitError, count] =
+        co_await session.mStream.async_read_some(session.mBuffer.prepare(4096), kAwait);
       if (waitError) {
+        session.mDisconnected = waitError != asio::error::operation_aborted;
         co_return false;
       }
-      aBuffer.commit(count);
+      session.mBuffer.commit(count);
     }
     // A request whose first byte has arrived is in flight: Stop lets it finish.
-    aSession->mBusy = true;
+    session.mReadingRequest = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(mLimits.mMaxHeaderBytes));
     parser.body_limit(mLimits.mMaxBodyBytes);
-    stream.expires_after(mLimits.mReadTimeout);
-    const auto error = co_await ReadRequest(stream, aBuffer, parser);
+    const auto error = co_await ReadRequest(aSession, parser);
+    session.mTimer.cancel();
     if (error) {
-      if (auto response = ReadErrorResponse(error)) {
-        co_await Write(stream, std::move(*response), 11, false, false);
+      session.mDisconnected = IsDisconnect(error);
+      if (auto response = ReadErrorResponse(session.mTimedOut ? beast::error::timeout : error)) {
+        AnswerAndClose(aSession, std::move(*response));
       }
       co_return false;
     }
-    if (aSession->mOverLimit) {
+    if (session.mOverLimit) {
       HttpResponse refusal = StatusOnly(503, "too many connections");
       refusal.mHeaders.Set("Retry-After", "1");
-      co_await Write(stream, std::move(refusal), 11, false, false);
+      AnswerAndClose(aSession, std::move(refusal));
       co_return false;
     }
-    const bool keepAlive = parser.get().keep_alive();
-    const unsigned version = parser.get().version();
-    const bool isHead = parser.get().method() == http::verb::head;
-    auto exchange = std::make_shared<ServerExchange>(
-      stream.get_executor(), FromBeast(parser.release()), aAddress, mLimits.mMaxStreamBacklogBytes);
-    stream.expires_never();
-    WatchForDisconnect(aSession, exchange);
-    mHandler(exchange);
-    auto response = co_await exchange->WaitForResponse();
-    if (response && exchange->IsStreaming()) {
-      if (version < 11) {
-        exchange->NotifyGone();
-        response = StatusOnly(505, "a streamed answer needs HTTP/1.1");
-        response->mHeaders.Set("Balsam-Outcome", "unknown");
-      } else {
-        const bool streamed = co_await WriteStream(stream, *exchange, std::move(*response));
-        stream.socket().cancel();
-        aSession->mBusy = false;
-        co_return streamed&& keepAlive;
-      }
+    const auto hosts = parser.get().count(http::field::host);
+    if (hosts > 1 || (hosts == 0 && parser.get().version() >= 11)) {
+      AnswerAndClose(aSession, StatusOnly(400, "exactly one Host header is expected"));
+      co_return false;
     }
-    stream.socket().cancel();
-    aSession->mBusy = false;
-    if (!response) {
+    const bool more = co_await Begin(aSession, parser.release());
+    co_return more;
+  }
+
+  // Passes a request to the handler. Only safe requests run while earlier ones on the connection
+  // are unanswered: a client resends what follows an answer that closes the connection.
+  asio::awaitable<bool> Begin(std::shared_ptr<Session> aSession,
+                              http::request<http::string_body> aMessage)
+  {
+    const bool isHead = aMessage.method() == http::verb::head;
+    const bool isSafe = isHead || aMessage.method() == http::verb::get;
+    while (!isSafe && !aSession->mPending.empty()) {
+      co_await aSession->mChanged.async_wait(kAwait);
+    }
+    if (aSession->mWriterDone) {
       co_return false;
     }
-    const bool written =
-      co_await Write(stream, std::move(*response), version, keepAlive && !mStopping, isHead);
-    co_return written&& keepAlive;
+    const bool keepAlive = aMessage.keep_alive();
+    const unsigned version = aMessage.version();
+    auto exchange =
+      std::make_shared<ServerExchange>(aSession->mStream.get_executor(),
+                                       FromBeast(std::move(aMessage)), aSession->mAddress,
+                                       mLimits.mMaxStreamBacklogBytes);
+    aSession->mPending.push_back({ exchange, version, keepAlive, isHead });
+    aSession->mLastRead = !keepAlive;
+    aSession->mReadingRequest = false;
+    aSession->mChanged.cancel();
+    mHandler(exchange);
+    co_return keepAlive;
   }
 
-  static asio::awaitable<beast::error_code> ReadRequest(
-    beast::tcp_stream& aStream, beast::flat_buffer& aBuffer,
-    http::request_parser<http::string_body>& aParser)
+  // Queues an answer of the server itself behind the ones that are due before it.
+  void AnswerAndClose(const std::shared_ptr<Session>& aSession, HttpResponse aResponse)
   {
-    auto [error, size] = co_await http::async_read_header(aStream, aBuffer, aParser, kAwait);
+    auto exchange =
+      std::make_shared<ServerExchange>(aSession->mStream.get_executor(), HttpRequest{},
+                                       aSession->mAddress, mLimits.mMaxStreamBacklogBytes);
+    exchange->Respond(std::move(aResponse));
+    aSession->mPending.push_back({ std::move(exchange), 11, false, false });
+  }
+
+  asio::awaitable<beast::error_code> ReadRequest(
+    std::shared_ptr<Session> aSession, http::request_parser<http::string_body>& aParser)
+  {
+    beast::tcp_stream& stream = aSession->mStream;
+    StartTimer(aSession, mLimits.mHeaderTimeout);
+    stream.expires_never();
+    auto [error, size] =
+      co_await http::async_read_header(stream, aSession->mBuffer, aParser, kAwait);
     if (error || aParser.is_done()) {
       co_return error;
     }
+    StartTimer(aSession, mLimits.mReadTimeout);
     if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
       // The client holds the body back until it is asked for.
       static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
       auto [writeError, written] =
-        co_await asio::async_write(aStream, asio::buffer(kContinue), kAwait);
+        co_await asio::async_write(stream, asio::buffer(kContinue), kAwait);
       if (writeError) {
         co_return writeError;
       }
     }
-    auto [bodyError, bodySize] = co_await http::async_read(aStream, aBuffer, aParser, kAwait);
+    auto [bodyError, bodySize] =
+      co_await http::async_read(stream, aSession->mBuffer, aParser, kAwait);
     co_return bodyError;
   }
 
+  static asio::awaitable<void> WriteLoop(std::shared_ptr<State> aState,
+                                         std::shared_ptr<Session> aSession)
+  {
+    bool more = true;
+    while (more) {
+      more = co_await aState->WriteOne(aSession);
+    }
+    aSession->mWriterDone = true;
+    aSession->mLastRead = true;
+    // Requests behind an answer that closes the connection count as not read.
+    aSession->NotifyGone();
+    beast::error_code ignored;
+    aSession->mStream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    StartTimer(aSession, kLinger);
+    aState->EndSession(aSession);
+  }
+
+  void EndSession(const std::shared_ptr<Session>& aSession)
+  {
+    if (aSession->mReaderDone && aSession->mWriterDone) {
+      aSession->mTimer.cancel();
+      aSession->mStream.close();
+      mSessions.erase(aSession);
+    }
+  }
+
+  // Writes the next answer; false when the connection has to close.
+  asio::awaitable<bool> WriteOne(std::shared_ptr<Session> aSession)
+  {
+    Session& session = *aSession;
+    while (session.mPending.empty()) {
+      if (session.mLastRead && !session.mReadingRequest) {
+        co_return false;
+      }
+      co_await session.mChanged.async_wait(kAwait);
+    }
+    const Pending pending = session.mPending.front();
+    auto response = co_await pending.mExchange->WaitForResponse();
+    if (!response) {
+      co_return false;
+    }
+    beast::tcp_stream& stream = session.mStream;
+    if (pending.mExchange->IsStreaming()) {
+      if (pending.mVersion < 11) {
+        pending.mExchange->NotifyGone();
+        response = StatusOnly(505, "a streamed answer needs HTTP/1.1");
+        response->mHeaders.Set("Balsam-Outcome", "unknown");
+        co_await Write(stream, std::move(*response), pending.mVersion, false, false);
+        co_return false;
+      }
+      const bool streamed =
+        co_await WriteStream(stream, *pending.mExchange, std::move(*response));
+      co_return streamed&& Pop(aSession, pending.mKeepAlive);
+    }
+    // While the server closes, the connection ends with the last of the requests that were read.
+    const bool closes = (mClosing || mStopping) && session.mPending.size() == 1 &&
+                        !session.mReadingRequest && session.mBuffer.size() == 0;
+    session.mLastRead = session.mLastRead || closes;
+    const bool keepAlive = pending.mKeepAlive && !closes;
+    const bool written = co_await Write(stream, std::move(*response), pending.mVersion, keepAlive,
+                                        pending.mIsHead);
+    co_return written&& Pop(aSession, keepAlive);
+  }
+
+  bool Pop(const std::shared_ptr<Session>& aSession, bool aKeepAlive)
+  {
+    if (!aSession->mPending.empty()) {
+      aSession->mPending.pop_front();
+    }
+    aSession->mChanged.cancel();
+    if (aKeepAlive && aSession->IsIdle()) {
+      StartIdleTimer(aSession);
+    }
+    return aKeepAlive;
+  }
+
   // Writes a streamed answer until its end; false when the connection has to close.
   asio::awaitable<bool> WriteStream(beast::tcp_stream& aStream, ServerExchange& aExchange,
                                     HttpResponse aHead)
@@ -412,36 +618,12 @@
     co_return !error;
   }
 
-  // A client that closes its connection while its request is in flight cancels the request. Bytes
-  // of a pipelined request end the watch. The wait can complete just before the answer and its
-  // handler run after the next request was read, so the handler checks the exchange first and never
-  // blocks.
-  static void WatchForDisconnect(const std::shared_ptr<Session>& aSession,
-                                 const std::shared_ptr<ServerExchange>& aExchange)
-  {
-    tcp::socket& socket = aSession->mStream.socket();
-    beast::error_code ignored;
-    socket.non_blocking(true, ignored);
-    socket.async_wait(
-      tcp::socket::wait_read, [aSession, aExchange](const beast::error_code& aError) {
-        if (aError || !aExchange->IsAwaitingEnd()) {
-          return;
-        }
-        char byte = 0;
-        beast::error_code error;
-        const size_t count = aSession->mStream.socket().receive(asio::buffer(&byte, 1),
-                                                                tcp::socket::message_peek, error);
-        if ((error && error != asio::error::would_block) || (!error && count == 0)) {
-          aExchange->NotifyGone();
-        }
-      });
-  }
-
   tcp::acceptor mAcceptor;
   tcp::endpoint mEndpoint;
   HttpServerLimits mLimits;
   ExchangeHandler mHandler;
   std::set<std::shared_ptr<Session>> mSessions;
+  bool mClosing = false;
   bool mStopping = false;
 };
 
@@ -471,12 +653,24 @@
   beast::error_code ignored;
   mState->mAcceptor.close(ignored);
   for (const auto& session : mState->mSessions) {
-    if (!session->mBusy) {
-      session->mStream.socket().shutdown(tcp::socket::shutdown_receive, ignored);
+    if (session->IsIdle()) {
+      session->mLastRead = true;
+      session->mStream.socket().cancel(ignored);
+      session->mChanged.cancel();
     }
   }
 }
 
+void HttpServer::CloseConnections()
+{
+  mState->mClosing = true;
+}
+
+void HttpServer::SetLimits(const HttpServerLimits& aLimits)
+{
+  mState->mLimits = aLimits;
+}
+
 uint16_t HttpServer::Port() const
 {
   beast::error_code ignored;
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -2,6 +2,8 @@
 
 #include "h2_connection.h"
 
+#include "balsammount/endpoint.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -145,6 +147,7 @@
     mConnected = true;
     boost::system::error_code ignored;
     Socket().set_option(tcp::no_delay(true), ignored);
+    DetectSilence(Socket());
     Open(false, 0, 64 * 1024);
     for (const auto& call : std::exchange(mWaiting, {})) {
       if (!call->IsDone()) {
@@ -161,7 +164,8 @@
     detail::HeaderBlock block;
     block.Add(":method", aCall->mRequest.mMethod);
     block.Add(":scheme", "http");
-    block.Add(":authority", "node");
+    const std::string_view host = aCall->mRequest.mHeaders.Find("Host");
+    block.Add(":authority", host.empty() ? "node" : host);
     block.Add(":path", aCall->mRequest.mTarget);
     block.AddAll(aCall->mRequest.mHeaders);
     block.Add("content-length", std::to_string(aCall->mRequest.mBody.size()));
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -71,6 +71,7 @@
   {
     boost::system::error_code ignored;
     Socket().set_option(tcp::no_delay(true), ignored);
+    DetectSilence(Socket());
     mAddress = Socket().remote_endpoint(ignored).address().to_string();
   }
 
@@ -158,6 +159,8 @@
       request.mMethod = aValue;
     } else if (aName == ":path") {
       request.mTarget = aValue;
+    } else if (aName == ":authority") {
+      request.mHeaders.Add("Host", aValue);
     } else if (!aName.starts_with(':')) {
       request.mHeaders.Add(aName, aValue);
     }
