--- /dev/null
+++ b/packages/directory/include/balsammount/directory.h
@@ -0,0 +1,137 @@
+// The nodes of the fleet, as the store lists them and as they answer for themselves.
+//
+// The store's list is the usual source. It can lapse while nodes live (an outage in which leases run
+// out), and it can lack nodes that do not reach the store. So a node that is no longer listed is
+// asked directly, and stays known while it answers. What a node says of itself goes before the list.
+#pragma once
+
+#include "balsammount/clock.h"
+#include "balsammount/error.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace balsammount {
+
+enum class DirectoryError
+{
+  Malformed = 1,
+  MissingField,
+  WrongType,
+};
+
+std::error_code make_error_code(DirectoryError aError);
+
+// What a node says of itself and of the backend server beside it.
+struct NodeRecord
+{
+  std::string mNodeId;
+  uint64_t mStarted = 0;  // start of the node's process, ms of the wall clock; a later one is newer
+  uint64_t mSequence = 0; // of this record within the process
+  std::string mAddress;   // of the listener for other nodes
+  uint16_t mPort = 0;
+  std::string mService;
+  std::string mDataCentre;
+  std::string mServerId;         // of the backend server; empty when none has announced itself
+  uint64_t mServerStarted = 0;   // ms of the wall clock
+  uint64_t mServerWarmUntil = 0; // ms of the wall clock; it is slow before
+  uint32_t mSlots = 0;           // requests that the backend server runs at the same time
+  bool mServing = false;         // takes new work
+  bool mLeaving = false;         // the node's process ends soon
+
+  bool operator==(const NodeRecord&) const = default;
+
+  bool IsNewerThan(const NodeRecord& aOther) const
+  {
+    return mStarted != aOther.mStarted ? mStarted > aOther.mStarted
+                                       : mSequence > aOther.mSequence;
+  }
+};
+
+// JSON. Unknown fields are ignored. The failure names the field.
+std::string EncodeNodeRecord(const NodeRecord& aRecord);
+Result<NodeRecord> DecodeNodeRecord(std::string_view aText);
+// A JSON array of records; records that cannot be read are left out and counted in aSkipped.
+std::string EncodeNodeRecords(const std::vector<NodeRecord>& aRecords);
+Result<std::vector<NodeRecord>> DecodeNodeRecords(std::string_view aText, size_t& aSkipped);
+
+struct DirectoryPolicy
+{
+  // A node that is not listed is asked this often. Short against the two seconds in which entries
+  // are to be back after an outage of the store.
+  Duration mConfirmInterval = std::chrono::seconds(1);
+  // Failed confirmations in a row after which a node is taken as gone.
+  uint32_t mMaxFailedConfirmations = 2;
+
+  bool operator==(const DirectoryPolicy&) const = default;
+};
+
+struct DirectoryChange
+{
+  NodeRecord mRecord;
+  bool mGone = false;
+
+  bool operator==(const DirectoryChange&) const = default;
+};
+
+// Not thread safe.
+class Directory
+{
+public:
+  Directory(const Clock& aClock, std::string aSelf, const DirectoryPolicy& aPolicy = {});
+
+  // The whole list of the store.
+  void OnList(const std::vector<NodeRecord>& aRecords);
+  void OnListed(const NodeRecord& aRecord);
+  void OnUnlisted(const std::string& aNodeId);
+
+  // A record from the node itself, by an answer or a message.
+  void OnConfirmed(const NodeRecord& aRecord);
+  // A record from a third node. A node that is not known otherwise has to be confirmed.
+  void OnReported(const NodeRecord& aRecord);
+  // A node that was asked did not answer, or another node answered at its address.
+  void OnConfirmationFailed(const std::string& aNodeId);
+
+  // Nodes to ask for their record now. Each counts as asked.
+  std::vector<NodeRecord> TakeDueConfirmations();
+  // The changes since the last call, in order. The node's own record is never among them.
+  std::vector<DirectoryChange> TakeChanges();
+
+  // Known nodes without this one, by id.
+  std::vector<NodeRecord> Nodes() const;
+  size_t Size() const { return mNodes.size(); }
+  // The store's record of this node; from an earlier process when this one has not written yet.
+  const NodeRecord* OwnListed() const { return mOwnListed ? &mOwn : nullptr; }
+
+private:
+  struct Node
+  {
+    NodeRecord mRecord;
+    bool mListed = false;
+    bool mPublished = false; // was among the changes
+    SteadyTime mNextConfirmation{};
+    uint32_t mFailedConfirmations = 0;
+  };
+
+  void Update(Node& aNode, const NodeRecord& aRecord);
+  void Publish(Node& aNode);
+  void Remove(const std::string& aNodeId);
+
+  const Clock& mClock;
+  std::string mSelf;
+  DirectoryPolicy mPolicy;
+  std::map<std::string, Node> mNodes;
+  std::vector<DirectoryChange> mChanges;
+  NodeRecord mOwn;
+  bool mOwnListed = false;
+};
+
+} // namespace balsammount
+
+template <>
+struct std::is_error_code_enum<balsammount::DirectoryError> : std::true_type
+{
+};
--- a/packages/store/include/balsammount/etcd_store.h
+++ b/packages/store/include/balsammount/etcd_store.h
@@ -33,6 +33,8 @@
   EtcdStore& operator=(const EtcdStore&) = delete;
 
   void Get(std::string aKey, StoreCallback<StoreRead> aCallback) override;
+  void Range(std::string aPrefix, Freshness aFreshness,
+             StoreCallback<StoreRange> aCallback) override;
   void CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue, LeaseId aLease,
                       StoreCallback<Revision> aCallback) override;
   void Delete(std::string aKey, Revision aExpected, StoreCallback<Revision> aCallback) override;
@@ -41,6 +43,9 @@
   void RevokeLease(LeaseId aLease, StoreCallback<void> aCallback) override;
   std::unique_ptr<StoreWatch> Watch(std::string aKey, Revision aFrom,
                                     WatchCallback aCallback) override;
+  std::unique_ptr<StoreWatch> WatchPrefix(std::string aPrefix, Revision aFrom,
+                                          WatchCallback aCallback,
+                                          std::function<void()> aOnHistoryLost) override;
 
   struct State;
 
--- a/packages/store/include/balsammount/store.h
+++ b/packages/store/include/balsammount/store.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace balsammount {
 
@@ -79,6 +80,32 @@
 {
   std::optional<std::string> mValue; // nothing when the key was deleted or its lease expired
   Revision mModRevision = 0;
+  std::string mKey{};
+};
+
+// The first key after all keys that begin with the prefix. The prefix must hold a byte below 0xFF.
+std::string PrefixEnd(std::string aPrefix);
+
+struct StoreItem
+{
+  std::string mKey;
+  StoreEntry mEntry;
+
+  bool operator==(const StoreItem&) const = default;
+};
+
+// The entries under a prefix. Not a snapshot when there are many: an entry may be newer than
+// mRevision, and a watch from the next revision reports it again.
+struct StoreRange
+{
+  std::vector<StoreItem> mItems; // by key
+  Revision mRevision = 0;
+};
+
+enum class Freshness
+{
+  Latest,
+  MayBeStale, // cheaper, and may be seconds old; a watch from its revision catches up
 };
 
 using WatchCallback = std::function<void(const WatchEvent&)>;
@@ -102,6 +129,10 @@
   // Fails with Unavailable, TimedOut or Malformed.
   virtual void Get(std::string aKey, StoreCallback<StoreRead> aCallback) = 0;
 
+  // Fails like Get.
+  virtual void Range(std::string aPrefix, Freshness aFreshness,
+                     StoreCallback<StoreRange> aCallback) = 0;
+
   // Writes the value if the key's mod revision is aExpected (kAbsent: the key must not exist), and
   // returns the new mod revision. Fails with Unavailable, Unknown, Conflict, TooLarge or
   // LeaseNotFound.
@@ -125,6 +156,12 @@
   // latest state is reported.
   virtual std::unique_ptr<StoreWatch> Watch(std::string aKey, Revision aFrom,
                                             WatchCallback aCallback) = 0;
+
+  // Reports the changes of every key with the prefix. When the store no longer has the history,
+  // aOnHistoryLost is called once and the watch is over: the prefix has to be read again.
+  virtual std::unique_ptr<StoreWatch> WatchPrefix(std::string aPrefix, Revision aFrom,
+                                                  WatchCallback aCallback,
+                                                  std::function<void()> aOnHistoryLost) = 0;
 };
 
 } // namespace balsammount
--- a/packages/store/src/etcd_json.cpp
+++ b/packages/store/src/etcd_json.cpp
@@ -89,6 +89,11 @@
   return { { "key", EncodeBase64(aKey) } };
 }
 
+Json PrefixRequest(const std::string& aPrefix)
+{
+  return { { "key", EncodeBase64(aPrefix) }, { "range_end", EncodeBase64(PrefixEnd(aPrefix)) } };
+}
+
 namespace {
 
 Json Transaction(const std::string& aKey, Revision aExpected, Json aOperation)
@@ -120,9 +125,12 @@
                      { { "request_delete_range", { { "key", EncodeBase64(aKey) } } } });
 }
 
-Json WatchRequest(const std::string& aKey, Revision aFrom)
+Json WatchRequest(const std::string& aKey, const std::string& aEnd, Revision aFrom)
 {
   Json create = { { "key", EncodeBase64(aKey) }, { "progress_notify", true } };
+  if (!aEnd.empty()) {
+    create["range_end"] = EncodeBase64(aEnd);
+  }
   if (aFrom > 0) {
     create["start_revision"] = std::to_string(aFrom);
   }
@@ -138,6 +146,32 @@
   return revision;
 }
 
+StoreRange RangeOf(const Json& aRangeAnswer)
+{
+  StoreRange range;
+  range.mRevision = HeaderRevision(aRangeAnswer);
+  const auto entries = aRangeAnswer.find("kvs");
+  if (entries == aRangeAnswer.end()) {
+    return range;
+  }
+  if (!entries->is_array()) {
+    throw MalformedMessage("kvs is not a list of objects");
+  }
+  for (const Json& entry : *entries) {
+    if (!entry.is_object()) {
+      throw MalformedMessage("kvs is not a list of objects");
+    }
+    StoreItem item{ Bytes(entry, "key"),
+                    { Bytes(entry, "value"), Integer(entry, "mod_revision"),
+                      Integer(entry, "lease") } };
+    if (item.mEntry.mModRevision <= 0) {
+      throw MalformedMessage("entry without a mod revision");
+    }
+    range.mItems.push_back(std::move(item));
+  }
+  return range;
+}
+
 std::optional<StoreEntry> EntryOf(const Json& aRangeAnswer)
 {
   const auto entries = aRangeAnswer.find("kvs");
@@ -194,7 +228,8 @@
       throw MalformedMessage("event without a mod revision");
     }
     parsed.mEvents.push_back(
-      { isDelete ? std::nullopt : std::optional(Bytes(entry, "value")), revision });
+      { isDelete ? std::nullopt : std::optional(Bytes(entry, "value")), revision,
+        Bytes(entry, "key") });
   }
   return parsed;
 }
--- a/packages/store/src/etcd_json.h
+++ b/packages/store/src/etcd_json.h
@@ -27,14 +27,17 @@
 std::string ErrorText(std::string_view aBody);
 
 Json RangeRequest(const std::string& aKey);
+Json PrefixRequest(const std::string& aPrefix);
 Json PutTransaction(const std::string& aKey, Revision aExpected, const std::string& aValue,
                     LeaseId aLease);
 Json DeleteTransaction(const std::string& aKey, Revision aExpected);
-Json WatchRequest(const std::string& aKey, Revision aFrom);
+// Without aEnd a single key is watched, otherwise aKey <= key < aEnd.
+Json WatchRequest(const std::string& aKey, const std::string& aEnd, Revision aFrom);
 
 Revision HeaderRevision(const Json& aMessage);
 // The entry of a range answer, or nothing when the key does not exist.
 std::optional<StoreEntry> EntryOf(const Json& aRangeAnswer);
+StoreRange RangeOf(const Json& aRangeAnswer);
 // The revision of a transaction that succeeded, or the conflict.
 StoreResult<Revision> TransactionOutcome(const Json& aMessage, const std::string& aKey);
 
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -211,6 +211,17 @@
                      });
   }
 
+  void Range(const std::string& aPrefix, Freshness aFreshness,
+             StoreCallback<StoreRange> aCallback)
+  {
+    Json request = etcd::PrefixRequest(aPrefix);
+    request["serializable"] = aFreshness == Freshness::MayBeStale;
+    Start<StoreRange>(Kind::Read, "/v3/kv/range", std::move(request), std::move(aCallback),
+                      [](const std::string& aBody) -> StoreResult<StoreRange> {
+                        return etcd::RangeOf(etcd::ParseObject(aBody));
+                      });
+  }
+
   void Transact(Json aTransaction, std::string aKey, StoreCallback<Revision> aCallback)
   {
     Start<Revision>(Kind::Write, "/v3/kv/txn", std::move(aTransaction), std::move(aCallback),
@@ -235,13 +246,16 @@
 class WatchLoop : public std::enable_shared_from_this<WatchLoop>
 {
 public:
+  // With aOnHistoryLost, aKey is a prefix.
   WatchLoop(std::shared_ptr<EtcdStore::State> aState, std::string aKey, Revision aFrom,
-            WatchCallback aCallback)
+            WatchCallback aCallback, std::function<void()> aOnHistoryLost)
     : mState(std::move(aState))
     , mTimer(mState->mContext)
     , mKey(std::move(aKey))
+    , mEnd(aOnHistoryLost ? PrefixEnd(mKey) : std::string())
     , mNext(aFrom)
     , mCallback(std::move(aCallback))
+    , mOnHistoryLost(std::move(aOnHistoryLost))
   {
   }
 
@@ -275,7 +289,7 @@
         self->OnEnd(aResult);
       }
     };
-    mCall = mState->Preferred().Stream(MakeRequest("/v3/watch", etcd::WatchRequest(mKey, mNext)),
+    mCall = mState->Preferred().Stream(MakeRequest("/v3/watch", etcd::WatchRequest(mKey, mEnd, mNext)),
                                        mState->mSettings.mWatchIdleTimeout, std::move(callbacks));
   }
 
@@ -356,8 +370,10 @@
 
   void Deliver(const etcd::WatchMessage& aMessage)
   {
+    // Keys that were written together share a revision.
+    const Revision from = mNext;
     for (const WatchEvent& event : aMessage.mEvents) {
-      if (event.mModRevision >= mNext) {
+      if (event.mModRevision >= from) {
         Report(event, event.mModRevision + 1);
         if (IsOver()) {
           return;
@@ -381,6 +397,11 @@
   void Resync()
   {
     Disconnect();
+    if (mOnHistoryLost) {
+      mCancelled = true;
+      mOnHistoryLost();
+      return;
+    }
     mState->Get(mKey, [self = shared_from_this()](const StoreResult<StoreRead>& aResult) {
       if (self->IsOver()) {
         return;
@@ -448,8 +469,10 @@
   std::shared_ptr<EtcdStore::State> mState;
   asio::steady_timer mTimer;
   std::string mKey;
-  Revision mNext; // the first revision that was not reported
+  std::string mEnd; // of the watched keys; empty for a single key
+  Revision mNext;   // the first revision that was not reported
   WatchCallback mCallback;
+  std::function<void()> mOnHistoryLost;
   std::shared_ptr<Call> mCall;
   std::string mBuffer;
   uint64_t mConnection = 0;
@@ -494,6 +517,12 @@
   mState->Get(aKey, std::move(aCallback));
 }
 
+void EtcdStore::Range(std::string aPrefix, Freshness aFreshness,
+                      StoreCallback<StoreRange> aCallback)
+{
+  mState->Range(aPrefix, aFreshness, std::move(aCallback));
+}
+
 void EtcdStore::CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue,
                                LeaseId aLease, StoreCallback<Revision> aCallback)
 {
@@ -562,7 +591,18 @@
 std::unique_ptr<StoreWatch> EtcdStore::Watch(std::string aKey, Revision aFrom,
                                              WatchCallback aCallback)
 {
-  auto loop = std::make_shared<WatchLoop>(mState, std::move(aKey), aFrom, std::move(aCallback));
+  auto loop =
+    std::make_shared<WatchLoop>(mState, std::move(aKey), aFrom, std::move(aCallback), nullptr);
+  loop->Connect();
+  return std::make_unique<WatchHandle>(std::move(loop));
+}
+
+std::unique_ptr<StoreWatch> EtcdStore::WatchPrefix(std::string aPrefix, Revision aFrom,
+                                                   WatchCallback aCallback,
+                                                   std::function<void()> aOnHistoryLost)
+{
+  auto loop = std::make_shared<WatchLoop>(mState, std::move(aPrefix), aFrom, std::move(aCallback),
+                                          std::move(aOnHistoryLost));
   loop->Connect();
   return std::make_unique<WatchHandle>(std::move(loop));
 }
--- a/packages/store/src/fake_store.cpp
+++ b/packages/store/src/fake_store.cpp
@@ -9,7 +9,13 @@
   std::string mKey;
   Revision mNext = 0;
   WatchCallback mCallback;
+  std::function<void()> mOnHistoryLost; // set for a watch of a prefix
   bool mCancelled = false;
+
+  bool Covers(const std::string& aKey) const
+  {
+    return mOnHistoryLost ? aKey.starts_with(mKey) : aKey == mKey;
+  }
 };
 
 class FakeStore::Handle final : public StoreWatch
@@ -85,6 +91,19 @@
   });
 }
 
+void FakeStore::Range(std::string aPrefix, Freshness /*aFreshness*/,
+                      StoreCallback<StoreRange> aCallback)
+{
+  Reply<StoreRange>(std::move(aCallback), StoreError::TimedOut, [&]() -> StoreResult<StoreRange> {
+    StoreRange range;
+    range.mRevision = mModel.CurrentRevision();
+    for (const auto& [key, entry] : mModel.Range(aPrefix, PrefixEnd(aPrefix))) {
+      range.mItems.push_back({ key, ToEntry(entry) });
+    }
+    return range;
+  });
+}
+
 void FakeStore::CompareAndSwap(std::string aKey, Revision aExpected, std::string aValue,
                                LeaseId aLease, StoreCallback<Revision> aCallback)
 {
@@ -143,13 +162,21 @@
 
 std::unique_ptr<StoreWatch> FakeStore::Watch(std::string aKey, Revision aFrom,
                                              WatchCallback aCallback)
+{
+  return WatchPrefix(std::move(aKey), aFrom, std::move(aCallback), nullptr);
+}
+
+std::unique_ptr<StoreWatch> FakeStore::WatchPrefix(std::string aPrefix, Revision aFrom,
+                                                   WatchCallback aCallback,
+                                                   std::function<void()> aOnHistoryLost)
 {
   ++mCalls;
   const Revision from = aFrom == 0 ? mModel.CurrentRevision() + 1 : aFrom;
   auto watcher = std::make_shared<Watcher>();
-  watcher->mKey = std::move(aKey);
+  watcher->mKey = std::move(aPrefix);
   watcher->mNext = from;
   watcher->mCallback = std::move(aCallback);
+  watcher->mOnHistoryLost = std::move(aOnHistoryLost);
   mWatchers.push_back(watcher);
   return std::make_unique<Handle>(std::move(watcher));
 }
@@ -183,15 +210,21 @@
   }
   bool delivered = false;
   for (const auto& watcher : std::vector(mWatchers)) {
+    if (watcher->mOnHistoryLost && watcher->mNext <= mModel.CompactRevision()) {
+      watcher->mCancelled = true;
+      watcher->mOnHistoryLost();
+      return true;
+    }
     const auto events = mModel.EventsFrom(std::max(watcher->mNext, mModel.CompactRevision() + 1));
     for (const ModelEvent& event : *events) {
-      if (event.mKey != watcher->mKey || watcher->mCancelled) {
+      if (!watcher->Covers(event.mKey) || watcher->mCancelled) {
         continue;
       }
       delivered = true;
       watcher->mNext = event.mRevision + 1;
       watcher->mCallback(
-        { event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt, event.mRevision });
+        { event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt, event.mRevision,
+          event.mKey });
     }
   }
   return delivered;
--- a/packages/store/src/store.cpp
+++ b/packages/store/src/store.cpp
@@ -20,4 +20,15 @@
   return { static_cast<int>(aError), sCategory };
 }
 
+std::string PrefixEnd(std::string aPrefix)
+{
+  while (!aPrefix.empty() && static_cast<unsigned char>(aPrefix.back()) == 0xFF) {
+    aPrefix.pop_back();
+  }
+  if (!aPrefix.empty()) {
+    aPrefix.back() = static_cast<char>(static_cast<unsigned char>(aPrefix.back()) + 1);
+  }
+  return aPrefix;
+}
+
 } // namespace balsammount
--- a/packages/store/tests/etcd_store_test.cpp
+++ b/packages/store/tests/etcd_store_test.cpp
@@ -325,6 +325,37 @@
   CHECK_FALSE(called);
 }
 
+// Guards against entries or changes of a prefix that are missed or reported for other keys.
+TEST(EtcdStore, RangeAndWatchOfAPrefix)
+{
+  std::vector<std::string> log;
+  const auto put = [&](const char* aKey) {
+    bool done = false;
+    mStore->CompareAndSwap(aKey, kAbsent, "v", kNoLease, [&](const auto&) { done = true; });
+    RunUntil([&] { return done; });
+  };
+  put("/p/a");
+  put("/q/a");
+  Revision revision = 0;
+  mStore->Range("/p/", Freshness::MayBeStale, [&](const StoreResult<StoreRange>& aRange) {
+    for (const StoreItem& item : aRange->mItems) {
+      log.push_back(item.mKey);
+    }
+    revision = aRange->mRevision;
+  });
+  RunUntil([&] { return revision > 0; });
+  mWatch = mStore->WatchPrefix(
+    "/p/", revision + 1,
+    [&](const WatchEvent& aEvent) { log.push_back(aEvent.mKey + (aEvent.mValue ? "+" : "-")); },
+    [] {});
+  put("/p/b");
+  put("/q/b");
+  put("/p/c");
+  RunUntil([&] { return log.size() == 3; });
+  const std::vector<std::string> expected = { "/p/a", "/p/b+", "/p/c+" };
+  CHECK(expected == log);
+}
+
 TEST_GROUP(FakeStore)
 {
   ManualClock mClock;
@@ -377,3 +408,28 @@
   const std::vector<std::string> expected = { "x", "deleted" };
   CHECK(expected == mLog);
 }
+
+// Guards against a watcher of a prefix that goes on after changes were dropped unseen.
+TEST(FakeStore, PrefixWatchEndsWhenHistoryIsLost)
+{
+  auto watch = mStore.WatchPrefix(
+    "/p/", 1, [this](const WatchEvent& aEvent) { mLog.push_back(aEvent.mKey); },
+    [this] { mLog.push_back("lost"); });
+  mStore.Model().Put("/p/a", "x", kNoLease);
+  mStore.Model().Put("/q/a", "x", kNoLease);
+  mStore.Poll();
+  mStore.Model().Put("/p/b", "x", kNoLease);
+  mStore.Model().Compact(mStore.Model().CurrentRevision());
+  mStore.Poll();
+  mStore.Model().Put("/p/c", "x", kNoLease);
+  mStore.Poll();
+  const std::vector<std::string> expected = { "/p/a", "lost" };
+  CHECK(expected == mLog);
+  mStore.Range("/p/", Freshness::Latest, [this](const StoreResult<StoreRange>& aRange) {
+    for (const StoreItem& item : aRange->mItems) {
+      mLog.push_back(item.mKey);
+    }
+  });
+  mStore.Poll();
+  CHECK_EQUAL(5, mLog.size());
+}
