--- a/cmake/Package.cmake
+++ b/cmake/Package.cmake
@@ -3,12 +3,14 @@
 target_compile_options(bm_options INTERFACE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor -Werror)
 target_compile_definitions(bm_options INTERFACE BM_VERSION="${PROJECT_VERSION}"
                            BOOST_ASIO_NO_DEPRECATED)
+# gcc 12 reports false positives for std::string concatenation.
+target_compile_options(bm_options INTERFACE -Wno-restrict)
 if(BM_SANITIZE)
   target_compile_options(bm_options INTERFACE -fsanitize=address,undefined -fno-sanitize-recover=all
                          -O1 -fno-omit-frame-pointer)
   target_link_options(bm_options INTERFACE -fsanitize=address,undefined)
-  # gcc reports false positives for these when the sanitizers instrument inlined code.
-  target_compile_options(bm_options INTERFACE -Wno-maybe-uninitialized -Wno-restrict)
+  # gcc reports false positives when the sanitizers instrument inlined code.
+  target_compile_options(bm_options INTERFACE -Wno-maybe-uninitialized)
 endif()
 
 # bm_package(NAME [DEPENDS target...]) defines library bm_NAME from src/*.cpp and, when tests/*.cpp
@@ -27,7 +29,7 @@
 function(bm_tests name)
   cmake_parse_arguments(ARG "" "" "DEPENDS" ${ARGN})
   file(GLOB tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cpp)
-  if(tests)
+  if(tests AND BM_TESTING)
     # Every test program shares the runner of the base package.
     list(APPEND tests ${CMAKE_SOURCE_DIR}/packages/base/tests/main.cpp)
     list(REMOVE_DUPLICATES tests)
--- a/packages/ctl/src/main.cpp
+++ b/packages/ctl/src/main.cpp
@@ -1,10 +1,12 @@
 #include "balsammount/ctl.h"
+#include "balsammount/log.h"
 
 #include <iostream>
 
 int main(int aCount, char** aArguments)
 {
   using namespace balsammount;
+  LogToStandardError();
   CtlEnvironment environment{ std::cout, std::cerr, OpenStore,
                               [] { return SystemClock().WallNow(); } };
   try {
--- a/packages/log/src/log.cpp
+++ b/packages/log/src/log.cpp
@@ -1,26 +1,66 @@
 #include "balsammount/log.h"
 
+#include "stdout_sink.h"
+
+#include <nlohmann/json.hpp>
 #include <spdlog/pattern_formatter.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 
 #include <array>
 #include <memory>
+#include <mutex>
 #include <string>
 
 namespace balsammount {
 
 namespace {
 
+using Formatter = std::unique_ptr<spdlog::formatter>;
+
 constexpr const char* kTextPattern = "%Y-%m-%dT%H:%M:%S.%eZ %l %n: %v";
-constexpr const char* kJsonPattern =
-  R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","part":"%n","message":"%v"})";
 
-const std::shared_ptr<spdlog::sinks::stderr_sink_st>& Sink()
+Formatter TextFormatter()
+{
+  return std::make_unique<spdlog::pattern_formatter>(kTextPattern, spdlog::pattern_time_type::utc);
+}
+
+// One JSON object per line, with the message escaped.
+class JsonFormatter final : public spdlog::formatter
+{
+public:
+  void format(const spdlog::details::log_msg& aMessage, spdlog::memory_buf_t& aTarget) override
+  {
+    const auto level = spdlog::level::to_string_view(aMessage.level);
+    const nlohmann::ordered_json line = {
+      { "time", detail::TimeText(aMessage.time) },
+      { "level", std::string(level.data(), level.size()) },
+      { "part", std::string(aMessage.logger_name.data(), aMessage.logger_name.size()) },
+      { "message", std::string(aMessage.payload.data(), aMessage.payload.size()) }
+    };
+    const std::string text =
+      line.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace) + "\n";
+    aTarget.append(text.data(), text.data() + text.size());
+  }
+  Formatter clone() const override { return std::make_unique<JsonFormatter>(); }
+};
+
+class StdoutSink final : public spdlog::sinks::base_sink<std::mutex>
+{
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    spdlog::memory_buf_t line;
+    formatter_->format(aMessage, line);
+    detail::WriteLine({ line.data(), line.size() });
+  }
+  void flush_() override {}
+};
+
+const std::shared_ptr<StdoutSink>& Sink()
 {
   static const auto sSink = [] {
-    auto sink = std::make_shared<spdlog::sinks::stderr_sink_st>();
-    sink->set_formatter(
-      std::make_unique<spdlog::pattern_formatter>(kTextPattern, spdlog::pattern_time_type::utc));
+    auto sink = std::make_shared<StdoutSink>();
+    sink->set_formatter(TextFormatter());
     return sink;
   }();
   return sSink;
@@ -40,10 +80,15 @@
   return *logger;
 }
 
+void LogToStandardError()
+{
+  detail::WriteToStandardError();
+}
+
 void SetLogFormat(std::string_view aFormat)
 {
-  Sink()->set_formatter(std::make_unique<spdlog::pattern_formatter>(
-    aFormat == "json" ? kJsonPattern : kTextPattern, spdlog::pattern_time_type::utc));
+  Sink()->set_formatter(aFormat == "json" ? Formatter(std::make_unique<JsonFormatter>())
+                                          : TextFormatter());
 }
 
 bool SetLogLevel(std::string_view aLevel)
--- a/packages/node/include/balsammount/node.h
+++ b/packages/node/include/balsammount/node.h
@@ -2,7 +2,9 @@
 #pragma once
 
 #include "balsammount/kernel.h"
+#include "balsammount/node_composition.h"
 #include "balsammount/node_settings.h"
+#include "balsammount/server_life.h"
 
 #include <boost/asio/io_context.hpp>
 
@@ -14,7 +16,8 @@
 class Node
 {
 public:
-  Node(boost::asio::io_context& aContext, NodeSettings aSettings);
+  Node(boost::asio::io_context& aContext, NodeSettings aSettings,
+       NodeComposition aComposition = {});
   ~Node();
   Node(const Node&) = delete;
   Node& operator=(const Node&) = delete;
@@ -28,6 +31,15 @@
   // Called when an operator asks for a drain through the admin listener.
   void SetDrainRequestCallback(std::function<void()> aCallback);
 
+  // What the backend server says about itself, with ServerPresence::Announced. When this returns,
+  // the node is bound by it: a server that leaves gets no new request from here.
+  AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
+  // The backend server has ended or is about to.
+  void OnDeparture(std::string_view aServerId);
+
+  // Applies what can change while the node runs (the log level); logs what needs a restart.
+  void Reload(const NodeSettings& aSettings);
+
   // Closes everything at once.
   void Stop();
 
--- /dev/null
+++ b/packages/node/include/balsammount/node_program.h
@@ -0,0 +1,29 @@
+// The command line, signals and exit codes of a program that runs one node.
+#pragma once
+
+#include "balsammount/node.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace balsammount {
+
+struct NodeProgram
+{
+  std::string mName;
+  // Fits the node to the deployment; called once, with the settings that were read.
+  std::function<NodeComposition(const NodeSettings&)> mCompose = [](const NodeSettings&) {
+    return NodeComposition{};
+  };
+  // Started after the node, and stopped before it; null: nothing.
+  std::function<std::shared_ptr<Service>(boost::asio::io_context&, const NodeSettings&, Node&)>
+    mMakeExtension;
+  // Reads the settings file.
+  std::function<Result<NodeSettings>(const std::string&)> mReadSettings = ReadNodeSettings;
+};
+
+// Runs until the node has stopped; returns the exit code.
+int RunNodeProgram(const NodeProgram& aProgram, int aCount, char** aArguments);
+
+} // namespace balsammount
--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -35,7 +35,7 @@
   std::string mDataCentre; // name, as in other nodes' settings
   std::string mRegion;
   Endpoint mCallerListen;          // callers, HTTP/1.1
-  Endpoint mEgressListen;          // the backend server's own calls, HTTP/1.1
+  Endpoint mEgressListen;          // the backend server's own calls, HTTP/1.1; port 0: none
   Endpoint mPeerListen;            // other nodes, HTTP/2; its UDP port carries gossip
   Endpoint mAdminListen;           // operators and metrics, HTTP/1.1
   Endpoint mBackend;               // the backend server, HTTP/1.1
@@ -44,6 +44,11 @@
   std::string mLogLevel = "info";
   std::string mLogFormat = "text"; // or "json"
   uint32_t mDrainSeconds = 30;     // a planned stop waits this long for requests in flight
+  Endpoint mReadyListen;           // GET /ready; port 0: only on the admin listener
+  // Bounds of the whole fleet's retries, as the deployment states them: retries per request, and
+  // retries beyond that in a window of ten seconds. Ratio 0: as the services' configuration says.
+  double mFleetRetryRatio = 0;
+  uint32_t mFleetRetrySlack = 0;
 
   bool operator==(const NodeSettings&) const = default;
 };
--- /dev/null
+++ b/packages/node/include/balsammount/server_life.h
@@ -0,0 +1,74 @@
+// What the backend server beside a node has announced about itself.
+//
+// Each start of a backend server is an incarnation, told by its id and its time of start. An
+// announcement can be late: it may come after a later one, or after the next incarnation's.
+#pragma once
+
+#include "balsammount/clock.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace balsammount {
+
+struct ServerAnnouncement
+{
+  std::string mServerId;
+  uint64_t mStarted = 0;  // ms of the server's wall clock
+  uint64_t mSequence = 0; // increases with each announcement of an incarnation
+  std::string mService;
+  std::string mAddress;
+  uint32_t mSlots = 0; // requests that it runs at the same time
+  bool mLeaving = false;
+  Duration mWarmUpLeft{}; // it is slow for this much longer
+
+  bool operator==(const ServerAnnouncement&) const = default;
+};
+
+enum class AnnouncementResult
+{
+  Applied,
+  Late,    // of an earlier incarnation, or older than the last one that was applied
+  Foreign, // for another service or address than this node's backend server
+};
+
+const char* ToString(AnnouncementResult aResult);
+
+// The incarnation that is in force. Leaving is final for an incarnation.
+class ServerLife
+{
+public:
+  ServerLife(std::string aService, std::string aAddress)
+    : mService(std::move(aService))
+    , mAddress(std::move(aAddress))
+  {
+  }
+
+  AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
+  // The server ends, or has ended. False when another incarnation is in force.
+  bool OnDeparture(std::string_view aServerId);
+  // An incarnation that had announced to an earlier process of this node that it leaves.
+  void RecallLeaving(const std::string& aServerId, uint64_t aStarted);
+
+  // Nothing until an announcement was applied.
+  const std::optional<ServerAnnouncement>& Current() const { return mCurrent; }
+  bool IsServing() const { return mCurrent && !mCurrent->mLeaving; }
+
+private:
+  struct Left
+  {
+    std::string mServerId;
+    uint64_t mStarted = 0;
+  };
+
+  bool HasLeft(const ServerAnnouncement& aAnnouncement) const;
+
+  std::string mService;
+  std::string mAddress;
+  std::optional<ServerAnnouncement> mCurrent;
+  std::optional<Left> mLeft;
+};
+
+} // namespace balsammount
--- a/packages/node/src/admin.cpp
+++ b/packages/node/src/admin.cpp
@@ -48,6 +48,7 @@
   };
   const HttpRequest& request = aExchange->Request();
   const std::array routes = {
+    Route{ "GET", "/ready", [this] { return Ready(); } },
     Route{ "GET", "/state", [this] { return State(); } },
     Route{ "GET", "/services", [this] { return Services(); } },
     Route{ "GET", "/members", [this] { return Members(); } },
@@ -73,6 +74,13 @@
                            : ErrorResponse(404, "no such page"));
 }
 
+HttpResponse Admin::Ready() const
+{
+  HttpResponse response;
+  response.mStatus = mParts.mReady() ? 200 : 503;
+  return response;
+}
+
 HttpResponse Admin::State() const
 {
   const AdmissionStats stats = mParts.mExecutor.Admission().Stats();
@@ -89,6 +97,16 @@
                       { "queued", rank.mQueued },
                       { "typical_service_ms", Milliseconds(rank.mTypicalService) } });
   }
+  Json ownership;
+  if (const OwnerService* owner = mParts.mOwner) {
+    ownership = { { "keys", owner->Memory().Records() },
+                  { "bytes", owner->Memory().Bytes() },
+                  { "shards", owner->OwnedShards() },
+                  { "takeovers", owner->Core().Stats().mTakeovers },
+                  { "handovers", owner->Core().Stats().mHandovers } };
+  }
+  const size_t members =
+    mParts.mMembers ? mParts.mMembers->Core().Count() : mParts.mDirectory->Nodes().size() + 1;
   return JsonResponse({ { "node", mParts.mSettings.mNodeId },
                         { "service", mParts.mSettings.mService },
                         { "data_centre", mParts.mSettings.mDataCentre },
@@ -101,13 +119,8 @@
                             { "source", config.Source() },
                             { "age_ms", Milliseconds(mParts.mConfig.Age()) },
                             { "last_refusal", mParts.mConfig.LastRefusal() } } },
-                        { "ownership",
-                          { { "keys", mParts.mOwner.Memory().Records() },
-                            { "bytes", mParts.mOwner.Memory().Bytes() },
-                            { "shards", mParts.mOwner.OwnedShards() },
-                            { "takeovers", mParts.mOwner.Core().Stats().mTakeovers },
-                            { "handovers", mParts.mOwner.Core().Stats().mHandovers } } },
-                        { "members", mParts.mMembers.Core().Count() },
+                        { "ownership", ownership },
+                        { "members", members },
                         { "admission",
                           { { "in_flight", stats.mInFlight },
                             { "queued", stats.mQueued },
@@ -137,7 +150,21 @@
 HttpResponse Admin::Members() const
 {
   Json members = Json::array();
-  for (const MemberRecord& record : mParts.mMembers.Core().Members()) {
+  if (!mParts.mMembers) {
+    for (const NodeRecord& record : mParts.mDirectory->Nodes()) {
+      members.push_back({ { "node", record.mNodeId },
+                          { "service", record.mService },
+                          { "data_centre", record.mDataCentre },
+                          { "address", record.mAddress },
+                          { "port", record.mPort },
+                          { "server", record.mServerId },
+                          { "available", record.mServing },
+                          { "leaving", record.mLeaving },
+                          { "started_ms", record.mStarted } });
+    }
+    return JsonResponse(members);
+  }
+  for (const MemberRecord& record : mParts.mMembers->Core().Members()) {
     members.push_back({ { "node", record.mId },
                         { "service", record.mService },
                         { "data_centre", record.mDataCentre },
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config_service.h"
+#include "directory_service.h"
 #include "executor.h"
 #include "gateway.h"
 #include "member_service.h"
@@ -23,10 +24,13 @@
   const Upstreams& mUpstreams;
   const Gateway& mGateway;
   const Metrics& mMetrics;
-  const MemberService& mMembers;
-  const OwnerService& mOwner;
+  // Null in a deployment without them.
+  const MemberService* mMembers;
+  const OwnerService* mOwner;
+  const DirectoryService* mDirectory;
   QuarantineService& mQuarantine;
   std::function<void()> mDrain;
+  std::function<bool()> mReady;
 };
 
 class Admin final : public Service
@@ -37,11 +41,12 @@
   {
   }
 
-  // GET /state, /services, /members, /config, /quarantine, /metrics; POST /drain;
+  // GET /ready (200 when the node takes requests of callers, else 503), /state, /services, /members, /config, /quarantine, /metrics; POST /drain;
   // PUT /log-level with the level; DELETE /quarantine with a fingerprint.
   void Handle(const std::shared_ptr<Exchange>& aExchange);
 
 private:
+  HttpResponse Ready() const;
   HttpResponse State() const;
   HttpResponse Services() const;
   HttpResponse Members() const;
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <cstdio>
 #include <limits>
 
 namespace balsammount {
@@ -35,6 +36,10 @@
 constexpr std::string_view kServiceTime = "bm-service-us";
 constexpr std::string_view kAttemptsLeft = "bm-attempts-left";
 constexpr std::string_view kLeaving = "bm-leaving";
+constexpr std::string_view kCallerService = "bm-caller-service";
+constexpr std::string_view kReachedServer = "bm-reached-server";
+constexpr std::string_view kLoad = "bm-load";
+constexpr std::string_view kConfigRevision = "bm-config";
 
 // A deadline further away than this is malformed: it would overflow the clock's arithmetic.
 constexpr uint64_t kMaxDeadlineUs = 3'600'000'000;
@@ -92,6 +97,18 @@
   return unknown ? 502 : 503;
 }
 
+std::string RetryAfterText(Duration aDelay, const MessageNames& aNames)
+{
+  if (!aNames.mFractionalRetryAfter) {
+    // Whole seconds, at least one.
+    return std::to_string(std::chrono::ceil<std::chrono::seconds>(aDelay).count());
+  }
+  const auto milliseconds = std::chrono::ceil<std::chrono::milliseconds>(aDelay).count();
+  std::array<char, 32> text{};
+  std::snprintf(text.data(), text.size(), "%.3f", static_cast<double>(milliseconds) / 1000);
+  return text.data();
+}
+
 } // namespace
 
 const char* ToString(CallReason aReason)
@@ -145,6 +162,9 @@
   if (!aContext.mKey.empty()) {
     aHeaders.Add(kKey, aContext.mKey);
   }
+  if (!aContext.mCallerService.empty()) {
+    aHeaders.Add(kCallerService, aContext.mCallerService);
+  }
 }
 
 std::optional<ReceivedContext> ReadContext(const HttpRequest& aRequest, SteadyTime aNow)
@@ -167,6 +187,7 @@
   context.mService = headers.Find(kService);
   context.mRank = headers.Find(kRank);
   context.mKey = headers.Find(kKey);
+  context.mCallerService = headers.Find(kCallerService);
   context.mIdempotent = headers.Find(kIdempotent) == "1";
   context.mCallerHash = *caller;
   context.mRequestHash = *hash;
@@ -212,6 +233,15 @@
   if (aAnswer.mLeaving) {
     response.mHeaders.Add(kLeaving, "1");
   }
+  if (aAnswer.mReachedServer) {
+    response.mHeaders.Add(kReachedServer, "1");
+  }
+  if (aAnswer.mConfigRevision > 0) {
+    response.mHeaders.Add(kConfigRevision, std::to_string(aAnswer.mConfigRevision));
+  }
+  if (aAnswer.mLoadPercent > 0) {
+    response.mHeaders.Add(kLoad, std::to_string(aAnswer.mLoadPercent));
+  }
   return response;
 }
 
@@ -236,28 +266,37 @@
   answer.mBudget = RequestBudget(static_cast<uint32_t>(
     std::min<uint64_t>(ParseNumber(headers.Find(kAttemptsLeft)).value_or(0), UINT32_MAX)));
   answer.mLeaving = headers.Has(kLeaving);
+  // A peer that does not state an outcome may have sent the request on.
+  answer.mReachedServer = !outcome || headers.Has(kReachedServer);
+  answer.mConfigRevision = ParseNumber(headers.Find(kConfigRevision)).value_or(0);
+  answer.mLoadPercent = static_cast<uint32_t>(
+    std::min<uint64_t>(ParseNumber(headers.Find(kLoad)).value_or(0), UINT32_MAX));
   answer.mResponse = std::move(aResponse);
   RemoveInternalHeaders(answer.mResponse.mHeaders);
   return answer;
 }
 
-HttpResponse CallerResponse(Answer aAnswer)
+HttpResponse CallerResponse(Answer aAnswer, const MessageNames& aNames)
 {
   if (aAnswer.mOutcome == AttemptOutcome::Complete) {
     HttpResponse response = std::move(aAnswer.mResponse);
-    response.mHeaders.Set("Balsam-Outcome", "backend");
+    if (!aNames.mOutcome.empty()) {
+      response.mHeaders.Set(aNames.mOutcome, "backend");
+    }
     return response;
   }
   const bool unknown = aAnswer.mOutcome == AttemptOutcome::Unknown;
   HttpResponse response;
   response.mStatus = StatusOf(aAnswer);
   response.mHeaders.Set("Content-Type", "text/plain");
-  response.mHeaders.Set("Balsam-Outcome", unknown ? "unknown" : "not-run");
-  response.mHeaders.Set("Balsam-Reason", ToString(aAnswer.mReason));
+  if (!aNames.mOutcome.empty()) {
+    response.mHeaders.Set(aNames.mOutcome, unknown ? "unknown" : "not-run");
+  }
+  if (!aNames.mReason.empty()) {
+    response.mHeaders.Set(aNames.mReason, ToString(aAnswer.mReason));
+  }
   if (aAnswer.mRetryAfter > Duration::zero()) {
-    // Retry-After counts whole seconds; at least one.
-    const auto seconds = std::chrono::ceil<std::chrono::seconds>(aAnswer.mRetryAfter).count();
-    response.mHeaders.Set("Retry-After", std::to_string(seconds));
+    response.mHeaders.Set("Retry-After", RetryAfterText(aAnswer.mRetryAfter, aNames));
   }
   response.mBody =
     std::string(unknown ? "the request may have run: " : "the request did not run: ") +
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -3,6 +3,7 @@
 
 #include "balsammount/clock.h"
 #include "balsammount/exchange.h"
+#include "balsammount/message_names.h"
 #include "balsammount/retry.h"
 
 #include <functional>
@@ -17,6 +18,8 @@
   std::string mService;
   std::string mRank;
   std::string mKey; // idempotency key of the caller; empty when none
+  std::string mRoute;         // name of the route, for logs; not sent to other nodes
+  std::string mCallerService; // service of the instance where the request came in
   bool mIdempotent = false;
   bool mIsRoot = false; // starts its call chain at this node; not sent to other nodes
   uint64_t mCallerHash = 0;
@@ -62,6 +65,9 @@
   uint32_t mShedLevel = 0; // of the node that executed or refused it
   Duration mServiceTime{}; // measured by the executing node
   bool mLeaving = false;   // the executing node takes no new work
+  bool mReachedServer = false; // the request was sent to a backend server, whether it ran or not
+  uint64_t mConfigRevision = 0; // in force at the executing node; 0: not stated
+  uint32_t mLoadPercent = 0;   // requests at the executing node per 100 slots of its server
 };
 
 using AnswerCallback = std::function<void(Answer)>;
@@ -88,7 +94,7 @@
 HttpResponse EncodeAnswer(Answer aAnswer);
 Answer DecodeAnswer(HttpResponse aResponse);
 
-// Towards callers and backend servers: status, Balsam-Outcome, Balsam-Reason, Retry-After.
-HttpResponse CallerResponse(Answer aAnswer);
+// Towards callers: status, outcome, reason and Retry-After, or the backend server's own answer.
+HttpResponse CallerResponse(Answer aAnswer, const MessageNames& aNames = {});
 
 } // namespace balsammount
--- a/packages/node/src/config_service.cpp
+++ b/packages/node/src/config_service.cpp
@@ -1,7 +1,5 @@
 #include "config_service.h"
 
-#include "store_keys.h"
-
 #include "balsammount/log.h"
 
 namespace balsammount {
@@ -12,6 +10,9 @@
 
 // Pause before a failed read of the store is repeated.
 constexpr auto kReadRetry = 500ms;
+// The same while a configuration is in force: every call is paid for, and other nodes pass newer
+// ones on.
+constexpr auto kReadRetryInForce = 1000ms;
 // A node that does not watch the store reads it this often, in case that gossip fails it.
 constexpr auto kReadUnwatched = 60s;
 
@@ -29,10 +30,14 @@
 
 } // namespace
 
-ConfigService::ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore)
+ConfigService::ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore,
+                             const NodeComposition& aComposition)
   : mClock(aClock)
   , mStore(aStore)
+  , mKey(aComposition.mConfigKey)
   , mTimer(aContext)
+  , mHolder(aComposition.mDecodeConfig)
+  , mWatching(aComposition.mDiscovery == Discovery::Store)
 {
 }
 
@@ -91,7 +96,7 @@
 
 void ConfigService::Read()
 {
-  mStore.Get(kConfigKey, [this](StoreResult<StoreRead> aResult) { OnRead(std::move(aResult)); });
+  mStore.Get(mKey, [this](StoreResult<StoreRead> aResult) { OnRead(std::move(aResult)); });
 }
 
 void ConfigService::OnRead(StoreResult<StoreRead> aResult)
@@ -101,7 +106,7 @@
   }
   if (!aResult) {
     Log("config").warn("cannot read the store: {}", Describe(aResult.error()));
-    ReadLater(kReadRetry);
+    ReadLater(mHolder.Current() ? kReadRetryInForce : kReadRetry);
     return;
   }
   if (aResult->mEntry) {
@@ -111,7 +116,7 @@
     ReadLater(kReadUnwatched);
     return;
   }
-  mWatch = mStore.Watch(kConfigKey, aResult->mRevision + 1, [this](const WatchEvent& aEvent) {
+  mWatch = mStore.Watch(mKey, aResult->mRevision + 1, [this](const WatchEvent& aEvent) {
     if (aEvent.mValue) {
       Offer(*aEvent.mValue, "store");
     }
--- a/packages/node/src/config_service.h
+++ b/packages/node/src/config_service.h
@@ -3,6 +3,7 @@
 
 #include "balsammount/config_revision.h"
 #include "balsammount/kernel.h"
+#include "balsammount/node_composition.h"
 #include "balsammount/store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,8 @@
 public:
   using Listener = std::function<void(const std::shared_ptr<const Config>&)>;
 
-  ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore);
+  ConfigService(boost::asio::io_context& aContext, const Clock& aClock, Store& aStore,
+                const NodeComposition& aComposition);
 
   // Called whenever a configuration comes into force, and at once if there is one.
   void AddListener(Listener aListener);
@@ -46,13 +48,14 @@
 
   const Clock& mClock;
   Store& mStore;
+  std::string mKey;
   boost::asio::steady_timer mTimer;
   ConfigHolder mHolder;
   std::vector<Listener> mListeners;
   std::unique_ptr<StoreWatch> mWatch;
   SteadyTime mApplied{};
   std::string mLastRefusal;
-  bool mWatching = false;
+  bool mWatching;
   bool mStopped = false;
 };
 
--- /dev/null
+++ b/packages/node/src/directory_service.cpp
@@ -0,0 +1,533 @@
+#include "directory_service.h"
+
+#include "balsammount/event.h"
+
+#include <boost/asio/ip/address.hpp>
+
+#include <algorithm>
+#include <charconv>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A record outlives a frozen or restarted process by this much. Every renewal costs a call, and
+// nodes that are gone are noticed by their connections long before.
+constexpr auto kLeaseTime = 10s;
+constexpr auto kRenewInterval = 2500ms;
+
+// Pause before a failed call is repeated; doubles up to the maximum, with jitter. The maximum keeps
+// entries back within two seconds of the store's return.
+constexpr Duration kMinBackoff = 100ms;
+constexpr Duration kMaxBackoff = 1000ms;
+
+constexpr auto kTick = 250ms;
+// A node that the store does not answer asks the others this often.
+constexpr auto kAskInterval = 500ms;
+constexpr auto kExchangeTimeout = 1000ms;
+constexpr auto kConfigFetchTimeout = 1000ms;
+// Nodes that are told directly of a change while the store is away.
+constexpr size_t kMaxTold = 64;
+// Bounds what a wrong clock can make of the end of a warm-up.
+constexpr Duration kMaxWarmUp = 30s;
+
+constexpr const char* kRevisionHeader = "bm-config";
+
+uint64_t WallMillis(WallTime aTime)
+{
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count());
+}
+
+uint64_t ReadRevision(const Headers& aHeaders)
+{
+  const std::string_view text = aHeaders.Find(kRevisionHeader);
+  uint64_t value = 0;
+  std::from_chars(text.data(), text.data() + text.size(), value);
+  return value;
+}
+
+} // namespace
+
+DirectoryService::DirectoryService(asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                                   Store& aStore, const NodeSettings& aSettings,
+                                   std::string aPrefix, uint64_t aStarted, DirectoryUsers aUsers)
+  : mClock(aClock)
+  , mRandom(aRandom)
+  , mStore(aStore)
+  , mPrefix(std::move(aPrefix))
+  , mUsers(std::move(aUsers))
+  , mDirectory(aClock, aSettings.mNodeId)
+  , mListTimer(aContext)
+  , mLeaseTimer(aContext)
+  , mTickTimer(aContext)
+{
+  mOwn.mNodeId = aSettings.mNodeId;
+  mOwn.mStarted = aStarted;
+  mOwn.mAddress = aSettings.mPeerListen.address().to_string();
+  mOwn.mPort = aSettings.mPeerListen.port();
+  mOwn.mService = aSettings.mService;
+  mOwn.mDataCentre = aSettings.mDataCentre;
+}
+
+Result<void> DirectoryService::Start()
+{
+  ReadList(Freshness::MayBeStale);
+  ScheduleTick();
+  return {};
+}
+
+void DirectoryService::Stop()
+{
+  mStopped = true;
+  mWatch.reset();
+  mListTimer.cancel();
+  mLeaseTimer.cancel();
+  mTickTimer.cancel();
+}
+
+void DirectoryService::SetRecallCallback(std::function<void(const NodeRecord&)> aCallback)
+{
+  mOnRecall = std::move(aCallback);
+}
+
+// The list.
+
+void DirectoryService::ReadList(Freshness aFreshness)
+{
+  mStore.Range(mPrefix, aFreshness, [this](const StoreResult<StoreRange>& aResult) {
+    if (!mStopped) {
+      OnList(aResult);
+    }
+  });
+}
+
+void DirectoryService::OnList(const StoreResult<StoreRange>& aResult)
+{
+  if (!aResult) {
+    SetStoreReachable(false, "list", Describe(aResult.error()));
+    mBackoff = std::clamp(mBackoff * 2, kMinBackoff, kMaxBackoff);
+    mListTimer.expires_after(
+      std::chrono::duration_cast<Duration>(mBackoff * (0.5 + 0.5 * mRandom.Uniform())));
+    mListTimer.async_wait([this](const auto& aError) {
+      if (!aError) {
+        ReadList(Freshness::Latest);
+      }
+    });
+    return;
+  }
+  SetStoreReachable(true, "list", {});
+  mBackoff = {};
+  std::vector<NodeRecord> records;
+  mOwnRevision = kAbsent;
+  for (const StoreItem& item : aResult->mItems) {
+    auto record = DecodeNodeRecord(item.mEntry.mValue);
+    if (!record) {
+      Event("directory", "bad-entry").Add("key", item.mKey).Add("error", Describe(record.error()));
+      continue;
+    }
+    if (record->mNodeId == mOwn.mNodeId) {
+      mOwnRevision = item.mEntry.mModRevision;
+    }
+    records.push_back(std::move(*record));
+  }
+  mDirectory.OnList(records);
+  const bool isFirst = !std::exchange(mHasList, true);
+  Event("directory", "list").Add("nodes", records.size()).Add("revision", aResult->mRevision);
+  if (const NodeRecord* own = mDirectory.OwnListed(); own && isFirst) {
+    // Later than every record of an earlier process, also when the clock was set back in between.
+    mOwn.mStarted = std::max(mOwn.mStarted, own->mStarted + 1);
+    mOnRecall(*own);
+  }
+  ApplyChanges();
+  mWatch = mStore.WatchPrefix(
+    mPrefix, aResult->mRevision + 1, [this](const WatchEvent& aEvent) { OnEvent(aEvent); },
+    [this] {
+      Event("directory", "history-lost");
+      ReadList(Freshness::Latest);
+    });
+  Publish();
+}
+
+void DirectoryService::OnEvent(const WatchEvent& aEvent)
+{
+  const std::string id = aEvent.mKey.substr(std::min(mPrefix.size(), aEvent.mKey.size()));
+  if (id == mOwn.mNodeId) {
+    mOwnRevision = aEvent.mValue ? aEvent.mModRevision : kAbsent;
+    const bool isCurrent = aEvent.mValue && *aEvent.mValue == EncodeNodeRecord(mOwn);
+    if (!isCurrent && !mPublishing && !mLeaving) {
+      Event("directory", "own-entry-lost").Add("deleted", !aEvent.mValue.has_value());
+      Publish();
+    }
+    return;
+  }
+  if (!aEvent.mValue) {
+    mDirectory.OnUnlisted(id);
+  } else if (auto record = DecodeNodeRecord(*aEvent.mValue); record && record->mNodeId == id) {
+    mDirectory.OnListed(*record);
+  } else {
+    Event("directory", "bad-entry").Add("key", aEvent.mKey);
+  }
+  ApplyChanges();
+}
+
+void DirectoryService::ApplyChanges()
+{
+  for (const DirectoryChange& change : mDirectory.TakeChanges()) {
+    ApplyChange(change);
+  }
+  mUsers.mOnFleetSize(mDirectory.Size() + 1);
+}
+
+void DirectoryService::ApplyChange(const DirectoryChange& aChange)
+{
+  const NodeRecord& record = aChange.mRecord;
+  Event("directory", aChange.mGone ? "node-gone" : "node")
+    .Add("node", record.mNodeId)
+    .Add("service", record.mService)
+    .Add("server", record.mServerId)
+    .Add("serving", record.mServing)
+    .Add("leaving", record.mLeaving)
+    .Add("started", record.mStarted)
+    .Add("sequence", record.mSequence);
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(record.mAddress, error);
+  if (aChange.mGone || error) {
+    mUsers.mPeers.Remove(record.mNodeId);
+    mUsers.mUpstreams.Remove(record.mNodeId);
+    return;
+  }
+  mUsers.mPeers.Upsert(record.mNodeId, { address, record.mPort });
+  if (!record.mServing || record.mLeaving) {
+    mUsers.mUpstreams.Remove(record.mNodeId);
+    return;
+  }
+  Incarnation& incarnation = mIncarnations[record.mNodeId];
+  if (incarnation.mServerId != record.mServerId ||
+      incarnation.mServerStarted != record.mServerStarted) {
+    incarnation = { record.mServerId, record.mServerStarted, incarnation.mNumber + 1 };
+  }
+  const auto warmMillis = static_cast<int64_t>(record.mServerWarmUntil) -
+                          static_cast<int64_t>(WallMillis(mClock.WallNow()));
+  const Duration warmUp = std::clamp<Duration>(std::chrono::milliseconds(warmMillis), 0ms, kMaxWarmUp);
+  mUsers.mUpstreams.Upsert({ record.mNodeId, record.mService, record.mDataCentre,
+                             incarnation.mNumber, false, record.mSlots, warmUp });
+}
+
+// The own record.
+
+void DirectoryService::SetServer(const ServerLife& aLife, bool aAvailable)
+{
+  NodeRecord record = mOwn;
+  if (const auto& server = aLife.Current()) {
+    const bool isOther =
+      record.mServerId != server->mServerId || record.mServerStarted != server->mStarted;
+    record.mServerId = server->mServerId;
+    record.mServerStarted = server->mStarted;
+    record.mSlots = server->mSlots;
+    if (isOther) {
+      const auto left =
+        std::chrono::duration_cast<std::chrono::milliseconds>(server->mWarmUpLeft).count();
+      record.mServerWarmUntil = WallMillis(mClock.WallNow()) + static_cast<uint64_t>(left);
+    }
+  }
+  record.mServing = aLife.IsServing() && aAvailable;
+  if (!(record == mOwn)) {
+    mOwn = record;
+    OwnChanged();
+  }
+}
+
+void DirectoryService::SetLeaving()
+{
+  mOwn.mLeaving = true;
+  OwnChanged();
+  mLeaving = true;
+}
+
+void DirectoryService::Withdraw()
+{
+  mLeaving = true;
+  mLeaseTimer.cancel();
+  if (mLease != kNoLease) {
+    mStore.RevokeLease(std::exchange(mLease, kNoLease), [](const StoreResult<void>&) {});
+  }
+}
+
+void DirectoryService::OwnChanged()
+{
+  ++mOwn.mSequence;
+  ApplyChange({ mOwn, false });
+  if (mHasList) {
+    Publish();
+  }
+  if (!mStoreReachable) {
+    TellNodes();
+  }
+}
+
+void DirectoryService::Publish()
+{
+  if (mPublishing) {
+    mRepublish = true;
+    return;
+  }
+  if (mLease == kNoLease) {
+    GrantLease();
+    return;
+  }
+  mPublishing = true;
+  mRepublish = false;
+  const uint64_t sequence = mOwn.mSequence;
+  mStore.CompareAndSwap(OwnKey(), mOwnRevision, EncodeNodeRecord(mOwn), mLease,
+                        [this, sequence](const StoreResult<Revision>& aResult) {
+                          if (!mStopped) {
+                            OnPublished(sequence, aResult);
+                          }
+                        });
+}
+
+void DirectoryService::OnPublished(uint64_t aSequence, const StoreResult<Revision>& aResult)
+{
+  mPublishing = false;
+  if (aResult) {
+    SetStoreReachable(true, "publish", {});
+    mOwnRevision = *aResult;
+    mPublishedSequence = aSequence;
+    if (mRepublish && mPublishedSequence != mOwn.mSequence) {
+      Publish();
+    }
+    return;
+  }
+  const StoreFailure& failure = aResult.error();
+  if (failure.mCode == StoreError::Conflict) {
+    // An earlier write without an answer, or an earlier process of this node.
+    mOwnRevision = failure.mCurrent ? failure.mCurrent->mModRevision : kAbsent;
+    Publish();
+    return;
+  }
+  if (failure.mCode == StoreError::LeaseNotFound) {
+    mLease = kNoLease;
+    GrantLease();
+    return;
+  }
+  SetStoreReachable(false, "publish", Describe(failure));
+  mLeaseTimer.expires_after(std::chrono::duration_cast<Duration>(
+    kMaxBackoff * (0.5 + 0.5 * mRandom.Uniform())));
+  mLeaseTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Publish();
+    }
+  });
+}
+
+void DirectoryService::GrantLease()
+{
+  mPublishing = true;
+  mStore.GrantLease(kLeaseTime, [this](const StoreResult<StoreLease>& aResult) {
+    if (mStopped) {
+      return;
+    }
+    mPublishing = false;
+    if (!aResult) {
+      OnPublished(0, StoreResult<Revision>(aResult.error()));
+      return;
+    }
+    mLease = aResult->mId;
+    Publish();
+    RenewLease();
+  });
+}
+
+void DirectoryService::RenewLease()
+{
+  mLeaseTimer.expires_after(std::chrono::duration_cast<Duration>(
+    kRenewInterval * (0.9 + 0.2 * mRandom.Uniform())));
+  mLeaseTimer.async_wait([this](const auto& aTimerError) {
+    if (aTimerError || mLease == kNoLease) {
+      return;
+    }
+    mStore.KeepAlive(mLease, [this](const StoreResult<std::chrono::seconds>& aResult) {
+      if (mStopped || mPublishing) {
+        return;
+      }
+      if (aResult) {
+        SetStoreReachable(true, "renew", {});
+        RenewLease();
+        return;
+      }
+      if (aResult.error().mCode == StoreError::LeaseNotFound) {
+        Event("directory", "lease-lost").Add("lease", mLease);
+        mLease = kNoLease;
+        if (!mLeaving) {
+          Publish();
+        }
+        return;
+      }
+      SetStoreReachable(false, "renew", Describe(aResult.error()));
+      RenewLease();
+    });
+  });
+}
+
+void DirectoryService::SetStoreReachable(bool aReachable, const char* aCall,
+                                         const std::string& aDetail)
+{
+  if (aReachable == mStoreReachable) {
+    return;
+  }
+  mStoreReachable = aReachable;
+  Event("store", aReachable ? "regained" : "lost").Add("call", aCall).Add("error", aDetail);
+}
+
+// Between nodes.
+
+void DirectoryService::ScheduleTick()
+{
+  mTickTimer.expires_after(kTick);
+  mTickTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Tick();
+      ScheduleTick();
+    }
+  });
+}
+
+void DirectoryService::Tick()
+{
+  for (const NodeRecord& record : mDirectory.TakeDueConfirmations()) {
+    Confirm(record);
+  }
+  const SteadyTime now = mClock.Now();
+  if (!mStoreReachable && now >= mNextAsk) {
+    mNextAsk = now + kAskInterval;
+    AskAnyNode();
+  }
+}
+
+void DirectoryService::Confirm(const NodeRecord& aRecord)
+{
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(aRecord.mAddress, error);
+  if (error) {
+    return;
+  }
+  mUsers.mPeers.Upsert(aRecord.mNodeId, { address, aRecord.mPort });
+  Exchange(aRecord.mNodeId, true);
+}
+
+void DirectoryService::AskAnyNode()
+{
+  const auto nodes = mDirectory.Nodes();
+  if (!nodes.empty()) {
+    Exchange(nodes[mRandom.Below(nodes.size())].mNodeId, false);
+  }
+}
+
+void DirectoryService::TellNodes()
+{
+  size_t told = 0;
+  for (const NodeRecord& node : mDirectory.Nodes()) {
+    if (told++ < kMaxTold) {
+      Exchange(node.mNodeId, true);
+    }
+  }
+}
+
+void DirectoryService::Exchange(const std::string& aNodeId, bool aTell)
+{
+  HttpRequest request;
+  request.mMethod = aTell ? "POST" : "GET";
+  request.mTarget = kNodesTarget;
+  if (aTell) {
+    request.mBody = EncodeNodeRecord(mOwn);
+  }
+  mUsers.mPeers.Send(aNodeId, std::move(request), kExchangeTimeout,
+                     [this, aNodeId](const Result<HttpResponse>& aResult) {
+                       if (!mStopped) {
+                         OnExchanged(aNodeId, aResult);
+                       }
+                     });
+}
+
+void DirectoryService::OnExchanged(const std::string& aNodeId, const Result<HttpResponse>& aResult)
+{
+  size_t skipped = 0;
+  std::vector<NodeRecord> records;
+  if (aResult && aResult->mStatus == 200) {
+    if (auto decoded = DecodeNodeRecords(aResult->mBody, skipped)) {
+      records = std::move(*decoded);
+    }
+  }
+  if (records.empty() || records.front().mNodeId != aNodeId) {
+    mDirectory.OnConfirmationFailed(aNodeId);
+  } else {
+    mDirectory.OnConfirmed(records.front());
+    for (size_t i = 1; i < records.size(); ++i) {
+      mDirectory.OnReported(records[i]);
+    }
+    OnPeerRevision(aNodeId, ReadRevision(aResult->mHeaders));
+  }
+  ApplyChanges();
+}
+
+HttpResponse DirectoryService::HandlePeer(const HttpRequest& aRequest)
+{
+  HttpResponse response;
+  std::vector<NodeRecord> records = { mOwn };
+  if (aRequest.mMethod == "POST") {
+    const auto record = DecodeNodeRecord(aRequest.mBody);
+    if (!record) {
+      Event("directory", "bad-message").Add("error", Describe(record.error()));
+      response.mStatus = 400;
+      return response;
+    }
+    mDirectory.OnConfirmed(*record);
+    ApplyChanges();
+  } else {
+    for (NodeRecord& node : mDirectory.Nodes()) {
+      records.push_back(std::move(node));
+    }
+  }
+  response.mBody = EncodeNodeRecords(records);
+  response.mHeaders.Set(kRevisionHeader, std::to_string(mUsers.mConfig.Holder().Revision()));
+  return response;
+}
+
+void DirectoryService::OnPeerRevision(const std::string& aNodeId, uint64_t aRevision)
+{
+  if (aRevision > mUsers.mConfig.Holder().Revision() && !mFetch) {
+    FetchConfig(aNodeId);
+  }
+}
+
+void DirectoryService::FetchConfig(const std::string& aNodeId)
+{
+  HttpRequest request;
+  request.mTarget = "/balsammount/config";
+  mFetch = FinishedCall();
+  auto call = mUsers.mPeers.Send(aNodeId, std::move(request), kConfigFetchTimeout,
+                                 [this, aNodeId](const Result<HttpResponse>& aResult) {
+                                   mFetch = nullptr;
+                                   if (!mStopped && aResult && aResult->mStatus == 200) {
+                                     mUsers.mConfig.Offer(aResult->mBody, aNodeId);
+                                   }
+                                 });
+  if (mFetch) {
+    mFetch = std::move(call);
+  }
+}
+
+std::vector<FleetNode> DirectoryService::Fleet() const
+{
+  std::vector<FleetNode> fleet;
+  for (const NodeRecord& record : mDirectory.Nodes()) {
+    fleet.push_back({ record.mNodeId, record.mService });
+  }
+  return fleet;
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/packages/node/src/directory_service.h
@@ -0,0 +1,121 @@
+// Keeps this node's record in the store, and follows the records of the others there.
+#pragma once
+
+#include "config_service.h"
+#include "fleet.h"
+#include "peers.h"
+#include "upstreams.h"
+
+#include "balsammount/directory.h"
+#include "balsammount/kernel.h"
+#include "balsammount/node_settings.h"
+#include "balsammount/server_life.h"
+#include "balsammount/store.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+namespace balsammount {
+
+// Requests between nodes about records: GET of kNodesTarget answers all known records, POST tells
+// the sender's own. Both answer with this node's record first, and its configuration revision.
+inline const std::string kNodesTarget = "/balsammount/nodes";
+
+// The parts that follow the nodes of the fleet.
+struct DirectoryUsers
+{
+  Upstreams& mUpstreams;
+  Peers& mPeers;
+  ConfigService& mConfig;
+  std::function<void(size_t)> mOnFleetSize;
+};
+
+class DirectoryService final : public Service
+{
+public:
+  DirectoryService(boost::asio::io_context& aContext, const Clock& aClock, Random& aRandom,
+                   Store& aStore, const NodeSettings& aSettings, std::string aPrefix,
+                   uint64_t aStarted, DirectoryUsers aUsers);
+
+  Result<void> Start() override;
+  void Stop() override;
+
+  // What this node tells of its backend server. aAvailable: it takes connections.
+  void SetServer(const ServerLife& aLife, bool aAvailable);
+  // Final for this process.
+  void SetLeaving();
+  // Removes the own record from the store. Final for this process.
+  void Withdraw();
+  // The record that an earlier process of this node has left in the store, once it has been read.
+  void SetRecallCallback(std::function<void(const NodeRecord&)> aCallback);
+  // Told when the store stops or starts answering this node.
+  bool StoreReachable() const { return mStoreReachable; }
+  bool HasList() const { return mHasList; }
+
+  HttpResponse HandlePeer(const HttpRequest& aRequest);
+  // A peer has announced this configuration revision with an answer or request.
+  void OnPeerRevision(const std::string& aNodeId, uint64_t aRevision);
+
+  std::vector<FleetNode> Fleet() const;
+  std::vector<NodeRecord> Nodes() const { return mDirectory.Nodes(); }
+  const NodeRecord& Own() const { return mOwn; }
+
+private:
+  void ReadList(Freshness aFreshness);
+  void OnList(const StoreResult<StoreRange>& aResult);
+  void OnEvent(const WatchEvent& aEvent);
+  void ApplyChanges();
+  void ApplyChange(const DirectoryChange& aChange);
+  void OwnChanged();
+
+  void Publish();
+  void OnPublished(uint64_t aSequence, const StoreResult<Revision>& aResult);
+  void GrantLease();
+  void RenewLease();
+  void SetStoreReachable(bool aReachable, const char* aCall, const std::string& aDetail);
+
+  void ScheduleTick();
+  void Tick();
+  void Confirm(const NodeRecord& aRecord);
+  void AskAnyNode();
+  void TellNodes();
+  void Exchange(const std::string& aNodeId, bool aTell);
+  void OnExchanged(const std::string& aNodeId, const Result<HttpResponse>& aResult);
+  void FetchConfig(const std::string& aNodeId);
+  std::string OwnKey() const { return mPrefix + mOwn.mNodeId; }
+
+  const Clock& mClock;
+  Random& mRandom;
+  Store& mStore;
+  std::string mPrefix;
+  DirectoryUsers mUsers;
+  Directory mDirectory;
+  NodeRecord mOwn;
+  std::function<void(const NodeRecord&)> mOnRecall = [](const NodeRecord&) {};
+
+  boost::asio::steady_timer mListTimer;
+  boost::asio::steady_timer mLeaseTimer;
+  boost::asio::steady_timer mTickTimer;
+  std::unique_ptr<StoreWatch> mWatch;
+  LeaseId mLease = kNoLease;
+  Revision mOwnRevision = kAbsent; // mod revision of the own key, as far as known
+  uint64_t mPublishedSequence = 0;
+  Duration mBackoff{};
+  SteadyTime mNextAsk{};
+  bool mHasList = false;
+  bool mPublishing = false;
+  bool mRepublish = false;
+  bool mLeaving = false;
+  bool mStoreReachable = true;
+  bool mStopped = false;
+  std::shared_ptr<Call> mFetch; // configuration on its way from a peer
+
+  struct Incarnation
+  {
+    std::string mServerId;
+    uint64_t mServerStarted = 0;
+    uint64_t mNumber = 0;
+  };
+  std::map<std::string, Incarnation> mIncarnations; // by node
+};
+
+} // namespace balsammount
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -1,5 +1,6 @@
 #include "executor.h"
 
+#include "balsammount/event.h"
 #include "balsammount/log.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -32,6 +33,14 @@
   }
 }
 
+HttpClientLimits BackendLimits()
+{
+  HttpClientLimits limits;
+  // A backend server may end an answer with its connection.
+  limits.mAcceptUnframed = true;
+  return limits;
+}
+
 Outcome AdmissionOutcome(const Result<HttpResponse>& aResult)
 {
   if (aResult) {
@@ -76,11 +85,14 @@
   std::weak_ptr<Job> mJob;
 };
 
-Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings)
+Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
+                   const MessageNames& aNames, ServerPresence aPresence)
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(aSettings)
-  , mBackend(aContext, aSettings.mBackend)
+  , mNames(aNames)
+  , mPresence(aPresence)
+  , mBackend(aContext, aSettings.mBackend, BackendLimits())
   , mAdmission(aClock, {})
   , mAdmissionTimer(aContext)
   , mProbeTimer(aContext)
@@ -92,7 +104,9 @@
 
 Result<void> Executor::Start()
 {
-  ProbeBackend();
+  if (mPresence == ServerPresence::Probed) {
+    StartProbe();
+  }
   return {};
 }
 
@@ -128,6 +142,7 @@
       Refused(ReasonOf(verdict.mReason), std::move(job->mRequest->mBudget), verdict.mRetryAfter);
     answer.mShedLevel = mAdmission.ShedLevel();
     answer.mLeaving = mLeaving;
+    answer.mLoadPercent = LoadPercent();
     PollAdmission();
     job->mCallback(std::move(answer));
     return std::make_shared<JobCall>(*this, std::weak_ptr<Job>());
@@ -163,49 +178,103 @@
   }
   const Duration remaining =
     std::max<Duration>(aJob->mRequest->mContext.mDeadline - aJob->mDispatched, 1ms);
-  aJob->mBackendCall =
-    mBackend.Send(BackendRequest(*aJob), remaining, [this, aJob](Result<HttpResponse> aResult) {
-      OnResult(aJob, std::move(aResult));
-    });
+  aJob->mBackendCall = mBackend.Send(
+    BackendRequest(*aJob), remaining,
+    [this, aJob](Result<HttpResponse> aResult) { OnResult(aJob, std::move(aResult)); },
+    [this, aJob](const HttpResponse& aResponse) { return BelongsTo(*aJob, aResponse); });
+}
+
+// An answer to an earlier request may arrive late on a connection that is kept, and a backend server
+// that has gone wrong may send anything.
+bool Executor::BelongsTo(const Job& aJob, const HttpResponse& aResponse) const
+{
+  if (!mNames.mKeepRequestId || DidNotRun(aResponse)) {
+    return true;
+  }
+  const std::string_view id = aResponse.mHeaders.Find(mNames.mRequestId);
+  const bool isSuccess = aResponse.mStatus / 100 == 2;
+  if (isSuccess && !mNames.mStamp.empty() && !aResponse.mHeaders.Has(mNames.mStamp)) {
+    return false;
+  }
+  return id.empty() ? !isSuccess : id == aJob.mRequest->mContext.mRequestId;
+}
+
+bool Executor::DidNotRun(const HttpResponse& aResponse) const
+{
+  return (!mNames.mNotExecuted.empty() && aResponse.mHeaders.Has(mNames.mNotExecuted)) ||
+         (!mNames.mExpectedServer.empty() && aResponse.mStatus == 421);
 }
 
 void Executor::OnResult(const std::shared_ptr<Job>& aJob, Result<HttpResponse> aResult)
 {
   const Duration service = mClock.Now() - aJob->mDispatched;
   mAdmission.Complete(aJob->mAdmissionId, AdmissionOutcome(aResult), service);
-  RequestBudget budget = std::move(aJob->mRequest->mBudget);
-  Answer answer;
   const bool lost = !aResult && aResult.error().mCode == TransportError::Lost;
   if (lost) {
     mLostJobs.push_back(aJob->mNumber);
   } else if (mObserver) {
     mObserver->OnEnd(aJob->mNumber, aResult.has_value());
   }
-  if (aResult) {
-    answer.mOutcome = AttemptOutcome::Complete;
-    answer.mResponse = std::move(*aResult);
-    answer.mBudget = std::move(budget);
-  } else if (ProvesNotRun(aResult.error().mCode)) {
-    SetAvailable(false);
-    ProbeBackend();
-    answer = Refused(CallReason::Unavailable, std::move(budget));
-  } else if (aResult.error().mCode == TransportError::TimedOut) {
-    answer = Unknown(CallReason::Deadline, std::move(budget));
-  } else {
-    answer = Unknown(aResult.error().mCode == TransportError::TooLarge ? CallReason::TooLarge
-                                                                       : CallReason::ConnectionLost,
-                     std::move(budget));
-  }
+  Answer answer = AnswerOf(*aJob, std::move(aResult));
   if (lost) {
-    ProbeBackend();
+    StartProbe();
   }
   answer.mServiceTime = service;
   answer.mShedLevel = mAdmission.ShedLevel();
   answer.mLeaving = mLeaving;
+  answer.mLoadPercent = LoadPercent();
   Finish(aJob, std::move(answer));
   PollAdmission();
 }
 
+Answer Executor::AnswerOf(const Job& aJob, Result<HttpResponse> aResult)
+{
+  RequestBudget budget = std::move(aJob.mRequest->mBudget);
+  if (aResult && DidNotRun(*aResult)) {
+    const bool isOther = aResult->mStatus == 421;
+    Event("backend", isOther ? "other-server" : "server-refused")
+      .Add("request", aJob.mRequest->mContext.mRequestId)
+      .Add("status", aResult->mStatus)
+      .Add("server", mServerId);
+    if (isOther) {
+      // The next announcement tells which server it is.
+      mServerId.clear();
+      SetAvailable(false);
+    }
+    Answer answer =
+      Refused(isOther ? CallReason::Unavailable : CallReason::Overload, std::move(budget));
+    answer.mReachedServer = !isOther;
+    return answer;
+  }
+  if (aResult) {
+    Answer answer;
+    answer.mOutcome = AttemptOutcome::Complete;
+    answer.mReachedServer = true;
+    answer.mResponse = std::move(*aResult);
+    answer.mBudget = std::move(budget);
+    return answer;
+  }
+  const std::error_code error = aResult.error().mCode;
+  Event("backend", "no-answer")
+    .Add("request", aJob.mRequest->mContext.mRequestId)
+    .Add("server", mServerId)
+    .Add("error", Describe(aResult.error()));
+  if (ProvesNotRun(error)) {
+    SetAvailable(false);
+    StartProbe();
+    return Refused(CallReason::Unavailable, std::move(budget));
+  }
+  CallReason reason = CallReason::ConnectionLost;
+  if (error == TransportError::TimedOut) {
+    reason = CallReason::Deadline;
+  } else if (error == TransportError::TooLarge) {
+    reason = CallReason::TooLarge;
+  }
+  Answer answer = Unknown(reason, std::move(budget));
+  answer.mReachedServer = true;
+  return answer;
+}
+
 void Executor::Finish(const std::shared_ptr<Job>& aJob, Answer aAnswer)
 {
   mJobs.erase(aJob->mNumber);
@@ -253,6 +322,7 @@
                               actions[i].mRetryAfter);
         answer.mShedLevel = mAdmission.ShedLevel();
         answer.mLeaving = mLeaving;
+        answer.mLoadPercent = LoadPercent();
         Finish(job, std::move(answer));
       }
     }
@@ -282,7 +352,13 @@
 void Executor::ApplyConfig(const std::shared_ptr<const Config>& aConfig)
 {
   mConfig = aConfig;
-  const ServicePolicy* service = aConfig->FindService(mSettings.mService);
+  ApplyPolicy();
+}
+
+void Executor::ApplyPolicy()
+{
+  const std::shared_ptr<const Config>& aConfig = mConfig;
+  const ServicePolicy* service = aConfig ? aConfig->FindService(mSettings.mService) : nullptr;
   if (!service) {
     Log("admission").warn("service {} is not in the configuration", mSettings.mService);
     return;
@@ -293,7 +369,8 @@
     policy.mRanks[i] = { static_cast<double>(aConfig->Ranks()[i].mWorth),
                          aConfig->Ranks()[i].mFloor };
   }
-  policy.mSlots = service->mSlots;
+  policy.mSlots = mServerSlots > 0 ? mServerSlots : service->mSlots;
+  policy.mAdaptiveLimit = mPresence == ServerPresence::Probed;
   policy.mMinConcurrency = service->mLimits.mMinConcurrency;
   policy.mMaxQueue = service->mLimits.mMaxQueue;
   policy.mQueueTarget = service->mLimits.mQueueTarget;
@@ -305,10 +382,45 @@
 
 void Executor::SetDraining(bool aDraining)
 {
-  mAdmission.SetDraining(aDraining);
+  mNodeDraining = aDraining;
+  ApplyDraining();
+}
+
+void Executor::ApplyDraining()
+{
+  mAdmission.SetDraining(mNodeDraining || mServerLeaving);
   PollAdmission();
 }
 
+void Executor::SetServer(const ServerLife& aLife)
+{
+  const auto& server = aLife.Current();
+  if (!server) {
+    return;
+  }
+  const bool isOther = server->mServerId != mServerId;
+  mServerId = server->mServerId;
+  if (server->mSlots != mServerSlots) {
+    mServerSlots = server->mSlots;
+    ApplyPolicy();
+  }
+  mServerLeaving = !aLife.IsServing();
+  ApplyDraining();
+  if (mServerLeaving) {
+    return;
+  }
+  // A server that announces itself lives. When its connections fail, the probe finds out.
+  if (isOther || !mProbing) {
+    SetAvailable(true);
+  }
+}
+
+uint32_t Executor::LoadPercent() const
+{
+  const uint32_t slots = std::max(1U, mAdmission.Policy().mSlots);
+  return (mAdmission.InFlight() + mAdmission.QueueLength()) * 100 / slots;
+}
+
 void Executor::SetAvailabilityCallback(std::function<void(bool)> aCallback)
 {
   mOnAvailability = std::move(aCallback);
@@ -331,7 +443,16 @@
   PollAdmission();
 }
 
-// Connects to the backend server to learn whether it listens. Repeats itself.
+void Executor::StartProbe()
+{
+  if (!mProbing) {
+    mProbing = true;
+    ProbeBackend();
+  }
+}
+
+// Connects to the backend server to learn whether it listens. Repeats itself; for a server that
+// announces itself, until it listens.
 void Executor::ProbeBackend()
 {
   if (mStopped) {
@@ -342,6 +463,11 @@
     if (mStopped) {
       return;
     }
+    if (!aError && mPresence == ServerPresence::Announced) {
+      mProbing = false;
+      OnProbe(!mServerId.empty());
+      return;
+    }
     OnProbe(!aError);
     mProbeTimer.expires_after(mAvailable ? kProbeWhileUp : kProbeWhileDown);
     mProbeTimer.async_wait([this](const auto& aWaitError) {
@@ -379,10 +505,16 @@
   RemoveInternalHeaders(request.mHeaders);
   const auto remaining =
     std::chrono::duration_cast<std::chrono::milliseconds>(context.mDeadline - aJob.mDispatched);
-  request.mHeaders.Set("Balsam-Request-Id", context.mRequestId);
-  request.mHeaders.Set("Balsam-Deadline-Ms",
-                       std::to_string(std::max<int64_t>(remaining.count(), 0)));
-  request.mHeaders.Set("Balsam-Rank", context.mRank);
+  const auto set = [&](const std::string& aName, const std::string& aValue) {
+    if (!aName.empty()) {
+      request.mHeaders.Set(aName, aValue);
+    }
+  };
+  set(mNames.mRequestId, context.mRequestId);
+  set(mNames.mDeadline, std::to_string(std::max<int64_t>(remaining.count(), 0)));
+  set(mNames.mRank, context.mRank);
+  set(mNames.mCallerService, context.mCallerService);
+  set(mNames.mExpectedServer, mServerId);
   return request;
 }
 
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -7,7 +7,9 @@
 #include "balsammount/config.h"
 #include "balsammount/http_client.h"
 #include "balsammount/kernel.h"
+#include "balsammount/node_composition.h"
 #include "balsammount/node_settings.h"
+#include "balsammount/server_life.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -40,7 +42,8 @@
 class Executor final : public Service
 {
 public:
-  Executor(boost::asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings);
+  Executor(boost::asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
+           const MessageNames& aNames, ServerPresence aPresence);
   ~Executor() override;
 
   Result<void> Start() override;
@@ -57,6 +60,8 @@
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
+  // The backend server that has announced itself, with ServerPresence::Announced.
+  void SetServer(const ServerLife& aLife);
   // Says on every answer from now on that the node leaves.
   void SetLeaving() { mLeaving = true; }
   void SetObserver(DispatchObserver* aObserver) { mObserver = aObserver; }
@@ -82,6 +87,13 @@
   void PollAdmission();
   void ArmTimer();
   void SetAvailable(bool aAvailable);
+  Answer AnswerOf(const Job& aJob, Result<HttpResponse> aResult);
+  bool BelongsTo(const Job& aJob, const HttpResponse& aResponse) const;
+  bool DidNotRun(const HttpResponse& aResponse) const;
+  void ApplyPolicy();
+  void ApplyDraining();
+  uint32_t LoadPercent() const;
+  void StartProbe();
   void ProbeBackend();
   void OnProbe(bool aConnected);
   size_t RankIndex(const std::string& aRank) const;
@@ -90,6 +102,11 @@
   boost::asio::io_context& mContext;
   const Clock& mClock;
   NodeSettings mSettings;
+  const MessageNames& mNames;
+  ServerPresence mPresence;
+  std::string mServerId;    // of the backend server that has announced itself
+  uint32_t mServerSlots = 0; // as announced; 0: as configured
+  bool mProbing = false;
   HttpClient mBackend;
   AdmissionController mAdmission;
   boost::asio::steady_timer mAdmissionTimer;
@@ -104,6 +121,8 @@
   uint64_t mNextJob = 1;
   bool mAvailable = false;
   bool mLeaving = false;
+  bool mNodeDraining = false;
+  bool mServerLeaving = false;
   bool mStopped = false;
 };
 
--- a/packages/node/src/forwarder.cpp
+++ b/packages/node/src/forwarder.cpp
@@ -1,11 +1,29 @@
 #include "forwarder.h"
 
 #include "balsammount/entry_floor.h"
+#include "balsammount/event.h"
 
+#include <algorithm>
 #include <vector>
 
 namespace balsammount {
 
+namespace {
+
+// Upstreams that one request is offered to at most, when their nodes refuse it before their backend
+// servers see it. Such a refusal costs a round trip and no work.
+constexpr size_t kMaxOffers = 4;
+// Of those, after refusals for lack of capacity: the others are likely as full.
+constexpr size_t kMaxOverloadOffers = 2;
+
+// The calls of a repeated run count as repeats as well, so retries at one service spend the budget
+// of the services that it calls. Half of the stated ratio leaves room for two levels of calls.
+constexpr double kShareOfFleetRatio = 0.5;
+// Nodes spend the slack unevenly; a third of it is kept for those that have just started.
+constexpr double kShareOfFleetSlack = 0.66;
+
+} // namespace
+
 struct Forwarder::ServiceState
 {
   explicit ServiceState(const Clock& aClock)
@@ -110,6 +128,13 @@
     const SteadyTime now = mForwarder.mClock.Now();
     mForwarder.mUpstreams.OnEnd(mContext.mService, mUpstream, aAnswer, now - mAttemptStart);
     mBudget.Return(std::move(aAnswer.mBudget));
+    if (MayOfferAgain(aAnswer, now)) {
+      LogRetry(aAnswer, now);
+      aAnswer.mBudget = {};
+      mLastRefusal = std::move(aAnswer);
+      Attempt();
+      return;
+    }
     const auto reason = TakeRetry(aAnswer.mOutcome, mContext.mIdempotent, mBudget,
                                   mForwarder.RatioOf(mContext.mService), mContext.mDeadline - now);
     if (reason != RetryReason::Retry) {
@@ -117,11 +142,38 @@
       Finish(std::move(aAnswer));
       return;
     }
+    LogRetry(aAnswer, now);
     mForwarder.mMetrics.OnRetry(mContext.mService);
     mLastRefusal = std::move(aAnswer);
     Attempt();
   }
 
+  // An offer that no backend server has seen is no retry.
+  bool MayOfferAgain(const Answer& aAnswer, SteadyTime aNow)
+  {
+    if (aAnswer.mOutcome != AttemptOutcome::NotRun || aAnswer.mReachedServer ||
+        aNow >= mContext.mDeadline) {
+      return false;
+    }
+    const bool isFull =
+      aAnswer.mReason != CallReason::Unavailable && aAnswer.mReason != CallReason::Draining;
+    return mTried.size() < (isFull ? kMaxOverloadOffers : kMaxOffers);
+  }
+
+  void LogRetry(const Answer& aAnswer, SteadyTime aNow) const
+  {
+    Event("routing", "again")
+      .Add("request", mContext.mRequestId)
+      .Add("service", mContext.mService)
+      .Add("node", mForwarder.mUpstreams.NodeOf(mUpstream))
+      .Add("outcome", aAnswer.mOutcome == AttemptOutcome::Unknown ? "unknown" : "not-run")
+      .Add("reason", ToString(aAnswer.mReason))
+      .Add("reached_server", aAnswer.mReachedServer)
+      .Add("attempt", mTried.size())
+      .Add("elapsed_ms",
+           std::chrono::duration<double, std::milli>(aNow - mAttemptStart).count());
+  }
+
   void Finish(Answer aAnswer)
   {
     if (auto callback = std::exchange(mCallback, nullptr)) {
@@ -144,9 +196,11 @@
   bool mWaiting = false;
 };
 
-Forwarder::Forwarder(const Clock& aClock, Upstreams& aUpstreams, Peers& aPeers, CallTarget& aLocal,
-                     Metrics& aMetrics)
+Forwarder::Forwarder(const Clock& aClock, const NodeSettings& aSettings, Upstreams& aUpstreams,
+                     Peers& aPeers, CallTarget& aLocal, Metrics& aMetrics)
   : mClock(aClock)
+  , mFleetRetryRatio(aSettings.mFleetRetryRatio)
+  , mFleetRetrySlack(aSettings.mFleetRetrySlack)
   , mUpstreams(aUpstreams)
   , mPeers(aPeers)
   , mLocal(aLocal)
@@ -180,11 +234,37 @@
     floors.push_back(rank.mFloor);
   }
   for (const ServicePolicy& service : aConfig->Services()) {
-    RetryRatioPolicy policy;
-    policy.mRatio = service.mRetries.mRatio;
-    ServiceState& state = StateOf(service.mName);
-    state.mRatio.SetPolicy(policy);
-    state.mFloors.SetFloors(floors);
+    StateOf(service.mName).mFloors.SetFloors(floors);
+  }
+  ApplyRatios();
+}
+
+void Forwarder::SetFleetSize(size_t aNodes)
+{
+  if (aNodes != mFleetSize) {
+    mFleetSize = std::max<size_t>(aNodes, 1);
+    ApplyRatios();
+  }
+}
+
+RetryRatioPolicy Forwarder::RatioPolicy(const ServicePolicy& aService) const
+{
+  RetryRatioPolicy policy;
+  if (mFleetRetryRatio <= 0) {
+    policy.mRatio = aService.mRetries.mRatio;
+    return policy;
+  }
+  policy.mRatio = mFleetRetryRatio * kShareOfFleetRatio;
+  policy.mBurst =
+    std::max(1.0, mFleetRetrySlack * kShareOfFleetSlack / static_cast<double>(mFleetSize));
+  policy.mFloorPerSecond = 0;
+  return policy;
+}
+
+void Forwarder::ApplyRatios()
+{
+  for (const ServicePolicy& service : mConfig->Services()) {
+    StateOf(service.mName).mRatio.SetPolicy(RatioPolicy(service));
   }
 }
 
--- a/packages/node/src/forwarder.h
+++ b/packages/node/src/forwarder.h
@@ -7,6 +7,7 @@
 #include "upstreams.h"
 
 #include "balsammount/config.h"
+#include "balsammount/node_settings.h"
 #include "balsammount/retry.h"
 
 #include <map>
@@ -19,14 +20,16 @@
 {
 public:
   // aLocal takes the calls for this node's own backend server.
-  Forwarder(const Clock& aClock, Upstreams& aUpstreams, Peers& aPeers, CallTarget& aLocal,
-            Metrics& aMetrics);
+  Forwarder(const Clock& aClock, const NodeSettings& aSettings, Upstreams& aUpstreams,
+            Peers& aPeers, CallTarget& aLocal, Metrics& aMetrics);
   ~Forwarder() override;
 
   std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest aRequest, RequestBudget aBudget,
                                AnswerCallback aCallback) override;
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
+  // The nodes that share the fleet's slack of retries, this one included.
+  void SetFleetSize(size_t aNodes);
 
   // Called with the shed level of a service that this node's backend server calls.
   void SetLevelCallback(std::function<void(uint32_t)> aCallback);
@@ -37,8 +40,13 @@
   struct ServiceState;
   ServiceState& StateOf(const std::string& aService);
   RetryRatio& RatioOf(const std::string& aService);
+  RetryRatioPolicy RatioPolicy(const ServicePolicy& aService) const;
+  void ApplyRatios();
 
   const Clock& mClock;
+  double mFleetRetryRatio;
+  uint32_t mFleetRetrySlack;
+  size_t mFleetSize = 1;
   Upstreams& mUpstreams;
   Peers& mPeers;
   CallTarget& mLocal;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -1,7 +1,8 @@
 #include "gateway.h"
 
+#include "balsammount/event.h"
 #include "balsammount/hash.h"
-#include "balsammount/log.h"
+#include "balsammount/quarantine.h"
 
 #include <algorithm>
 #include <charconv>
@@ -16,20 +17,16 @@
 // Longer idempotency keys are refused; a UUID has 36 characters.
 constexpr size_t kMaxKeyBytes = 255;
 
-HttpResponse PlainResponse(unsigned aStatus, std::string_view aText)
-{
-  HttpResponse response;
-  response.mStatus = aStatus;
-  response.mHeaders.Set("Content-Type", "text/plain");
-  response.mHeaders.Set("Balsam-Outcome", "not-run");
-  response.mBody = std::string(aText) + "\n";
-  return response;
-}
+// A refusal that could be served a little later invites the caller back. Spread, so that those who
+// return do not meet again.
+constexpr Duration kMinReturn = 100ms;
+constexpr double kReturnSpread = 0.5;
 
 // The header's value in milliseconds; zero when it is absent, nothing when it is malformed.
-std::optional<std::chrono::milliseconds> ReadDeadline(const Headers& aHeaders)
+std::optional<std::chrono::milliseconds> ReadDeadline(const Headers& aHeaders,
+                                                      const MessageNames& aNames)
 {
-  const std::string_view text = aHeaders.Find("Balsam-Deadline-Ms");
+  const std::string_view text = aHeaders.Find(aNames.mDeadline);
   if (text.empty()) {
     return 0ms;
   }
@@ -46,22 +43,22 @@
   return HashCombine(aContext.mCallerHash, aContext.mFingerprint);
 }
 
-uint64_t Fingerprint(const std::string& aService, const std::string& aKey,
-                     const HttpRequest& aRequest)
+uint64_t FingerprintOf(const std::string& aService, std::string_view aKey,
+                       const HttpRequest& aRequest)
 {
-  uint64_t hash = Hash64(aService);
-  hash = HashCombine(hash, Hash64(aRequest.mMethod));
-  hash = HashCombine(hash, Hash64(aRequest.mTarget));
-  hash = HashCombine(hash, Hash64(aKey));
-  return HashCombine(hash, Hash64(aRequest.mBody));
+  return static_cast<uint64_t>(
+    MakeFingerprint(aService, aRequest.mMethod, aRequest.mTarget, aKey, aRequest.mBody));
 }
 
 } // namespace
 
 Gateway::Gateway(const Clock& aClock, Random& aRandom, const NodeSettings& aSettings,
-                 Executor& aExecutor, CallTarget& aTarget, Metrics& aMetrics)
+                 const MessageNames& aNames, Executor& aExecutor, CallTarget& aTarget,
+                 Metrics& aMetrics)
   : mClock(aClock)
+  , mRandom(aRandom)
   , mSettings(aSettings)
+  , mNames(aNames)
   , mExecutor(aExecutor)
   , mTarget(aTarget)
   , mMetrics(aMetrics)
@@ -70,15 +67,52 @@
 {
 }
 
+void Gateway::ApplyConfig(const std::shared_ptr<const Config>& aConfig, uint64_t aRevision)
+{
+  mConfig = aConfig;
+  mRevision = aRevision;
+  std::erase_if(mSplits, [&](const auto& aSplit) {
+    return std::ranges::find(aConfig->Routes(), aSplit.first, &RoutePolicy::mName) ==
+           aConfig->Routes().end();
+  });
+}
+
+void Gateway::Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText)
+{
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mHeaders.Set("Content-Type", "text/plain");
+  if (!mNames.mOutcome.empty()) {
+    response.mHeaders.Set(mNames.mOutcome, "not-run");
+  }
+  response.mBody = std::string(aText) + "\n";
+  Event("entry", "rejected")
+    .Add("request", aExchange.Request().mHeaders.Find(mNames.mRequestId))
+    .Add("host", aExchange.Request().mHeaders.Find("Host"))
+    .Add("path", aExchange.Request().mTarget)
+    .Add("status", aStatus)
+    .Add("reason", aText)
+    .Add("config_revision", mRevision);
+  aExchange.Respond(std::move(response));
+}
+
 void Gateway::HandleCaller(const std::shared_ptr<Exchange>& aExchange)
 {
+  if (mConfig && !mConfig->Routes().empty()) {
+    HandleRouted(aExchange);
+    return;
+  }
   std::string_view caller = aExchange->Request().mHeaders.Find("Balsam-Caller");
   HandleEntry(aExchange, caller.empty() ? aExchange->RemoteAddress() : caller);
 }
 
 void Gateway::HandleEgress(const std::shared_ptr<Exchange>& aExchange)
 {
-  const std::string parentId(aExchange->Request().mHeaders.Find("Balsam-Request-Id"));
+  if (mConfig && !mConfig->Routes().empty()) {
+    HandleRouted(aExchange);
+    return;
+  }
+  const std::string parentId(aExchange->Request().mHeaders.Find(mNames.mRequestId));
   if (parentId.empty()) {
     // A call that the backend server makes on its own behalf starts a chain.
     HandleEntry(aExchange, "service:" + mSettings.mService);
@@ -86,7 +120,7 @@
   }
   const auto parent = mExecutor.FindInFlight(parentId);
   if (!parent) {
-    aExchange->Respond(CallerResponse(Refused(CallReason::ParentGone, {})));
+    aExchange->Respond(CallerResponse(Refused(CallReason::ParentGone, {}), mNames));
     return;
   }
   HandleSubCall(aExchange, parent);
@@ -96,28 +130,28 @@
 {
   const HttpRequest& request = aExchange.Request();
   if (!mConfig) {
-    aExchange.Respond(CallerResponse(Refused(CallReason::ConfigMissing, {}, 1s)));
+    aExchange.Respond(CallerResponse(Refused(CallReason::ConfigMissing, {}, 1s), mNames));
     return std::nullopt;
   }
   const auto found = Classify(*mConfig, request.mMethod, request.mTarget);
   if (!found) {
     const bool unknown = found.error().mCode == ConfigError::UnknownService;
-    aExchange.Respond(PlainResponse(unknown ? 404 : 400, Describe(found.error())));
+    Reject(aExchange, unknown ? 404 : 400, Describe(found.error()));
     return std::nullopt;
   }
-  const auto deadline = ReadDeadline(request.mHeaders);
+  const auto deadline = ReadDeadline(request.mHeaders, mNames);
   const std::string_view key = request.mHeaders.Find("Idempotency-Key");
   if (!deadline) {
-    aExchange.Respond(
-      PlainResponse(400, "Balsam-Deadline-Ms: a whole number of milliseconds above 0 is expected"));
+    Reject(aExchange, 400,
+           mNames.mDeadline + ": a whole number of milliseconds above 0 is expected");
     return std::nullopt;
   }
   if (key.size() > kMaxKeyBytes) {
-    aExchange.Respond(PlainResponse(400, "Idempotency-Key: at most 255 bytes are allowed"));
+    Reject(aExchange, 400, "Idempotency-Key: at most 255 bytes are allowed");
     return std::nullopt;
   }
   if (request.mBody.size() > found->mService->mMaxBodyBytes) {
-    aExchange.Respond(CallerResponse(Refused(CallReason::TooLarge, {})));
+    aExchange.Respond(CallerResponse(Refused(CallReason::TooLarge, {}), mNames));
     return std::nullopt;
   }
   CallContext context;
@@ -132,7 +166,7 @@
   const auto remaining = *deadline > 0ms ? std::min(*deadline, bound) : bound;
   context.mDeadline = mClock.Now() + remaining;
   context.mExpires = mClock.WallNow() + remaining;
-  context.mFingerprint = Fingerprint(context.mService, context.mKey, request);
+  context.mFingerprint = FingerprintOf(context.mService, context.mKey, request);
   context.mRequestHash = IdentityHash(context);
   return context;
 }
@@ -148,7 +182,8 @@
   if (!send) {
     mMetrics.OnRefused(context->mService, context->mRank, CallReason::RetryBudget);
     aExchange->Respond(
-      CallerResponse(Refused(CallReason::RetryBudget, {}, mCallerBudget.RetryAfter(identity))));
+      CallerResponse(Refused(CallReason::RetryBudget, {}, mCallerBudget.RetryAfter(identity)),
+                     mNames));
     return;
   }
   auto charged = std::make_shared<CallerSend>();
@@ -165,6 +200,109 @@
           });
 }
 
+void Gateway::HandleRouted(const std::shared_ptr<Exchange>& aExchange)
+{
+  const HttpRequest& request = aExchange->Request();
+  if (!request.mTarget.starts_with('/')) {
+    Reject(*aExchange, 400, "the request target must be a path");
+    return;
+  }
+  const RoutePolicy* route = mConfig->FindRoute(request.mHeaders.Find("Host"), request.mTarget);
+  if (!route) {
+    Reject(*aExchange, 404, "no route for the host and path");
+    return;
+  }
+  const auto deadline = ReadDeadline(request.mHeaders, mNames);
+  if (!deadline) {
+    Reject(*aExchange, 400,
+           mNames.mDeadline + ": a whole number of milliseconds above 0 is expected");
+    return;
+  }
+  const auto wait = *deadline > 0ms ? std::min(*deadline, route->mTimeout) : route->mTimeout;
+  auto context = RoutedContext(request, *route, wait);
+  if (!context) {
+    aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
+    return;
+  }
+  // The caller may come back while it has time, even when the route's timeout is over.
+  const SteadyTime callerDeadline = mClock.Now() + (*deadline > 0ms ? *deadline : route->mTimeout);
+  Forward(aExchange, std::move(*context), RequestBudget::ForAttempts(route->mAttempts),
+          [this, callerDeadline](Answer& aAnswer) {
+            if (aAnswer.mOutcome != AttemptOutcome::NotRun) {
+              return;
+            }
+            if (aAnswer.mReason == CallReason::Deadline && callerDeadline > mClock.Now() + kMinReturn) {
+              aAnswer.mReason = CallReason::Overload;
+            }
+            const Duration wanted = std::max(aAnswer.mRetryAfter, kMinReturn);
+            aAnswer.mRetryAfter = std::chrono::duration_cast<Duration>(
+              wanted * (1 + kReturnSpread * mRandom.Uniform()));
+          });
+}
+
+const std::string& Gateway::TargetOf(const RoutePolicy& aRoute)
+{
+  if (aRoute.mTargets.size() == 1) {
+    return aRoute.mTargets.front().mService;
+  }
+  std::vector<uint32_t> weights;
+  for (const RouteTarget& target : aRoute.mTargets) {
+    weights.push_back(target.mWeight);
+  }
+  return aRoute.mTargets[mSplits[aRoute.mName].Next(weights, mRandom)].mService;
+}
+
+std::optional<CallContext> Gateway::RoutedContext(const HttpRequest& aRequest,
+                                                  const RoutePolicy& aRoute,
+                                                  std::chrono::milliseconds aWait)
+{
+  if (aRoute.mTargets.empty()) {
+    return std::nullopt;
+  }
+  CallContext context;
+  context.mIsRoot = true;
+  context.mRoute = aRoute.mName;
+  context.mRequestId = mNames.mKeepRequestId ? aRequest.mHeaders.Find(mNames.mRequestId) : "";
+  if (context.mRequestId.empty()) {
+    context.mRequestId = NewRequestId();
+  }
+  context.mService = TargetOf(aRoute);
+  context.mRank = aRoute.mRank;
+  context.mIdempotent = aRoute.mIdempotent;
+  context.mCallerService = mSettings.mService;
+  context.mCallerHash = Hash64(mSettings.mNodeId);
+  context.mRequestHash = Hash64(context.mRequestId);
+  context.mFingerprint = FingerprintOf(context.mService, {}, aRequest);
+  context.mDeadline = mClock.Now() + aWait;
+  context.mExpires = mClock.WallNow() + aWait;
+  return context;
+}
+
+void Gateway::LogEnd(const CallContext& aContext, const Answer& aAnswer, Duration aElapsed) const
+{
+  const bool complete = aAnswer.mOutcome == AttemptOutcome::Complete;
+  if (complete && aAnswer.mResponse.mStatus < 500) {
+    return;
+  }
+  const auto name = complete ? "server-error"
+                    : aAnswer.mOutcome == AttemptOutcome::Unknown ? "unknown"
+                                                                  : "refused";
+  Event("entry", name)
+    .Add("request", aContext.mRequestId)
+    .Add("route", aContext.mRoute)
+    .Add("service", aContext.mService)
+    .Add("rank", aContext.mRank)
+    .Add("reason", ToString(aAnswer.mReason))
+    .Add("status", complete ? aAnswer.mResponse.mStatus : 0)
+    .Add("reached_server", aAnswer.mReachedServer)
+    .Add("elapsed_ms", std::chrono::duration<double, std::milli>(aElapsed).count())
+    .Add("left_ms",
+         std::chrono::duration<double, std::milli>(aContext.mDeadline - mClock.Now()).count())
+    .Add("retry_after_ms",
+         std::chrono::duration<double, std::milli>(aAnswer.mRetryAfter).count())
+    .Add("config_revision", mRevision);
+}
+
 void Gateway::HandleSubCall(const std::shared_ptr<Exchange>& aExchange,
                             const std::shared_ptr<InFlightRequest>& aParent)
 {
@@ -172,17 +310,17 @@
   const auto found = Classify(*mConfig, request.mMethod, request.mTarget);
   if (!found) {
     const bool unknown = found.error().mCode == ConfigError::UnknownService;
-    aExchange->Respond(PlainResponse(unknown ? 404 : 400, Describe(found.error())));
+    Reject(*aExchange, unknown ? 404 : 400, Describe(found.error()));
     return;
   }
-  const auto deadline = ReadDeadline(request.mHeaders);
+  const auto deadline = ReadDeadline(request.mHeaders, mNames);
   CallContext context = aParent->mContext;
   context.mIsRoot = false;
   context.mRequestId = NewRequestId();
   context.mService = found->mService->mName;
   context.mIdempotent = found->mIdempotent;
   context.mKey = request.mHeaders.Find("Idempotency-Key");
-  context.mFingerprint = Fingerprint(context.mService, context.mKey, request);
+  context.mFingerprint = FingerprintOf(context.mService, context.mKey, request);
   if (deadline && *deadline > 0ms) {
     context.mDeadline = std::min(context.mDeadline, mClock.Now() + *deadline);
   }
@@ -201,7 +339,8 @@
   const std::string rank = aContext.mRank;
   mMetrics.OnOffered(service, rank);
   auto finished = std::make_shared<bool>(false);
-  auto finish = [this, finished, service, rank, start,
+  auto logged = std::make_shared<CallContext>(aContext);
+  auto finish = [this, finished, service, rank, start, logged,
                  onAnswer = std::move(aOnAnswer)](Answer& aAnswer) {
     if (*finished) {
       return false;
@@ -210,14 +349,16 @@
     --mPending;
     mMetrics.OnAnswered(service, rank, aAnswer, mClock.Now() - start);
     onAnswer(aAnswer);
+    LogEnd(*logged, aAnswer, mClock.Now() - start);
     return true;
   };
   HttpRequest request = aExchange->Request();
   RemoveInternalHeaders(request.mHeaders);
   const auto call = mTarget.Handle(std::move(aContext), std::move(request), std::move(aBudget),
-                                   [aExchange, finish](Answer aAnswer) mutable {
+                                   [this, aExchange, finish](Answer aAnswer) mutable {
                                      if (finish(aAnswer)) {
-                                       aExchange->Respond(CallerResponse(std::move(aAnswer)));
+                                       aExchange->Respond(
+                                         CallerResponse(std::move(aAnswer), mNames));
                                      }
                                    });
   if (!*finished) {
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -7,8 +7,11 @@
 #include "metrics.h"
 
 #include "balsammount/config.h"
+#include "balsammount/message_names.h"
 #include "balsammount/random.h"
+#include "balsammount/weighted_split.h"
 
+#include <map>
 #include <memory>
 #include <string>
 
@@ -17,13 +20,13 @@
 class Gateway final : public Service
 {
 public:
-  Gateway(const Clock& aClock, Random& aRandom, const NodeSettings& aSettings, Executor& aExecutor,
-          CallTarget& aTarget, Metrics& aMetrics);
+  Gateway(const Clock& aClock, Random& aRandom, const NodeSettings& aSettings,
+          const MessageNames& aNames, Executor& aExecutor, CallTarget& aTarget, Metrics& aMetrics);
 
   void HandleCaller(const std::shared_ptr<Exchange>& aExchange);
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
 
-  void ApplyConfig(const std::shared_ptr<const Config>& aConfig) { mConfig = aConfig; }
+  void ApplyConfig(const std::shared_ptr<const Config>& aConfig, uint64_t aRevision);
 
   // Requests that came in here and are not answered yet.
   size_t Pending() const { return mPending; }
@@ -32,21 +35,34 @@
   // Fills in the context of a request that starts a call chain; nothing when it was answered.
   std::optional<CallContext> EntryContext(Exchange& aExchange, std::string_view aCaller);
   void HandleEntry(const std::shared_ptr<Exchange>& aExchange, std::string_view aCaller);
+  // A request under a configuration with routes.
+  void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
+  std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
+                                           std::chrono::milliseconds aWait);
+  const std::string& TargetOf(const RoutePolicy& aRoute);
+  void Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText);
+  // Why and how a request ended, when it was not answered by a backend server.
+  void LogEnd(const CallContext& aContext, const Answer& aAnswer, Duration aElapsed) const;
   void HandleSubCall(const std::shared_ptr<Exchange>& aExchange,
                      const std::shared_ptr<InFlightRequest>& aParent);
+  // aOnAnswer sees the answer before the caller does, and may change it.
   void Forward(const std::shared_ptr<Exchange>& aExchange, CallContext aContext,
                RequestBudget aBudget, std::function<void(Answer&)> aOnAnswer);
   std::string NewRequestId();
 
   const Clock& mClock;
+  Random& mRandom;
   NodeSettings mSettings;
+  const MessageNames& mNames;
   Executor& mExecutor;
   CallTarget& mTarget;
   Metrics& mMetrics;
   std::shared_ptr<const Config> mConfig;
   CallerBudget mCallerBudget;
+  std::map<std::string, WeightedSplit> mSplits; // by route
   uint64_t mIdPrefix;
   uint64_t mNextId = 1;
+  uint64_t mRevision = 0;
   size_t mPending = 0;
 };
 
--- a/packages/node/src/local_target.h
+++ b/packages/node/src/local_target.h
@@ -10,8 +10,9 @@
 class LocalTarget final : public CallTarget
 {
 public:
-  // aOwner takes the calls that have an idempotency key and must run at most once.
-  LocalTarget(const NodeSettings& aSettings, Executor& aExecutor, CallTarget& aOwner,
+  // aOwner takes the calls that have an idempotency key and must run at most once; null where keys
+  // are not used.
+  LocalTarget(const NodeSettings& aSettings, Executor& aExecutor, CallTarget* aOwner,
               const QuarantineService& aQuarantine)
     : mService(aSettings.mService)
     , mExecutor(aExecutor)
@@ -26,7 +27,7 @@
 private:
   std::string mService;
   Executor& mExecutor;
-  CallTarget& mOwner;
+  CallTarget* mOwner;
   const QuarantineService& mQuarantine;
 };
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -2,6 +2,7 @@
 
 #include "admin.h"
 #include "config_service.h"
+#include "directory_service.h"
 #include "executor.h"
 #include "forwarder.h"
 #include "gateway.h"
@@ -14,7 +15,9 @@
 #include "quarantine_service.h"
 #include "upstreams.h"
 
+#include "balsammount/endpoint.h"
 #include "balsammount/etcd_store.h"
+#include "balsammount/event.h"
 #include "balsammount/http_server.h"
 #include "balsammount/log.h"
 #include "balsammount/peer_server.h"
@@ -34,14 +37,20 @@
 // A draining node still takes the keyed requests of the shards that it has not handed over. After
 // this time it refuses them, so that a leaving backend server gets no new work after a few seconds.
 constexpr auto kMaxHandover = 3000ms;
-// A draining node keeps its listeners open at least this long, so that other nodes learn that it
-// leaves before they meet a closed port.
-constexpr auto kMinDrain = 1000ms;
-
 // After the caller listener has stopped, requests that were on their way are still served for this
 // long.
 constexpr auto kListenerSettle = 100ms;
 
+HttpServerLimits ListenerLimits(const CallerLimits& aLimits)
+{
+  HttpServerLimits limits;
+  limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
+  limits.mMaxBodyBytes = std::min<uint64_t>(aLimits.mMaxBodyBytes, kMaxBodyBytes);
+  limits.mHeaderTimeout = aLimits.mHeaderTimeout;
+  limits.mIdleTimeout = aLimits.mIdleTimeout;
+  return limits;
+}
+
 EtcdStoreSettings StoreSettings(const NodeSettings& aSettings, Random& aRandom)
 {
   EtcdStoreSettings settings;
@@ -50,43 +59,60 @@
   return settings;
 }
 
+std::unique_ptr<Store> MakeStore(asio::io_context& aContext, const NodeComposition& aComposition,
+                                 const NodeSettings& aSettings, Random& aRandom)
+{
+  return aComposition.mMakeStore
+           ? aComposition.mMakeStore(aContext, aRandom)
+           : std::make_unique<EtcdStore>(aContext, StoreSettings(aSettings, aRandom));
+}
+
 } // namespace
 
 struct Node::Parts
 {
-  Parts(asio::io_context& aContext, NodeSettings aSettings)
+  Parts(asio::io_context& aContext, NodeSettings aSettings, NodeComposition aComposition)
     : mContext(aContext)
     , mSettings(std::move(aSettings))
+    , mComposition(std::move(aComposition))
     , mRandom(std::random_device()() ^ (static_cast<uint64_t>(std::random_device()()) << 32))
-    , mStore(aContext, StoreSettings(mSettings, mRandom))
+    , mStore(MakeStore(aContext, mComposition, mSettings, mRandom))
     , mPeers(aContext)
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
-    , mConfig(std::make_shared<ConfigService>(aContext, mClock, mStore))
-    , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings))
-    , mOwner(std::make_shared<OwnerService>(aContext, mClock, mRandom, mStore, mPeers, *mExecutor,
-                                            mSettings.mService,
-                                            NodeIdentity{ mSettings.mNodeId, mStarted }))
+    , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mComposition))
+    , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mComposition.mNames,
+                                           mComposition.mServerPresence))
+    , mOwner(MakeOwner())
     , mQuarantine(std::make_shared<QuarantineService>(aContext, mClock, mRandom, mPeers, mSettings))
-    , mLocal(mSettings, *mExecutor, *mOwner, *mQuarantine)
-    , mForwarder(mClock, mUpstreams, mPeers, mLocal, mMetrics)
-    , mMembers(
-        std::make_shared<MemberService>(aContext, mClock, mRandom, mStore, mSettings, mStarted,
-                                        MemberUsers{ mUpstreams, mPeers, *mOwner, *mConfig }))
-    , mGateway(
-        std::make_shared<Gateway>(mClock, mRandom, mSettings, *mExecutor, mForwarder, mMetrics))
-    , mPeerHandler(mClock, mLocal, *mConfig, *mOwner, *mQuarantine)
+    , mLocal(mSettings, *mExecutor, mOwner.get(), *mQuarantine)
+    , mForwarder(mClock, mSettings, mUpstreams, mPeers, mLocal, mMetrics)
+    , mMembers(MakeMembers())
+    , mDirectory(MakeDirectory())
+    , mGateway(std::make_shared<Gateway>(mClock, mRandom, mSettings, mComposition.mNames,
+                                         *mExecutor, mForwarder, mMetrics))
+    , mPeerHandler(mClock, mLocal, *mConfig, mOwner.get(), *mQuarantine, mDirectory.get())
     , mDrainTimer(aContext)
+    , mServer(mSettings.mService, ToText(mSettings.mBackend))
   {
   }
 
+  // The parts that only one way of discovery needs; null with the other.
+  std::shared_ptr<OwnerService> MakeOwner();
+  std::shared_ptr<MemberService> MakeMembers();
+  std::shared_ptr<DirectoryService> MakeDirectory();
+
   Result<void> RegisterParts();
   void Wire();
   void AddGauges();
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
+  void SetAvailable();
+  void ServerChanged();
+  bool IsReady() const;
   void CheckDrained();
 
   asio::io_context& mContext;
   NodeSettings mSettings;
+  NodeComposition mComposition;
   SystemClock mClock;
   // The start of this process in ms of the wall clock tells its records from those of an earlier
   // process of the same node.
@@ -95,7 +121,7 @@
       .count());
   Random mRandom;
   Metrics mMetrics;
-  EtcdStore mStore;
+  std::unique_ptr<Store> mStore;
   Peers mPeers;
   Upstreams mUpstreams;
   std::shared_ptr<ConfigService> mConfig;
@@ -105,6 +131,7 @@
   LocalTarget mLocal;
   Forwarder mForwarder;
   std::shared_ptr<MemberService> mMembers;
+  std::shared_ptr<DirectoryService> mDirectory;
   std::shared_ptr<Gateway> mGateway;
   PeerHandler mPeerHandler;
   Kernel mKernel;
@@ -114,40 +141,87 @@
   std::function<void()> mOnDrainRequest = [] {};
   SteadyTime mDrainStarted{};
   std::optional<SteadyTime> mListenerStopped;
+  ServerLife mServer;
   bool mBackendLeaving = false;
 };
 
+std::shared_ptr<OwnerService> Node::Parts::MakeOwner()
+{
+  if (mComposition.mDiscovery == Discovery::Store) {
+    return nullptr;
+  }
+  return std::make_shared<OwnerService>(mContext, mClock, mRandom, *mStore, mPeers, *mExecutor,
+                                        mSettings.mService,
+                                        NodeIdentity{ mSettings.mNodeId, mStarted });
+}
+
+std::shared_ptr<MemberService> Node::Parts::MakeMembers()
+{
+  if (mComposition.mDiscovery == Discovery::Store) {
+    return nullptr;
+  }
+  return std::make_shared<MemberService>(mContext, mClock, mRandom, *mStore, mSettings, mStarted,
+                                         MemberUsers{ mUpstreams, mPeers, *mOwner, *mConfig });
+}
+
+std::shared_ptr<DirectoryService> Node::Parts::MakeDirectory()
+{
+  if (mComposition.mDiscovery != Discovery::Store) {
+    return nullptr;
+  }
+  return std::make_shared<DirectoryService>(
+    mContext, mClock, mRandom, *mStore, mSettings, mComposition.mNodesPrefix, mStarted,
+    DirectoryUsers{ mUpstreams, mPeers, *mConfig,
+                    [this](size_t aNodes) { mForwarder.SetFleetSize(aNodes); } });
+}
+
 Result<void> Node::Parts::RegisterParts()
 {
   const auto gateway = mGateway;
   const auto admin = std::make_shared<Admin>(
-    AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams, *mGateway, mMetrics, *mMembers,
-                *mOwner, *mQuarantine, [this] { mOnDrainRequest(); } });
+    AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams, *mGateway, mMetrics,
+                mMembers.get(), mOwner.get(), mDirectory.get(), *mQuarantine,
+                [this] { mOnDrainRequest(); }, [this] { return IsReady(); } });
   mCallerListener = std::make_shared<HttpServer>(
     mContext, mSettings.mCallerListen, HttpServerLimits{},
     [gateway](const std::shared_ptr<Exchange>& aExchange) { gateway->HandleCaller(aExchange); });
-  const std::vector<std::pair<std::string, std::shared_ptr<Service>>> services = {
+  const auto listener = [this](const boost::asio::ip::tcp::endpoint& aEndpoint,
+                               ExchangeHandler aHandler) {
+    return std::make_shared<HttpServer>(mContext, aEndpoint, HttpServerLimits{},
+                                        std::move(aHandler));
+  };
+  const auto handleAdmin = [admin](const std::shared_ptr<Exchange>& aExchange) {
+    admin->Handle(aExchange);
+  };
+  std::vector<std::pair<std::string, std::shared_ptr<Service>>> services = {
     { "config", mConfig },
     { "executor", mExecutor },
-    { "ownership", mOwner },
     { "quarantine", mQuarantine },
-    { "members", mMembers },
     { "gateway", mGateway },
     { "admin", admin },
     { "peer-listener",
       std::make_shared<PeerServer>(
         mContext, mSettings.mPeerListen, PeerServerLimits{},
         [this](const std::shared_ptr<Exchange>& aExchange) { mPeerHandler.Handle(aExchange); }) },
-    { "egress-listener",
-      std::make_shared<HttpServer>(
-        mContext, mSettings.mEgressListen, HttpServerLimits{},
-        [this](const std::shared_ptr<Exchange>& aExchange) { HandleEgress(aExchange); }) },
     { "caller-listener", mCallerListener },
-    { "admin-listener",
-      std::make_shared<HttpServer>(
-        mContext, mSettings.mAdminListen, HttpServerLimits{},
-        [admin](const std::shared_ptr<Exchange>& aExchange) { admin->Handle(aExchange); }) },
+    { "admin-listener", listener(mSettings.mAdminListen, handleAdmin) },
   };
+  if (mDirectory) {
+    services.emplace_back("directory", mDirectory);
+  } else {
+    services.emplace_back("ownership", mOwner);
+    services.emplace_back("members", mMembers);
+  }
+  if (mSettings.mEgressListen.port() != 0) {
+    services.emplace_back("egress-listener",
+                          listener(mSettings.mEgressListen,
+                                   [this](const std::shared_ptr<Exchange>& aExchange) {
+                                     HandleEgress(aExchange);
+                                   }));
+  }
+  if (mSettings.mReadyListen.port() != 0) {
+    services.emplace_back("ready-listener", listener(mSettings.mReadyListen, handleAdmin));
+  }
   for (const auto& [name, service] : services) {
     if (auto result = mKernel.Register(name, service); !result) {
       return result;
@@ -162,17 +236,60 @@
     mUpstreams.ApplyConfig(*aConfig);
     mForwarder.ApplyConfig(aConfig);
     mExecutor->ApplyConfig(aConfig);
-    mGateway->ApplyConfig(aConfig);
-    mMembers->SetRevision(mConfig->Holder().Revision());
+    mGateway->ApplyConfig(aConfig, mConfig->Holder().Revision());
+    if (!aConfig->Routes().empty()) {
+      mCallerListener->SetLimits(ListenerLimits(aConfig->Limits()));
+    }
+    if (mMembers) {
+      mMembers->SetRevision(mConfig->Holder().Revision());
+    }
   });
-  mExecutor->SetAvailabilityCallback(
-    [this](bool aAvailable) { mMembers->SetAvailable(aAvailable && !mBackendLeaving); });
+  mExecutor->SetAvailabilityCallback([this](bool) { SetAvailable(); });
   mExecutor->SetObserver(mQuarantine.get());
-  mQuarantine->SetMembers(mMembers->Core());
+  if (mDirectory) {
+    mQuarantine->SetFleet([this] { return mDirectory->Fleet(); });
+    mPeers.SetRevisionCallback([this](const std::string& aNodeId, uint64_t aRevision) {
+      mDirectory->OnPeerRevision(aNodeId, aRevision);
+    });
+    mDirectory->SetRecallCallback([this](const NodeRecord& aRecord) {
+      if (!aRecord.mServing && !aRecord.mLeaving && !aRecord.mServerId.empty()) {
+        mServer.RecallLeaving(aRecord.mServerId, aRecord.mServerStarted);
+        ServerChanged();
+      }
+    });
+  } else {
+    mQuarantine->SetFleet([this] {
+      std::vector<FleetNode> fleet;
+      for (const MemberRecord& record : mMembers->Core().Members()) {
+        fleet.push_back({ record.mId, record.mService });
+      }
+      return fleet;
+    });
+  }
   mForwarder.SetLevelCallback(
     [this](uint32_t aLevel) { mExecutor->ReportDownstreamLevel(aLevel); });
 }
 
+void Node::Parts::SetAvailable()
+{
+  if (mMembers) {
+    mMembers->SetAvailable(mExecutor->Available() && !mBackendLeaving);
+  } else {
+    mDirectory->SetServer(mServer, mExecutor->Available());
+  }
+}
+
+void Node::Parts::ServerChanged()
+{
+  mExecutor->SetServer(mServer);
+  SetAvailable();
+}
+
+bool Node::Parts::IsReady() const
+{
+  return !mOnDrained && mConfig->Holder().Current() && (!mDirectory || mDirectory->HasList());
+}
+
 void Node::Parts::AddGauges()
 {
   const auto add = [this](const char* aName, const char* aHelp, std::function<double()> aRead) {
@@ -186,12 +303,19 @@
       [this] { return mExecutor->Admission().QueueLength(); });
   add("shed_level", "Position on the scale of ranks and cohorts below which entries refuse.",
       [this] { return mExecutor->Admission().ShedLevel(); });
-  add("members", "Nodes that are not dead, this one included.",
-      [this] { return static_cast<double>(mMembers->Core().Count()); });
+  add("members", "Nodes that are not dead, this one included.", [this] {
+    return static_cast<double>(mMembers ? mMembers->Core().Count()
+                                        : mDirectory->Nodes().size() + 1);
+  });
   add("config_revision", "Configuration revision in force.",
       [this] { return static_cast<double>(mConfig->Holder().Revision()); });
   add("config_age_seconds", "Time since the configuration in force was applied.",
       [this] { return std::chrono::duration<double>(mConfig->Age()).count(); });
+  if (!mOwner) {
+    add("store_reachable", "Whether the store answers this node.",
+        [this] { return mDirectory->StoreReachable() ? 1.0 : 0.0; });
+    return;
+  }
   add("owned_shards", "Shards of idempotency keys in which this node may dispatch.",
       [this] { return static_cast<double>(mOwner->OwnedShards()); });
   add("key_records", "Recorded idempotency keys.",
@@ -215,7 +339,7 @@
                         leaving ? "leaving" : "ready");
     mBackendLeaving = leaving;
     mExecutor->SetDraining(leaving);
-    mMembers->SetAvailable(mExecutor->Available() && !leaving);
+    SetAvailable();
   }
   aExchange->Respond(std::move(response));
 }
@@ -223,14 +347,20 @@
 void Node::Parts::CheckDrained()
 {
   const Duration waited = mClock.Now() - mDrainStarted;
-  if (mOwner->Drained() || waited >= kMaxHandover) {
+  const bool noticed = waited >= mComposition.mLeaveNotice;
+  const bool handedOver = mOwner ? mOwner->Drained() || waited >= kMaxHandover : noticed;
+  if (handedOver) {
     mExecutor->SetDraining(true);
   }
-  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 && mOwner->Drained();
-  if (waited >= kMinDrain && !mListenerStopped) {
+  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 &&
+                    (!mOwner || mOwner->Drained());
+  if (noticed && !mListenerStopped) {
     // Connections of callers close with their next answer, before the process ends.
     mCallerListener->Stop();
     mListenerStopped = mClock.Now();
+    if (mDirectory) {
+      mDirectory->Withdraw();
+    }
   }
   const bool expired = waited >= std::chrono::seconds(mSettings.mDrainSeconds);
   const bool settled = mListenerStopped && mClock.Now() - *mListenerStopped >= kListenerSettle;
@@ -249,8 +379,8 @@
   });
 }
 
-Node::Node(asio::io_context& aContext, NodeSettings aSettings)
-  : mParts(std::make_unique<Parts>(aContext, std::move(aSettings)))
+Node::Node(asio::io_context& aContext, NodeSettings aSettings, NodeComposition aComposition)
+  : mParts(std::make_unique<Parts>(aContext, std::move(aSettings), std::move(aComposition)))
 {
 }
 
@@ -279,12 +409,54 @@
   Log("node").info("draining");
   mParts->mOnDrained = std::move(aDone);
   mParts->mDrainStarted = mParts->mClock.Now();
-  mParts->mMembers->SetLeaving();
+  if (mParts->mMembers) {
+    mParts->mMembers->SetLeaving();
+    mParts->mOwner->Drain();
+  } else {
+    mParts->mDirectory->SetLeaving();
+    mParts->mCallerListener->CloseConnections();
+  }
   mParts->mExecutor->SetLeaving();
-  mParts->mOwner->Drain();
   mParts->CheckDrained();
 }
 
+AnnouncementResult Node::OnAnnouncement(const ServerAnnouncement& aAnnouncement)
+{
+  const auto before = mParts->mServer.Current();
+  const AnnouncementResult result = mParts->mServer.OnAnnouncement(aAnnouncement);
+  const auto& now = mParts->mServer.Current();
+  const bool changed = !before != !now || (now && (before->mServerId != now->mServerId ||
+                                                   before->mStarted != now->mStarted ||
+                                                   before->mLeaving != now->mLeaving));
+  if (changed || result != AnnouncementResult::Applied) {
+    Event("backend", "announcement")
+      .Add("server", aAnnouncement.mServerId)
+      .Add("started", aAnnouncement.mStarted)
+      .Add("sequence", aAnnouncement.mSequence)
+      .Add("leaving", aAnnouncement.mLeaving)
+      .Add("result", ToString(result));
+  }
+  mParts->ServerChanged();
+  return result;
+}
+
+void Node::OnDeparture(std::string_view aServerId)
+{
+  const bool applied = mParts->mServer.OnDeparture(aServerId);
+  Event("backend", "departure").Add("server", aServerId).Add("applied", applied);
+  mParts->ServerChanged();
+}
+
+void Node::Reload(const NodeSettings& aSettings)
+{
+  NodeSettings comparable = aSettings;
+  comparable.mLogLevel = mParts->mSettings.mLogLevel;
+  Event("node", "reload")
+    .Add("log_level", aSettings.mLogLevel)
+    .Add("needs_restart", !(comparable == mParts->mSettings));
+  SetLogLevel(aSettings.mLogLevel);
+}
+
 void Node::Stop()
 {
   mParts->mDrainTimer.cancel();
--- /dev/null
+++ b/packages/node/src/node_program.cpp
@@ -0,0 +1,141 @@
+#include "balsammount/node_program.h"
+
+#include "balsammount/event.h"
+#include "balsammount/log.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/program_options.hpp>
+
+#include <csignal>
+#include <iostream>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr int kOk = 0;
+constexpr int kFailed = 1;
+constexpr int kUsage = 2;
+
+constexpr const char* kHelp =
+  "A node runs beside one backend server. It takes requests of callers and of other nodes,\n"
+  "admits what the backend server can carry, and refuses the rest before it runs.\n\n"
+  "Signals: SIGTERM or SIGINT drains and stops; a second one stops at once. SIGHUP reads the\n"
+  "settings again.\n"
+  "Exit codes: 0 stopped as asked, 1 failed, 2 wrong usage or settings.\n\n";
+
+// Reads the settings again on every SIGHUP. Settings with a fault change nothing.
+void ReloadOnHangup(asio::signal_set& aSignals, const NodeProgram& aProgram,
+                    const std::string& aPath, Node& aNode)
+{
+  aSignals.async_wait([&aSignals, &aProgram, aPath, &aNode](const auto& aError, int) {
+    if (aError) {
+      return;
+    }
+    if (const auto settings = aProgram.mReadSettings(aPath)) {
+      aNode.Reload(*settings);
+    } else {
+      Event("node", "reload-failed").Add("error", Describe(settings.error()));
+    }
+    ReloadOnHangup(aSignals, aProgram, aPath, aNode);
+  });
+}
+
+int Run(const NodeProgram& aProgram, const std::string& aPath, const NodeSettings& aSettings)
+{
+  SetLogFormat(aSettings.mLogFormat);
+  SetLogLevel(aSettings.mLogLevel);
+  asio::io_context context(1);
+  Node node(context, aSettings, aProgram.mCompose(aSettings));
+  if (auto result = node.Start(); !result) {
+    Event("node", "start-failed").Add("error", Describe(result.error()));
+    return kFailed;
+  }
+  const auto extension =
+    aProgram.mMakeExtension ? aProgram.mMakeExtension(context, aSettings, node) : nullptr;
+  if (extension) {
+    if (auto result = extension->Start(); !result) {
+      Event("node", "start-failed").Add("error", Describe(result.error()));
+      return kFailed;
+    }
+  }
+  Event("node", "start")
+    .Add("node", aSettings.mNodeId)
+    .Add("service", aSettings.mService)
+    .Add("data_centre", aSettings.mDataCentre)
+    .Add("version", BM_VERSION);
+
+  const auto stop = [&] {
+    Event("node", "stop").Add("node", aSettings.mNodeId);
+    if (extension) {
+      extension->Stop();
+    }
+    node.Stop();
+    context.stop();
+  };
+  node.SetDrainRequestCallback([&] { node.Drain(stop); });
+  asio::signal_set hangups(context, SIGHUP);
+  ReloadOnHangup(hangups, aProgram, aPath, node);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
+  signals.async_wait([&](const auto& aError, int) {
+    if (aError) {
+      return;
+    }
+    Event("node", "drain").Add("node", aSettings.mNodeId);
+    node.Drain(stop);
+    signals.async_wait([&](const auto& aSecondError, int) {
+      if (!aSecondError) {
+        stop();
+      }
+    });
+  });
+  context.run();
+  return kOk;
+}
+
+} // namespace
+
+int RunNodeProgram(const NodeProgram& aProgram, int aCount, char** aArguments)
+{
+  po::options_description options("Options");
+  options.add_options()("settings", po::value<std::string>(), "file with this node's settings")(
+    "check", "check the settings and exit")("help", "print this text")("version",
+                                                                       "print the version");
+  po::variables_map values;
+  try {
+    po::store(po::parse_command_line(aCount, aArguments, options), values);
+  } catch (const po::error& error) {
+    std::cerr << aProgram.mName << ": " << error.what() << "; see --help\n";
+    return kUsage;
+  }
+  if (values.contains("help")) {
+    std::cout << kHelp << options;
+    return kOk;
+  }
+  if (values.contains("version")) {
+    std::cout << aProgram.mName << " " << BM_VERSION << "\n";
+    return kOk;
+  }
+  if (!values.contains("settings")) {
+    std::cerr << "balsammountd: --settings FILE is required; see --help\n";
+    return kUsage;
+  }
+  const std::string path = values["settings"].as<std::string>();
+  const auto settings = aProgram.mReadSettings(path);
+  if (!settings) {
+    std::cerr << aProgram.mName << ": " << Describe(settings.error()) << "\n";
+    return kUsage;
+  }
+  if (values.contains("check")) {
+    std::cout << "settings are valid\n";
+    return kOk;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  return Run(aProgram, path, *settings);
+}
+
+} // namespace balsammount
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -22,7 +22,8 @@
 {
   const char* mName;
   std::variant<std::string NodeSettings::*, Endpoint NodeSettings::*,
-               std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*>
+               std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*,
+               double NodeSettings::*>
     mMember;
   bool mRequired;
 };
@@ -33,7 +34,7 @@
   Setting{ "data_centre", &NodeSettings::mDataCentre, true },
   Setting{ "region", &NodeSettings::mRegion, false },
   Setting{ "caller_listen", &NodeSettings::mCallerListen, true },
-  Setting{ "egress_listen", &NodeSettings::mEgressListen, true },
+  Setting{ "egress_listen", &NodeSettings::mEgressListen, false },
   Setting{ "peer_listen", &NodeSettings::mPeerListen, true },
   Setting{ "admin_listen", &NodeSettings::mAdminListen, true },
   Setting{ "backend", &NodeSettings::mBackend, true },
@@ -42,6 +43,9 @@
   Setting{ "log_level", &NodeSettings::mLogLevel, false },
   Setting{ "log_format", &NodeSettings::mLogFormat, false },
   Setting{ "drain_seconds", &NodeSettings::mDrainSeconds, false },
+  Setting{ "ready_listen", &NodeSettings::mReadyListen, false },
+  Setting{ "fleet_retry_ratio", &NodeSettings::mFleetRetryRatio, false },
+  Setting{ "fleet_retry_slack", &NodeSettings::mFleetRetrySlack, false },
 };
 
 Failure Fail(SettingsError aError, const std::string& aName, const std::string& aDetail)
@@ -68,6 +72,15 @@
   return {};
 }
 
+Result<void> Assign(double& aTarget, const std::string& aName, const Json& aValue)
+{
+  if (!aValue.is_number() || aValue.get<double>() < 0 || aValue.get<double>() > 1) {
+    return Fail(SettingsError::WrongType, aName, "a number from 0 to 1 is expected");
+  }
+  aTarget = aValue.get<double>();
+  return {};
+}
+
 Result<void> Assign(Endpoint& aTarget, const std::string& aName, const Json& aValue)
 {
   if (!aValue.is_string()) {
--- a/packages/node/src/peer_handler.cpp
+++ b/packages/node/src/peer_handler.cpp
@@ -27,8 +27,10 @@
   const std::string& target = aExchange->Request().mTarget;
   if (target == "/balsammount/config" && mConfig.Holder().Value()) {
     aExchange->Respond(BodyResponse(200, *mConfig.Holder().Value()));
-  } else if (target == "/balsammount/ownership") {
-    const bool accepted = mOwner.OnMessage(aExchange->Request().mBody);
+  } else if (mDirectory && target.starts_with(kNodesTarget)) {
+    aExchange->Respond(mDirectory->HandlePeer(aExchange->Request()));
+  } else if (mOwner && target == "/balsammount/ownership") {
+    const bool accepted = mOwner->OnMessage(aExchange->Request().mBody);
     aExchange->Respond(BodyResponse(accepted ? 204 : 400, {}));
   } else if (target == "/balsammount/quarantine") {
     HandleQuarantine(*aExchange);
@@ -64,8 +66,9 @@
   auto answered = std::make_shared<bool>(false);
   const auto call =
     mLocal.Handle(std::move(received->mContext), aExchange->Request(),
-                  RequestBudget(received->mRetries), [aExchange, answered](Answer aAnswer) {
+                  RequestBudget(received->mRetries), [this, aExchange, answered](Answer aAnswer) {
                     *answered = true;
+                    aAnswer.mConfigRevision = mConfig.Holder().Revision();
                     aExchange->Respond(EncodeAnswer(std::move(aAnswer)));
                   });
   if (!*answered) {
--- a/packages/node/src/peer_handler.h
+++ b/packages/node/src/peer_handler.h
@@ -3,6 +3,7 @@
 
 #include "call_target.h"
 #include "config_service.h"
+#include "directory_service.h"
 #include "owner_service.h"
 #include "quarantine_service.h"
 
@@ -11,13 +12,15 @@
 class PeerHandler
 {
 public:
-  PeerHandler(const Clock& aClock, CallTarget& aLocal, ConfigService& aConfig, OwnerService& aOwner,
-              QuarantineService& aQuarantine)
+  // aOwner or aDirectory is null in a deployment without it.
+  PeerHandler(const Clock& aClock, CallTarget& aLocal, ConfigService& aConfig, OwnerService* aOwner,
+              QuarantineService& aQuarantine, DirectoryService* aDirectory)
     : mClock(aClock)
     , mLocal(aLocal)
     , mConfig(aConfig)
     , mOwner(aOwner)
     , mQuarantine(aQuarantine)
+    , mDirectory(aDirectory)
   {
   }
 
@@ -30,8 +33,9 @@
   const Clock& mClock;
   CallTarget& mLocal;
   ConfigService& mConfig;
-  OwnerService& mOwner;
+  OwnerService* mOwner;
   QuarantineService& mQuarantine;
+  DirectoryService* mDirectory;
 };
 
 } // namespace balsammount
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -40,7 +40,8 @@
   }
   auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
   return Send(aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
-              [budget, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+              [this, aNodeId, budget,
+               callback = std::move(aCallback)](Result<HttpResponse> aResult) {
                 if (!aResult) {
                   // What the peer spent before the connection was lost is not known.
                   if (!ProvesNotRun(aResult.error().mCode)) {
@@ -50,6 +51,9 @@
                   return;
                 }
                 Answer answer = DecodeAnswer(std::move(*aResult));
+                if (mOnRevision && answer.mConfigRevision > 0) {
+                  mOnRevision(aNodeId, answer.mConfigRevision);
+                }
                 budget->LimitTo(answer.mBudget.Left());
                 answer.mBudget = std::move(*budget);
                 callback(std::move(answer));
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -26,6 +26,11 @@
   // Calls in flight go on; the connection closes with the last of them.
   void Remove(const std::string& aNodeId);
   bool Has(const std::string& aNodeId) const { return mPeers.contains(aNodeId); }
+  // Called with the configuration revision that a node states in an answer.
+  void SetRevisionCallback(std::function<void(const std::string&, uint64_t)> aCallback)
+  {
+    mOnRevision = std::move(aCallback);
+  }
 
   // Forwards a call to a node. An unknown node is a refusal.
   std::shared_ptr<Call> Forward(const std::string& aNodeId, const CallContext& aContext,
@@ -46,6 +51,7 @@
 
   boost::asio::io_context& mContext;
   std::map<std::string, Peer> mPeers;
+  std::function<void(const std::string&, uint64_t)> mOnRevision;
 };
 
 // The answer for a call that ended without a response of the peer.
--- a/packages/node/src/quarantine_service.cpp
+++ b/packages/node/src/quarantine_service.cpp
@@ -94,15 +94,16 @@
 {
   const size_t suspects = mCore.OnServerDeath();
   Log("quarantine").warn("the backend server died with {} requests in flight", suspects);
-  if (suspects == 0 || !mMembers) {
+  if (suspects == 0) {
     return;
   }
   // A caller may resend sooner than gossip spreads, so the nodes that could run it are told at
   // once.
   size_t told = 0;
-  for (const MemberRecord& member : mMembers->Members()) {
-    if (member.mService == mService && member.mId != mSelf && told < kDirectPeers) {
-      SendTo(member.mId, EncodeAll());
+  const std::string evidence = EncodeAll();
+  for (const FleetNode& node : mFleet()) {
+    if (node.mService == mService && node.mNodeId != mSelf && told < kDirectPeers) {
+      SendTo(node.mNodeId, evidence);
       ++told;
     }
   }
@@ -152,14 +153,11 @@
 std::vector<std::string> QuarantineService::RandomMembers(size_t aCount)
 {
   std::vector<std::string> chosen;
-  if (!mMembers) {
-    return chosen;
-  }
-  auto members = mMembers->Members();
-  std::erase_if(members, [this](const MemberRecord& aRecord) { return aRecord.mId == mSelf; });
+  auto members = mFleet();
+  std::erase_if(members, [this](const FleetNode& aNode) { return aNode.mNodeId == mSelf; });
   while (chosen.size() < aCount && !members.empty()) {
     const size_t index = mRandom.Below(members.size());
-    chosen.push_back(std::move(members[index].mId));
+    chosen.push_back(std::move(members[index].mNodeId));
     members.erase(members.begin() + static_cast<std::ptrdiff_t>(index));
   }
   return chosen;
--- a/packages/node/src/quarantine_service.h
+++ b/packages/node/src/quarantine_service.h
@@ -2,10 +2,10 @@
 #pragma once
 
 #include "executor.h"
+#include "fleet.h"
 #include "peers.h"
 
 #include "balsammount/kernel.h"
-#include "balsammount/membership.h"
 #include "balsammount/quarantine.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -23,8 +23,8 @@
   Result<void> Start() override;
   void Stop() override;
 
-  // The members to exchange evidence with; must outlive this service.
-  void SetMembers(const Membership& aMembers) { mMembers = &aMembers; }
+  // The nodes to exchange evidence with.
+  void SetFleet(FleetView aFleet) { mFleet = std::move(aFleet); }
 
   bool IsQuarantined(uint64_t aFingerprint) const;
   Duration RetryAfter(uint64_t aFingerprint) const;
@@ -51,7 +51,7 @@
   std::string mSelf;
   std::string mService;
   Quarantine mCore;
-  const Membership* mMembers = nullptr;
+  FleetView mFleet = [] { return std::vector<FleetNode>(); };
   boost::asio::steady_timer mTimer;
   bool mFetched = false;
 };
--- a/packages/node/src/store_keys.h
+++ b/packages/node/src/store_keys.h
@@ -5,7 +5,6 @@
 
 namespace balsammount {
 
-inline const std::string kConfigKey = "/balsammount/config";
 inline const std::string kContactsPrefix = "/balsammount/contacts/";
 inline const std::string kOwnersPrefix = "/balsammount/owners/";
 
--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -6,6 +6,13 @@
 
 namespace {
 
+std::optional<float> LoadOf(const Answer& aAnswer)
+{
+  return aAnswer.mLoadPercent > 0
+           ? std::optional(static_cast<float>(aAnswer.mLoadPercent) / 100)
+           : std::nullopt;
+}
+
 UpstreamId IdOf(const std::string& aNodeId)
 {
   return static_cast<UpstreamId>(Hash64(aNodeId));
@@ -40,10 +47,10 @@
 void Upstreams::Upsert(const UpstreamRecord& aRecord)
 {
   const UpstreamId id = IdOf(aRecord.mNodeId);
-  mRecords[aRecord.mNodeId] = aRecord;
   mNodes[id] = aRecord.mNodeId;
   mRouter.UpsertUpstream({ id, ServiceNumber(aRecord.mService),
-                           DataCentreNumber(aRecord.mDataCentre), aRecord.mIncarnation });
+                           DataCentreNumber(aRecord.mDataCentre), aRecord.mIncarnation,
+                           aRecord.mSlots, aRecord.mWarmUpLeft });
   if (aRecord.mLeaving) {
     mRouter.SetLeaving(id);
   }
@@ -52,7 +59,6 @@
 void Upstreams::Remove(const std::string& aNodeId)
 {
   // The name stays: requests in flight still refer to it.
-  mRecords.erase(aNodeId);
   mRouter.RemoveUpstream(IdOf(aNodeId));
 }
 
@@ -81,7 +87,7 @@
 {
   switch (aAnswer.mOutcome) {
     case AttemptOutcome::Complete:
-      mRouter.OnAnswer(aUpstream, { aElapsed, std::nullopt, aAnswer.mResponse.mStatus >= 500 });
+      mRouter.OnAnswer(aUpstream, { aElapsed, LoadOf(aAnswer), aAnswer.mResponse.mStatus >= 500 });
       break;
     case AttemptOutcome::Unknown:
       mRouter.OnFailure(aUpstream);
--- a/packages/node/src/upstreams.h
+++ b/packages/node/src/upstreams.h
@@ -22,6 +22,8 @@
   std::string mDataCentre;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
+  uint32_t mSlots = 0;                     // of the backend server; 0: not known
+  std::optional<Duration> mWarmUpLeft{};   // as announced by the backend server
 
   bool operator==(const UpstreamRecord&) const = default;
 };
@@ -51,7 +53,6 @@
 
   std::vector<std::string> Services() const;
   std::vector<UpstreamView> View(const std::string& aService) const;
-  const std::map<std::string, UpstreamRecord>& Records() const { return mRecords; }
 
 private:
   ServiceId ServiceNumber(const std::string& aService);
@@ -60,7 +61,6 @@
   UpstreamId mSelf;
   std::map<std::string, ServiceId> mServices;
   std::map<std::string, DataCentreId> mDataCentres;
-  std::map<std::string, UpstreamRecord> mRecords;
   std::unordered_map<UpstreamId, std::string> mNodes;
   RoutingPolicy mPolicy;
   Router mRouter;
--- /dev/null
+++ b/packages/routing/include/balsammount/weighted_split.h
@@ -0,0 +1,59 @@
+// Division of requests among targets by weight.
+#pragma once
+
+#include "balsammount/random.h"
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <numeric>
+#include <span>
+#include <vector>
+
+namespace balsammount {
+
+// Smooth weighted round robin: after any number of choices the share of a target is off its weight
+// by less than one request. It starts at a random place, so that the first choices of many nodes
+// follow the weights as well.
+class WeightedSplit
+{
+public:
+  // The index of the next target. Weights may change between calls. 0 when all weights are 0.
+  size_t Next(std::span<const uint32_t> aWeights, Random& aRandom)
+  {
+    const auto total = std::accumulate(aWeights.begin(), aWeights.end(), uint64_t{ 0 });
+    if (!std::equal(aWeights.begin(), aWeights.end(), mWeights.begin(), mWeights.end())) {
+      mWeights.assign(aWeights.begin(), aWeights.end());
+      mCredits.assign(aWeights.size(), 0);
+      const uint64_t start = aRandom.Below(total);
+      for (uint64_t i = 0; i < start && i < kMaxSkipped; ++i) {
+        Step(total);
+      }
+    }
+    return Step(total);
+  }
+
+private:
+  // Bounds the work of finding a random place; weights are percentages as a rule.
+  static constexpr uint64_t kMaxSkipped = 1000;
+
+  size_t Step(uint64_t aTotal)
+  {
+    size_t best = 0;
+    for (size_t i = 0; i < mCredits.size(); ++i) {
+      mCredits[i] += mWeights[i];
+      if (mCredits[i] > mCredits[best]) {
+        best = i;
+      }
+    }
+    if (!mCredits.empty()) {
+      mCredits[best] -= static_cast<int64_t>(aTotal);
+    }
+    return best;
+  }
+
+  std::vector<uint32_t> mWeights;
+  std::vector<int64_t> mCredits;
+};
+
+} // namespace balsammount
--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -196,7 +196,7 @@
     fresh.mService = entry->mService;
     fresh.mInFlight = entry->mInFlight;
     fresh.mRemoved = entry->mRemoved;
-    fresh.mWarmAt = cold ? now + mPolicy.mSlowStart : now;
+    fresh.mWarmAt = now + aInfo.mWarmUp.value_or(cold ? mPolicy.mSlowStart : Duration::zero());
     *entry = fresh;
   }
   entry->mInfo = aInfo;
