--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -40,6 +40,7 @@
   uint64_t mServerWarmUntil = 0; // ms of the wall clock; it is slow before
   uint32_t mSlots = 0;           // requests that the backend server runs at the same time
   bool mServing = false;         // takes new work
+  bool mServerLeft = false;      // the backend server has announced that it leaves
   bool mLeaving = false;         // the node's process ends soon
 
   bool operator==(const NodeRecord&) const = default;
--- a/packages/directory/src/node_record.cpp
+++ b/packages/directory/src/node_record.cpp
@@ -32,6 +32,7 @@
   Field{ "server_warm_until", &NodeRecord::mServerWarmUntil },
   Field{ "slots", &NodeRecord::mSlots },
   Field{ "serving", &NodeRecord::mServing },
+  Field{ "server_left", &NodeRecord::mServerLeft },
   Field{ "leaving", &NodeRecord::mLeaving },
 };
 
--- a/packages/node/include/balsammount/node.h
+++ b/packages/node/include/balsammount/node.h
@@ -31,11 +31,13 @@
   // Called when an operator asks for a drain through the admin listener.
   void SetDrainRequestCallback(std::function<void()> aCallback);
 
-  // What the backend server says about itself, with ServerPresence::Announced. When this returns,
-  // the node is bound by it: a server that leaves gets no new request from here.
-  AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
+  // What the backend server says about itself, with ServerPresence::Announced. The node is bound by
+  // it at once: a server that leaves gets no new request from here. aDone is called when a later
+  // process of this node knows it as well, or cannot be told in time; it may be called at once.
+  AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement,
+                                    std::function<void()> aDone);
   // The backend server has ended or is about to.
-  void OnDeparture(std::string_view aServerId);
+  void OnDeparture(std::string_view aServerId, std::function<void()> aDone);
 
   // Applies what can change while the node runs (the log level); logs what needs a restart.
   void Reload(const NodeSettings& aSettings);
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -24,6 +24,9 @@
 constexpr Duration kMinBackoff = 100ms;
 constexpr Duration kMaxBackoff = 1000ms;
 
+// A backend server takes an announcement that is not answered within a second to another node.
+constexpr auto kMaxPublishWait = 500ms;
+
 constexpr auto kTick = 250ms;
 // A node that the store does not answer asks the others this often.
 constexpr auto kAskInterval = 500ms;
@@ -64,6 +67,7 @@
   , mListTimer(aContext)
   , mLeaseTimer(aContext)
   , mTickTimer(aContext)
+  , mWaiterTimer(aContext)
 {
   mOwn.mNodeId = aSettings.mNodeId;
   mOwn.mStarted = aStarted;
@@ -87,6 +91,7 @@
   mListTimer.cancel();
   mLeaseTimer.cancel();
   mTickTimer.cancel();
+  RunWaiters();
 }
 
 void DirectoryService::SetRecallCallback(std::function<void(const NodeRecord&)> aCallback)
@@ -140,6 +145,12 @@
   if (const NodeRecord* own = mDirectory.OwnListed(); own && isFirst) {
     // Later than every record of an earlier process, also when the clock was set back in between.
     mOwn.mStarted = std::max(mOwn.mStarted, own->mStarted + 1);
+    if (own->mServerLeft && mOwn.mServerId.empty()) {
+      // Kept until another server announces itself, so that a further restart knows it as well.
+      mOwn.mServerId = own->mServerId;
+      mOwn.mServerStarted = own->mServerStarted;
+      mOwn.mServerLeft = true;
+    }
     mOnRecall(*own);
   }
   ApplyChanges();
@@ -235,6 +246,7 @@
     }
   }
   record.mServing = aLife.IsServing() && aAvailable;
+  record.mServerLeft = aLife.Current() ? aLife.Current()->mLeaving : record.mServerLeft;
   if (!(record == mOwn)) {
     mOwn = record;
     OwnChanged();
@@ -252,7 +264,8 @@
 {
   mLeaving = true;
   mLeaseTimer.cancel();
-  if (mLease != kNoLease) {
+  // The next process of this node has to know that the server has left; the entry lapses later.
+  if (mLease != kNoLease && !mOwn.mServerLeft) {
     mStore.RevokeLease(std::exchange(mLease, kNoLease), [](const StoreResult<void>&) {});
   }
 }
@@ -297,6 +310,9 @@
     SetStoreReachable(true, "publish", {});
     mOwnRevision = *aResult;
     mPublishedSequence = aSequence;
+    if (IsPublished()) {
+      RunWaiters();
+    }
     if (mRepublish && mPublishedSequence != mOwn.mSequence) {
       Publish();
     }
@@ -324,6 +340,30 @@
   });
 }
 
+void DirectoryService::WhenPublished(std::function<void()> aDone)
+{
+  if (IsPublished()) {
+    aDone();
+    return;
+  }
+  mWaiters.push_back(std::move(aDone));
+  mWaiterTimer.expires_after(kMaxPublishWait);
+  mWaiterTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Event("directory", "unpublished").Add("sequence", mOwn.mSequence);
+      RunWaiters();
+    }
+  });
+}
+
+void DirectoryService::RunWaiters()
+{
+  mWaiterTimer.cancel();
+  for (const auto& waiter : std::exchange(mWaiters, {})) {
+    waiter();
+  }
+}
+
 void DirectoryService::GrantLease()
 {
   mPublishing = true;
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -43,6 +43,8 @@
   void SetServer(const ServerLife& aLife, bool aAvailable);
   // Final for this process.
   void SetLeaving();
+  // Calls back once the own record, as it is now, is in the store, or after half a second.
+  void WhenPublished(std::function<void()> aDone);
   // Removes the own record from the store. Final for this process.
   void Withdraw();
   // The record that an earlier process of this node has left in the store, once it has been read.
@@ -69,6 +71,8 @@
 
   void Publish();
   void OnPublished(uint64_t aSequence, const StoreResult<Revision>& aResult);
+  bool IsPublished() const { return mHasList && mPublishedSequence == mOwn.mSequence; }
+  void RunWaiters();
   void GrantLease();
   void RenewLease();
   void SetStoreReachable(bool aReachable, const char* aCall, const std::string& aDetail);
@@ -95,6 +99,8 @@
   boost::asio::steady_timer mListTimer;
   boost::asio::steady_timer mLeaseTimer;
   boost::asio::steady_timer mTickTimer;
+  boost::asio::steady_timer mWaiterTimer;
+  std::vector<std::function<void()>> mWaiters;
   std::unique_ptr<StoreWatch> mWatch;
   LeaseId mLease = kNoLease;
   Revision mOwnRevision = kAbsent; // mod revision of the own key, as far as known
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -260,7 +260,9 @@
     return std::nullopt;
   }
   CallContext context;
-  context.mIsRoot = true;
+  // Calls of backend servers look like requests of callers here. Entries must not shed calls whose
+  // parents run already, so the nodes beside the backend servers alone decide.
+  context.mIsRoot = false;
   context.mRoute = aRoute.mName;
   context.mRequestId = mNames.mKeepRequestId ? aRequest.mHeaders.Find(mNames.mRequestId) : "";
   if (context.mRequestId.empty()) {
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -107,6 +107,7 @@
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
   void SetAvailable();
   void ServerChanged();
+  void FinishAnnouncement(std::function<void()> aDone);
   bool IsReady() const;
   void CheckDrained();
 
@@ -252,7 +253,7 @@
       mDirectory->OnPeerRevision(aNodeId, aRevision);
     });
     mDirectory->SetRecallCallback([this](const NodeRecord& aRecord) {
-      if (!aRecord.mServing && !aRecord.mLeaving && !aRecord.mServerId.empty()) {
+      if (aRecord.mServerLeft) {
         mServer.RecallLeaving(aRecord.mServerId, aRecord.mServerStarted);
         ServerChanged();
       }
@@ -285,6 +286,16 @@
   SetAvailable();
 }
 
+void Node::Parts::FinishAnnouncement(std::function<void()> aDone)
+{
+  const auto& server = mServer.Current();
+  if (mDirectory && server && server->mLeaving) {
+    mDirectory->WhenPublished(std::move(aDone));
+  } else {
+    aDone();
+  }
+}
+
 bool Node::Parts::IsReady() const
 {
   return !mOnDrained && mConfig->Holder().Current() && (!mDirectory || mDirectory->HasList());
@@ -420,7 +431,8 @@
   mParts->CheckDrained();
 }
 
-AnnouncementResult Node::OnAnnouncement(const ServerAnnouncement& aAnnouncement)
+AnnouncementResult Node::OnAnnouncement(const ServerAnnouncement& aAnnouncement,
+                                        std::function<void()> aDone)
 {
   const auto before = mParts->mServer.Current();
   const AnnouncementResult result = mParts->mServer.OnAnnouncement(aAnnouncement);
@@ -437,14 +449,16 @@
       .Add("result", ToString(result));
   }
   mParts->ServerChanged();
+  mParts->FinishAnnouncement(std::move(aDone));
   return result;
 }
 
-void Node::OnDeparture(std::string_view aServerId)
+void Node::OnDeparture(std::string_view aServerId, std::function<void()> aDone)
 {
   const bool applied = mParts->mServer.OnDeparture(aServerId);
   Event("backend", "departure").Add("server", aServerId).Add("applied", applied);
   mParts->ServerChanged();
+  mParts->FinishAnnouncement(std::move(aDone));
 }
 
 void Node::Reload(const NodeSettings& aSettings)
