--- /dev/null
+++ b/packages/admission/tests/deep_overload_test.cpp
@@ -0,0 +1,138 @@
+// The load pattern: chains of calls whose deepest service carries less than the demand. Without
+// admission at the entry most chains fail after their upper services have worked for them.
+#include "balsammount/entry_throttle.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <algorithm>
+#include <deque>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kStep = 10ms;
+constexpr auto kChainTime = 800ms; // from the admission of a chain to its end
+
+struct Totals
+{
+  int mAsked = 0;
+  int mAdmitted = 0;
+  int mServed = 0;
+};
+
+// A chain makes four calls, one after the other, and fails with the first that is refused. The deep
+// service takes as many calls per step as it carries and refuses the others evenly.
+class DeepService
+{
+public:
+  explicit DeepService(const Clock& aClock)
+    : mThrottle(aClock)
+  {
+  }
+
+  void Run(ManualClock& aClock, Duration aTime, double aChainsPerStep, double aCapacity,
+           bool aThrottled, Totals& aTotals)
+  {
+    for (const SteadyTime end = aClock.Now() + aTime; aClock.Now() < end; aClock.Advance(kStep)) {
+      mDemand += aChainsPerStep;
+      for (; mDemand >= 1; mDemand -= 1) {
+        ++aTotals.mAsked;
+        const bool admitted = mThrottle.Admit();
+        if (admitted || !aThrottled) {
+          ++aTotals.mAdmitted;
+          mRunning.push_back(aClock.Now());
+        }
+      }
+      // Chances of a call at this demand; a chain needs four in a row.
+      const double admittedPerStep =
+        static_cast<double>(mRunning.size()) / static_cast<double>(kChainTime / kStep);
+      const double chance = std::min(1.0, aCapacity / std::max(admittedPerStep, 1e-9));
+      mChance += (chance - mChance) * 0.1;
+      while (!mRunning.empty() && aClock.Now() - mRunning.front() >= kChainTime) {
+        mRunning.pop_front();
+        mServedCredit += mChance * mChance * mChance * mChance;
+        const bool good = mServedCredit >= 1;
+        mServedCredit -= good ? 1 : 0;
+        aTotals.mServed += good ? 1 : 0;
+        mThrottle.OnEnd(good);
+      }
+    }
+  }
+
+  EntryThrottle mThrottle;
+
+private:
+  std::deque<SteadyTime> mRunning;
+  double mDemand = 0;
+  double mChance = 1;
+  double mServedCredit = 0;
+};
+
+} // namespace
+
+TEST_GROUP(DeepOverload)
+{
+  ManualClock mClock;
+  DeepService mService{ mClock };
+};
+
+// Guards against work that is thrown away: at twice the capacity nearly everything that is let in
+// has to succeed, and the throttle must keep the service in use.
+TEST(DeepOverload, ServesMoreThanWithoutTheThrottle)
+{
+  Totals settle;
+  Totals throttled;
+  mService.Run(mClock, 5s, 2, 1, true, settle);
+  mService.Run(mClock, 20s, 2, 1, true, throttled);
+  ManualClock otherClock;
+  DeepService other(otherClock);
+  Totals open;
+  other.Run(otherClock, 5s, 2, 1, false, settle);
+  other.Run(otherClock, 20s, 2, 1, false, open);
+  CHECK_COMPARE(throttled.mServed, >, 2 * open.mServed);
+  CHECK_COMPARE(throttled.mServed, >, throttled.mAdmitted * 0.8);
+  CHECK_COMPARE(throttled.mServed, >, 0.75 * 2000);
+}
+
+// Guards against refusals that outlast the overload.
+TEST(DeepOverload, OpensAgainAfterTheOverload)
+{
+  Totals during;
+  mService.Run(mClock, 10s, 3, 1, true, during);
+  CHECK_COMPARE(mService.mThrottle.Share(), <, 0.6);
+  Totals settle;
+  mService.Run(mClock, 6s, 0.8, 1, true, settle);
+  Totals after;
+  mService.Run(mClock, 5s, 0.8, 1, true, after);
+  CHECK_COMPARE(after.mServed, >=, after.mAsked * 0.99);
+}
+
+// Guards against refusals for failures that have nothing to do with load.
+TEST(DeepOverload, FewFailuresRefuseNothing)
+{
+  EntryThrottle throttle(mClock);
+  int refused = 0;
+  for (int i = 0; i < 2000; ++i) {
+    refused += throttle.Admit() ? 0 : 1;
+    throttle.OnEnd(i % 20 != 0);
+    mClock.Advance(20ms);
+  }
+  CHECK_EQUAL(0, refused);
+}
+
+// Guards against a kind of request that is shut out for good.
+TEST(DeepOverload, KeepsAShareOpen)
+{
+  EntryThrottle throttle(mClock);
+  int admitted = 0;
+  for (int i = 0; i < 2000; ++i) {
+    if (throttle.Admit()) {
+      ++admitted;
+      throttle.OnEnd(false);
+    }
+    mClock.Advance(10ms);
+  }
+  CHECK_COMPARE(admitted, >=, 2000 * 0.14);
+}
--- a/packages/node/include/balsammount/node.h
+++ b/packages/node/include/balsammount/node.h
@@ -37,7 +37,8 @@
   AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement,
                                     std::function<void()> aDone);
   // The backend server has ended or is about to.
-  void OnDeparture(std::string_view aServerId, std::function<void()> aDone);
+  void OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted,
+                   std::function<void()> aDone);
 
   // Applies what can change while the node runs (the log level); logs what needs a restart.
   void Reload(const NodeSettings& aSettings);
--- a/packages/node/include/balsammount/server_life.h
+++ b/packages/node/include/balsammount/server_life.h
@@ -47,8 +47,9 @@
   }
 
   AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
-  // The server ends, or has ended. False when another incarnation is in force.
-  bool OnDeparture(std::string_view aServerId);
+  // The server ends, or has ended; also one that has not announced itself to this process. Without
+  // a start the incarnation of that id in force is meant. False when another one is in force.
+  bool OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted);
   // An incarnation that had announced to an earlier process of this node that it leaves.
   void RecallLeaving(const std::string& aServerId, uint64_t aStarted);
 
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -37,6 +37,8 @@
 constexpr std::string_view kAttemptsLeft = "bm-attempts-left";
 constexpr std::string_view kLeaving = "bm-leaving";
 constexpr std::string_view kCallerService = "bm-caller-service";
+constexpr std::string_view kRoute = "bm-route";
+constexpr std::string_view kStartsChains = "bm-starts-chains";
 constexpr std::string_view kReachedServer = "bm-reached-server";
 constexpr std::string_view kLoad = "bm-load";
 constexpr std::string_view kConfigRevision = "bm-config";
@@ -162,6 +164,9 @@
   if (!aContext.mKey.empty()) {
     aHeaders.Add(kKey, aContext.mKey);
   }
+  if (!aContext.mRoute.empty()) {
+    aHeaders.Add(kRoute, aContext.mRoute);
+  }
   if (!aContext.mCallerService.empty()) {
     aHeaders.Add(kCallerService, aContext.mCallerService);
   }
@@ -187,6 +192,7 @@
   context.mService = headers.Find(kService);
   context.mRank = headers.Find(kRank);
   context.mKey = headers.Find(kKey);
+  context.mRoute = headers.Find(kRoute);
   context.mCallerService = headers.Find(kCallerService);
   context.mIdempotent = headers.Find(kIdempotent) == "1";
   context.mCallerHash = *caller;
@@ -233,6 +239,9 @@
   if (aAnswer.mLeaving) {
     response.mHeaders.Add(kLeaving, "1");
   }
+  if (aAnswer.mStartsChains) {
+    response.mHeaders.Add(kStartsChains, "1");
+  }
   if (aAnswer.mReachedServer) {
     response.mHeaders.Add(kReachedServer, "1");
   }
@@ -250,6 +259,7 @@
   Answer answer;
   const Headers& headers = aResponse.mHeaders;
   const auto outcome = IndexOf(kOutcomes, headers.Find(kOutcome));
+  answer.mStartsChains = headers.Has(kStartsChains);
   // A peer that does not state an outcome may have run the request.
   answer.mOutcome = outcome ? static_cast<AttemptOutcome>(*outcome) : AttemptOutcome::Unknown;
   answer.mReason = ParseCallReason(headers.Find(kReason)).value_or(CallReason::None);
@@ -266,6 +276,7 @@
   answer.mBudget = RequestBudget(static_cast<uint32_t>(
     std::min<uint64_t>(ParseNumber(headers.Find(kAttemptsLeft)).value_or(0), UINT32_MAX)));
   answer.mLeaving = headers.Has(kLeaving);
+  answer.mStartsChains = headers.Has(kStartsChains);
   // A peer that does not state an outcome may have sent the request on.
   answer.mReachedServer = !outcome || headers.Has(kReachedServer);
   answer.mConfigRevision = ParseNumber(headers.Find(kConfigRevision)).value_or(0);
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -21,6 +21,8 @@
 // return do not meet again.
 constexpr Duration kMinReturn = 100ms;
 constexpr double kReturnSpread = 0.5;
+// When the entry itself refuses: chains take about half a second, and an overload lasts seconds.
+constexpr Duration kThrottledReturn = 500ms;
 
 // The header's value in milliseconds; zero when it is absent, nothing when it is malformed.
 std::optional<std::chrono::milliseconds> ReadDeadline(const Headers& aHeaders,
@@ -63,6 +65,7 @@
   , mTarget(aTarget)
   , mMetrics(aMetrics)
   , mCallerBudget(aClock, {})
+  , mRefusals(aClock)
   , mIdPrefix(aRandom.Next())
 {
 }
@@ -71,10 +74,12 @@
 {
   mConfig = aConfig;
   mRevision = aRevision;
-  std::erase_if(mSplits, [&](const auto& aSplit) {
-    return std::ranges::find(aConfig->Routes(), aSplit.first, &RoutePolicy::mName) ==
+  const auto isGone = [&](const auto& aEntry) {
+    return std::ranges::find(aConfig->Routes(), aEntry.first, &RoutePolicy::mName) ==
            aConfig->Routes().end();
-  });
+  };
+  std::erase_if(mSplits, isGone);
+  std::erase_if(mThrottles, isGone);
 }
 
 void Gateway::Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText)
@@ -224,14 +229,19 @@
     aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
     return;
   }
-  // The caller may come back while it has time, even when the route's timeout is over.
-  const SteadyTime callerDeadline = mClock.Now() + (*deadline > 0ms ? *deadline : route->mTimeout);
+  if (!PassThrottle(*aExchange, *context)) {
+    return;
+  }
+  auto counted = std::make_shared<CallContext>(*context);
   Forward(aExchange, std::move(*context), RequestBudget::ForAttempts(route->mAttempts),
-          [this, callerDeadline](Answer& aAnswer) {
+          [this, counted](Answer& aAnswer) {
+            CountForThrottle(*counted, aAnswer);
             if (aAnswer.mOutcome != AttemptOutcome::NotRun) {
               return;
             }
-            if (aAnswer.mReason == CallReason::Deadline && callerDeadline > mClock.Now() + kMinReturn) {
+            // The caller may have time left when the route's timeout is over, and may then come
+            // back: what did not run is refused, not timed out.
+            if (aAnswer.mReason == CallReason::Deadline) {
               aAnswer.mReason = CallReason::Overload;
             }
             const Duration wanted = std::max(aAnswer.mRetryAfter, kMinReturn);
@@ -240,6 +250,47 @@
           });
 }
 
+bool Gateway::PassThrottle(Exchange& aExchange, const CallContext& aContext)
+{
+  const auto throttle = mThrottles.find(aContext.mRoute);
+  if (throttle == mThrottles.end()) {
+    return true;
+  }
+  const bool admitted = throttle->second.Admit();
+  if (admitted || mRefusals.Take(aContext.mFingerprint)) {
+    return true;
+  }
+  mRefusals.Add(aContext.mFingerprint);
+  mMetrics.OnOffered(aContext.mService, aContext.mRank);
+  mMetrics.OnRefused(aContext.mService, aContext.mRank, CallReason::Overload);
+  const Duration retryAfter =
+    std::chrono::duration_cast<Duration>(kThrottledReturn * (1 + mRandom.Uniform()));
+  Event("entry", "throttled")
+    .Add("request", aContext.mRequestId)
+    .Add("route", aContext.mRoute)
+    .Add("share", throttle->second.Share())
+    .Add("retry_after_ms", std::chrono::duration<double, std::milli>(retryAfter).count());
+  aExchange.Respond(CallerResponse(Refused(CallReason::Overload, {}, retryAfter), mNames));
+  return false;
+}
+
+void Gateway::CountForThrottle(const CallContext& aContext, const Answer& aAnswer)
+{
+  if (aAnswer.mStartsChains) {
+    mThrottles.try_emplace(aContext.mRoute, mClock);
+  }
+  const auto throttle = mThrottles.find(aContext.mRoute);
+  if (throttle == mThrottles.end()) {
+    return;
+  }
+  // A lost connection or a node that leaves says nothing about capacity.
+  if (aAnswer.mOutcome == AttemptOutcome::Complete) {
+    throttle->second.OnEnd(aAnswer.mResponse.mStatus < 500);
+  } else if (aAnswer.mReason == CallReason::Overload || aAnswer.mReason == CallReason::Deadline) {
+    throttle->second.OnEnd(false);
+  }
+}
+
 const std::string& Gateway::TargetOf(const RoutePolicy& aRoute)
 {
   if (aRoute.mTargets.size() == 1) {
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -7,6 +7,8 @@
 #include "metrics.h"
 
 #include "balsammount/config.h"
+#include "balsammount/entry_throttle.h"
+#include "balsammount/recent_refusals.h"
 #include "balsammount/message_names.h"
 #include "balsammount/random.h"
 #include "balsammount/weighted_split.h"
@@ -39,6 +41,9 @@
   void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
                                            std::chrono::milliseconds aWait);
+  // False when the request was refused, because too many chains of its route fail.
+  bool PassThrottle(Exchange& aExchange, const CallContext& aContext);
+  void CountForThrottle(const CallContext& aContext, const Answer& aAnswer);
   const std::string& TargetOf(const RoutePolicy& aRoute);
   void Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText);
   // Why and how a request ended, when it was not answered by a backend server.
@@ -60,6 +65,9 @@
   std::shared_ptr<const Config> mConfig;
   CallerBudget mCallerBudget;
   std::map<std::string, WeightedSplit> mSplits; // by route
+  // By route; only routes that start chains of calls have one.
+  std::map<std::string, EntryThrottle> mThrottles;
+  RecentRefusals mRefusals;
   uint64_t mIdPrefix;
   uint64_t mNextId = 1;
   uint64_t mRevision = 0;
--- a/packages/node/src/local_target.cpp
+++ b/packages/node/src/local_target.cpp
@@ -4,6 +4,24 @@
 
 namespace balsammount {
 
+namespace {
+
+// Bounds what changes of the configuration can leave behind.
+constexpr size_t kMaxRoutes = 1024;
+
+} // namespace
+
+bool LocalTarget::StartsChains(const CallContext& aContext)
+{
+  if (aContext.mRoute.empty()) {
+    return false;
+  }
+  if (aContext.mCallerService == mService && mChainStarts.size() < kMaxRoutes) {
+    mChainStarts.insert(aContext.mRoute);
+  }
+  return mChainStarts.contains(aContext.mRoute);
+}
+
 std::shared_ptr<Call> LocalTarget::Handle(CallContext aContext, HttpRequest aRequest,
                                           RequestBudget aBudget, AnswerCallback aCallback)
 {
@@ -24,8 +42,13 @@
     return mOwner->Handle(std::move(aContext), std::move(aRequest), std::move(aBudget),
                           std::move(aCallback));
   }
-  return mExecutor.Execute(std::move(aContext), std::move(aRequest), std::move(aBudget),
-                           std::move(aCallback));
+  const bool startsChains = StartsChains(aContext);
+  return mExecutor.Execute(
+    std::move(aContext), std::move(aRequest), std::move(aBudget),
+    [startsChains, callback = std::move(aCallback)](Answer aAnswer) {
+      aAnswer.mStartsChains = startsChains;
+      callback(std::move(aAnswer));
+    });
 }
 
 } // namespace balsammount
--- a/packages/node/src/local_target.h
+++ b/packages/node/src/local_target.h
@@ -5,6 +5,9 @@
 #include "executor.h"
 #include "quarantine_service.h"
 
+#include <set>
+#include <string>
+
 namespace balsammount {
 
 class LocalTarget final : public CallTarget
@@ -25,7 +28,12 @@
                                AnswerCallback aCallback) override;
 
 private:
+  // Backend servers do not call their own service. A route that is used from instances of the
+  // service that it leads to is used by callers, which start chains of calls with it.
+  bool StartsChains(const CallContext& aContext);
+
   std::string mService;
+  std::set<std::string> mChainStarts; // routes
   Executor& mExecutor;
   CallTarget* mOwner;
   const QuarantineService& mQuarantine;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -453,9 +453,10 @@
   return result;
 }
 
-void Node::OnDeparture(std::string_view aServerId, std::function<void()> aDone)
+void Node::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted,
+                       std::function<void()> aDone)
 {
-  const bool applied = mParts->mServer.OnDeparture(aServerId);
+  const bool applied = mParts->mServer.OnDeparture(aServerId, aStarted);
   Event("backend", "departure").Add("server", aServerId).Add("applied", applied);
   mParts->ServerChanged();
   mParts->FinishAnnouncement(std::move(aDone));
--- a/packages/node/src/server_life.cpp
+++ b/packages/node/src/server_life.cpp
@@ -38,17 +38,17 @@
   return AnnouncementResult::Applied;
 }
 
-bool ServerLife::OnDeparture(std::string_view aServerId)
+bool ServerLife::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted)
 {
-  if (!mCurrent) {
-    return false;
-  }
-  if (mCurrent->mServerId != aServerId) {
-    return false;
+  const bool isCurrent = mCurrent && mCurrent->mServerId == aServerId &&
+                         mCurrent->mStarted == aStarted.value_or(mCurrent->mStarted);
+  if (isCurrent) {
+    mCurrent->mLeaving = true;
+    mLeft = Left{ mCurrent->mServerId, mCurrent->mStarted };
+  } else if (aStarted && (!mCurrent || *aStarted >= mCurrent->mStarted)) {
+    mLeft = Left{ std::string(aServerId), *aStarted };
   }
-  mCurrent->mLeaving = true;
-  mLeft = Left{ mCurrent->mServerId, mCurrent->mStarted };
-  return true;
+  return isCurrent;
 }
 
 void ServerLife::RecallLeaving(const std::string& aServerId, uint64_t aStarted)
--- /dev/null
+++ b/packages/node/tests/server_life_test.cpp
@@ -0,0 +1,82 @@
+#include "balsammount/server_life.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+
+namespace {
+
+ServerAnnouncement Announcement(const char* aId, uint64_t aStarted, uint64_t aSequence)
+{
+  ServerAnnouncement announcement;
+  announcement.mServerId = aId;
+  announcement.mStarted = aStarted;
+  announcement.mSequence = aSequence;
+  announcement.mService = "orders";
+  announcement.mAddress = "10.0.0.1:80";
+  announcement.mSlots = 4;
+  return announcement;
+}
+
+} // namespace
+
+TEST_GROUP(ServerLife)
+{
+  ServerLife mLife{ "orders", "10.0.0.1:80" };
+};
+
+// Guards against work for a server that has not announced itself, or for another service.
+TEST(ServerLife, ServesOnlyAfterItsOwnAnnouncement)
+{
+  CHECK_FALSE(mLife.IsServing());
+  ServerAnnouncement foreign = Announcement("a", 1, 1);
+  foreign.mService = "certify";
+  CHECK(mLife.OnAnnouncement(foreign) == AnnouncementResult::Foreign);
+  CHECK_FALSE(mLife.IsServing());
+  CHECK(mLife.OnAnnouncement(Announcement("a", 1, 1)) == AnnouncementResult::Applied);
+  CHECK(mLife.IsServing());
+}
+
+// Guards against a late announcement that takes back a departure.
+TEST(ServerLife, LeavingIsFinalForAnIncarnation)
+{
+  mLife.OnAnnouncement(Announcement("a", 1, 5));
+  ServerAnnouncement leaving = Announcement("a", 1, 4);
+  leaving.mLeaving = true;
+  CHECK(mLife.OnAnnouncement(leaving) == AnnouncementResult::Late);
+  CHECK_FALSE(mLife.IsServing());
+  CHECK(mLife.OnAnnouncement(Announcement("a", 1, 6)) == AnnouncementResult::Applied);
+  CHECK_FALSE(mLife.IsServing());
+  CHECK(mLife.OnAnnouncement(Announcement("a", 2, 1)) == AnnouncementResult::Applied);
+  CHECK(mLife.IsServing());
+}
+
+// Guards against an announcement that was delayed past the start of the next incarnation.
+TEST(ServerLife, EarlierIncarnationIsLate)
+{
+  mLife.OnAnnouncement(Announcement("b", 20, 1));
+  CHECK(mLife.OnAnnouncement(Announcement("a", 10, 99)) == AnnouncementResult::Late);
+  STRCMP_EQUAL("b", mLife.Current()->mServerId.c_str());
+  CHECK_FALSE(mLife.OnDeparture("a", 10));
+  CHECK(mLife.IsServing());
+}
+
+// Guards against work for a server that departed before this process of the node knew it. Seen on a
+// rolling restart during an outage of the store: the server announced itself once more as ready.
+TEST(ServerLife, DepartureBeforeTheFirstAnnouncementBinds)
+{
+  CHECK_FALSE(mLife.OnDeparture("a", 10));
+  CHECK(mLife.OnAnnouncement(Announcement("a", 10, 20)) == AnnouncementResult::Applied);
+  CHECK_FALSE(mLife.IsServing());
+  CHECK(mLife.OnAnnouncement(Announcement("a", 11, 1)) == AnnouncementResult::Applied);
+  CHECK(mLife.IsServing());
+}
+
+// Guards against a restarted node that sends work to a server whose departure the one before it had
+// acknowledged.
+TEST(ServerLife, RecalledDepartureBinds)
+{
+  mLife.OnAnnouncement(Announcement("a", 10, 20));
+  mLife.RecallLeaving("a", 10);
+  CHECK_FALSE(mLife.IsServing());
+}
