--- a/packages/admission/include/balsammount/entry_throttle.h
+++ b/packages/admission/include/balsammount/entry_throttle.h
@@ -24,10 +24,14 @@
   Duration mInterval = std::chrono::milliseconds(200); // between changes
   // Per interval: the share falls by this part of the distance to the target, and rises by this much.
   // Results come up to two seconds after the admission, so a faster fall would overshoot.
-  double mFall = 0.3;
-  double mRise = 0.03;
-  Duration mMemory = std::chrono::milliseconds(800); // results this old count a third
-  double mMinSamples = 4; // results within the memory; fewer prove nothing
+  double mFall = 0.2;
+  double mRise = 0.01;
+  // After this many intervals without a fall the rise grows with each further one by this part of
+  // itself. Otherwise a share that was driven down to the minimum would take 17 s to recover.
+  int mCalmIntervals = 5;
+  double mRiseGrowth = 0.2;
+  Duration mMemory = std::chrono::milliseconds(400); // results this old count a third
+  double mMinSamples = 2; // results within the memory; fewer prove nothing
 
   bool operator==(const EntryThrottlePolicy&) const = default;
 };
@@ -86,8 +90,11 @@
     const double good = isKnown ? mGood / mResults : 1;
     if (good < mPolicy.mTarget) {
       mShare = std::max(mPolicy.mMinShare, mShare * (1 - mPolicy.mFall * (mPolicy.mTarget - good)));
+      mCalm = 0;
     } else {
-      mShare = std::min(1.0, mShare + mPolicy.mRise);
+      const int growing = std::max(0, mCalm - mPolicy.mCalmIntervals);
+      mShare = std::min(1.0, mShare + mPolicy.mRise * (1 + mPolicy.mRiseGrowth * growing));
+      ++mCalm;
     }
     const double decay = std::exp(-std::chrono::duration<double>(mPolicy.mInterval).count() /
                                   std::chrono::duration<double>(mPolicy.mMemory).count());
@@ -102,6 +109,7 @@
   double mCredit = 1;
   double mResults = 0; // decaying counts
   double mGood = 0;
+  int mCalm = 0; // intervals since the last fall
 };
 
 } // namespace balsammount
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -334,6 +334,10 @@
     aSession->mLastRead = true;
     aSession->mReadingRequest = false;
     aSession->mChanged.cancel();
+    if (aSession->mWriterDone) {
+      // Reading may have replaced the writer's timer.
+      StartTimer(aSession, kLinger);
+    }
     co_await aState->WaitForDisconnect(aSession);
     aSession->mReaderDone = true;
     // The client went away, or the writer has finished and lingered long enough.
@@ -438,7 +442,9 @@
     while (!isSafe && !aSession->mPending.empty()) {
       co_await aSession->mChanged.async_wait(kAwait);
     }
-    if (aSession->mWriterDone) {
+    if (aSession->mWriterDone || aSession->mLastRead) {
+      // The writer has announced the end of the connection meanwhile, so the client takes this
+      // request as not read and sends it again.
       co_return false;
     }
     const bool keepAlive = aMessage.keep_alive();
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -218,6 +218,99 @@
   CHECK(answer.starts_with("HTTP/1.1 200"));
 }
 
+// Guards against a request that is handed on and never answered, because it came while the answer
+// that closes the connection was being written. Seen on a rolling restart with pipelining clients.
+TEST(Http, EveryRequestThatIsHandedOnIsAnswered)
+{
+  tcp::socket socket(mContext);
+  socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+  const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  RunUntil([&] { return mHeld.size() == 1; });
+  mServer->CloseConnections();
+  mHeld[0]->Respond({});
+  // Runs the writer only, so that it has decided to close when the next request arrives.
+  mContext.poll_one();
+  boost::asio::write(socket, boost::asio::buffer(request));
+  RunSome();
+  for (size_t i = 1; i < mHeld.size(); ++i) {
+    mHeld[i]->Respond({});
+  }
+  RunUntil([&] { return mServer->Connections() == 0 || mHeld.size() > 1; });
+  RunSome();
+  std::string answers(4000, '\0');
+  boost::system::error_code error;
+  answers.resize(boost::asio::read(socket, boost::asio::buffer(answers), error));
+  size_t count = 0;
+  for (size_t at = answers.find("HTTP/1.1 200"); at != std::string::npos;
+       at = answers.find("HTTP/1.1 200", at + 1)) {
+    ++count;
+  }
+  CHECK_EQUAL(mHeld.size(), count);
+  CHECK(answers.find("Connection: close") != std::string::npos);
+}
+
+// Guards against pipelined answers that are out of order, or requests that wait for each other.
+TEST(Http, PipelinedRequestsRunTogetherAndAreAnsweredInOrder)
+{
+  tcp::socket socket(mContext);
+  socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+  std::string requests;
+  for (const char* path : { "/1", "/2", "/3" }) {
+    requests += std::string("GET ") + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+  }
+  boost::asio::write(socket, boost::asio::buffer(requests));
+  RunUntil([&] { return mHeld.size() == 3; });
+  for (const size_t index : { 2U, 0U, 1U }) {
+    HttpResponse response;
+    response.mBody = mHeld[index]->Request().mTarget;
+    mHeld[index]->Respond(std::move(response));
+  }
+  RunSome();
+  std::string answers(4000, '\0');
+  answers.resize(socket.read_some(boost::asio::buffer(answers)));
+  CHECK(answers.find("/1") < answers.find("/2"));
+  CHECK(answers.find("/2") < answers.find("/3"));
+  CHECK(answers.find("/3") != std::string::npos);
+}
+
+// Guards against requests that a proxy and a backend server could take for different hosts.
+TEST(Http, AmbiguousHostIsRefused)
+{
+  for (const char* hosts : { "", "Host: a\r\nHost: b\r\n" }) {
+    tcp::socket socket(mContext);
+    socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+    boost::asio::write(
+      socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n") + hosts + "\r\n"));
+    RunSome();
+    std::string answer(1000, '\0');
+    answer.resize(socket.read_some(boost::asio::buffer(answer)));
+    CHECK(answer.starts_with("HTTP/1.1 400"));
+  }
+  CHECK(mHeld.empty());
+}
+
+// Guards against a second, late answer that is taken for the answer to the next request.
+TEST(Http, AnswerToAnotherRequestIsDropped)
+{
+  tcp::acceptor acceptor(mContext, kAnyHttpPort);
+  auto client = ClientOf(acceptor.local_endpoint().port());
+  std::string answer;
+  client->Send(
+    Post("a"), 5s, [&](auto aResult) { answer = aResult ? aResult->mBody : "failed"; },
+    [](const HttpResponse& aResponse) { return aResponse.mHeaders.Find("Id") == "mine"; });
+  tcp::socket socket(mContext);
+  bool accepted = false;
+  acceptor.async_accept(socket, [&](const auto&) { accepted = true; });
+  RunUntil([&] { return accepted; });
+  boost::asio::write(
+    socket, boost::asio::buffer(std::string("HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 1\r\n"
+                                            "\r\nxHTTP/1.1 200 OK\r\nId: mine\r\n"
+                                            "Content-Length: 1\r\n\r\ny")));
+  RunUntil([&] { return !answer.empty(); });
+  STRCMP_EQUAL("y", answer.c_str());
+}
+
 // Guards against requests on connections that their server is about to close, and against keeping
 // the connections that a peak has left.
 TEST(Http, OldIdleConnectionsAreDropped)
