--- a/packages/admission/include/balsammount/entry_throttle.h
+++ b/packages/admission/include/balsammount/entry_throttle.h
@@ -1,9 +1,9 @@
 // Admission where call chains start, by how the chains end.
 //
 // A chain that fails at a deep service has cost every service above it. Nobody declares the call
-// graph, and the deep service cannot tell which chain a call belongs to, so the entry watches its own
-// results: when too many of the requests that it lets in fail for lack of capacity, it lets in fewer
-// and refuses the rest before any work is done.
+// graph, and the deep service cannot tell which chain a call belongs to, so the entry watches its
+// own results: when too many of the requests that it lets in fail for lack of capacity, it lets in
+// fewer and refuses the rest before any work is done.
 #pragma once
 
 #include "balsammount/clock.h"
@@ -15,15 +15,15 @@
 
 struct EntryThrottlePolicy
 {
-  // Share of good results below which fewer requests are let in. What is lost otherwise (answers lost
-  // on the way, a backend server that fails now and then) stays well under a tenth.
+  // Share of good results below which fewer requests are let in. What is lost otherwise (answers
+  // lost on the way, a backend server that fails now and then) stays well under a tenth.
   double mTarget = 0.9;
   // No route is shut: a share this large goes on, which keeps every kind of request alive and finds
   // out when the overload ends.
   double mMinShare = 0.15;
   Duration mInterval = std::chrono::milliseconds(200); // between changes
-  // Per interval: the share falls by this part of the distance to the target, and rises by this much.
-  // Results come up to two seconds after the admission, so a faster fall would overshoot.
+  // Per interval: the share falls by this part of the distance to the target, and rises by this
+  // much. Results come up to two seconds after the admission, so a faster fall would overshoot.
   double mFall = 0.2;
   double mRise = 0.01;
   // After this many intervals without a fall the rise grows with each further one by this part of
--- a/packages/config/src/config_revision.cpp
+++ b/packages/config/src/config_revision.cpp
@@ -455,7 +455,9 @@
   }
   if (revision == Revision()) {
     const bool same = *decoded->mConfig == *mConfig;
-    return { same ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting, revision, {}, {} };
+    return {
+      same ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting, revision, {}, {}
+    };
   }
   Apply(revision, std::move(decoded->mConfig), aBytes, aSource);
   return { OfferOutcome::Applied, revision, {}, {} };
--- a/packages/config/src/settings.cpp
+++ b/packages/config/src/settings.cpp
@@ -109,10 +109,9 @@
 bool IsHost(std::string_view aText)
 {
   constexpr size_t kMaxLength = 253;
-  return !aText.empty() && aText.size() <= kMaxLength &&
-         std::ranges::all_of(aText, [](char aByte) {
-           return IsAlphanumeric(aByte) || aByte == '-' || aByte == '.' || aByte == '_';
-         });
+  return !aText.empty() && aText.size() <= kMaxLength && std::ranges::all_of(aText, [](char aByte) {
+    return IsAlphanumeric(aByte) || aByte == '-' || aByte == '.' || aByte == '_';
+  });
 }
 
 bool IsPrefix(std::string_view aText)
--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -1,8 +1,9 @@
 // The nodes of the fleet, as the store lists them and as they answer for themselves.
 //
-// The store's list is the usual source. It can lapse while nodes live (an outage in which leases run
-// out), and it can lack nodes that do not reach the store. So a node that is no longer listed is
-// asked directly, and stays known while it answers. What a node says of itself goes before the list.
+// The store's list is the usual source. It can lapse while nodes live (an outage in which leases
+// run out), and it can lack nodes that do not reach the store. So a node that is no longer listed
+// is asked directly, and stays known while it answers. What a node says of itself goes before the
+// list.
 #pragma once
 
 #include "balsammount/clock.h"
@@ -47,8 +48,7 @@
 
   bool IsNewerThan(const NodeRecord& aOther) const
   {
-    return mStarted != aOther.mStarted ? mStarted > aOther.mStarted
-                                       : mSequence > aOther.mSequence;
+    return mStarted != aOther.mStarted ? mStarted > aOther.mStarted : mSequence > aOther.mSequence;
   }
 };
 
--- a/packages/node/src/admin.h
+++ b/packages/node/src/admin.h
@@ -41,8 +41,9 @@
   {
   }
 
-  // GET /ready (200 when the node takes requests of callers, else 503), /state, /services, /members, /config, /quarantine, /metrics; POST /drain;
-  // PUT /log-level with the level; DELETE /quarantine with a fingerprint.
+  // GET /ready (200 when the node takes requests of callers, else 503), /state, /services,
+  // /members, /config, /quarantine, /metrics; POST /drain; PUT /log-level with the level; DELETE
+  // /quarantine with a fingerprint.
   void Handle(const std::shared_ptr<Exchange>& aExchange);
 
 private:
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -17,7 +17,7 @@
   std::string mRequestId; // of this hop; the backend server repeats it on its own calls
   std::string mService;
   std::string mRank;
-  std::string mKey; // idempotency key of the caller; empty when none
+  std::string mKey;           // idempotency key of the caller; empty when none
   std::string mRoute;         // name of the route; empty without routes
   std::string mCallerService; // service of the instance where the request came in
   bool mIdempotent = false;
@@ -59,16 +59,16 @@
 {
   AttemptOutcome mOutcome = AttemptOutcome::NotRun;
   CallReason mReason = CallReason::None;
-  HttpResponse mResponse;  // set when the outcome is Complete
-  Duration mRetryAfter{};  // zero: no advice
-  RequestBudget mBudget;   // retries that were not spent
-  uint32_t mShedLevel = 0; // of the node that executed or refused it
-  Duration mServiceTime{}; // measured by the executing node
-  bool mLeaving = false;   // the executing node takes no new work
-  bool mStartsChains = false;  // callers send requests of this route, not only backend servers
-  bool mReachedServer = false; // the request was sent to a backend server, whether it ran or not
+  HttpResponse mResponse;       // set when the outcome is Complete
+  Duration mRetryAfter{};       // zero: no advice
+  RequestBudget mBudget;        // retries that were not spent
+  uint32_t mShedLevel = 0;      // of the node that executed or refused it
+  Duration mServiceTime{};      // measured by the executing node
+  bool mLeaving = false;        // the executing node takes no new work
+  bool mStartsChains = false;   // callers send requests of this route, not only backend servers
+  bool mReachedServer = false;  // the request was sent to a backend server, whether it ran or not
   uint64_t mConfigRevision = 0; // in force at the executing node; 0: not stated
-  uint32_t mLoadPercent = 0;   // requests at the executing node per 100 slots of its server
+  uint32_t mLoadPercent = 0;    // requests at the executing node per 100 slots of its server
 };
 
 using AnswerCallback = std::function<void(Answer)>;
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -223,7 +223,8 @@
   }
   const auto warmMillis = static_cast<int64_t>(record.mServerWarmUntil) -
                           static_cast<int64_t>(WallMillis(mClock.WallNow()));
-  const Duration warmUp = std::clamp<Duration>(std::chrono::milliseconds(warmMillis), 0ms, kMaxWarmUp);
+  const Duration warmUp =
+    std::clamp<Duration>(std::chrono::milliseconds(warmMillis), 0ms, kMaxWarmUp);
   mUsers.mUpstreams.Upsert({ record.mNodeId, record.mService, record.mDataCentre,
                              incarnation.mNumber, false, record.mSlots, warmUp });
 }
@@ -331,8 +332,8 @@
     return;
   }
   SetStoreReachable(false, "publish", Describe(failure));
-  mLeaseTimer.expires_after(std::chrono::duration_cast<Duration>(
-    kMaxBackoff * (0.5 + 0.5 * mRandom.Uniform())));
+  mLeaseTimer.expires_after(
+    std::chrono::duration_cast<Duration>(kMaxBackoff * (0.5 + 0.5 * mRandom.Uniform())));
   mLeaseTimer.async_wait([this](const auto& aError) {
     if (!aError) {
       Publish();
@@ -384,8 +385,8 @@
 
 void DirectoryService::RenewLease()
 {
-  mLeaseTimer.expires_after(std::chrono::duration_cast<Duration>(
-    kRenewInterval * (0.9 + 0.2 * mRandom.Uniform())));
+  mLeaseTimer.expires_after(
+    std::chrono::duration_cast<Duration>(kRenewInterval * (0.9 + 0.2 * mRandom.Uniform())));
   mLeaseTimer.async_wait([this](const auto& aTimerError) {
     if (aTimerError || mLease == kNoLease) {
       return;
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -184,8 +184,8 @@
     [this, aJob](const HttpResponse& aResponse) { return BelongsTo(*aJob, aResponse); });
 }
 
-// An answer to an earlier request may arrive late on a connection that is kept, and a backend server
-// that has gone wrong may send anything.
+// An answer to an earlier request may arrive late on a connection that is kept, and a backend
+// server that has gone wrong may send anything.
 bool Executor::BelongsTo(const Job& aJob, const HttpResponse& aResponse) const
 {
   if (!mNames.mKeepRequestId || DidNotRun(aResponse)) {
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -104,7 +104,7 @@
   NodeSettings mSettings;
   const MessageNames& mNames;
   ServerPresence mPresence;
-  std::string mServerId;    // of the backend server that has announced itself
+  std::string mServerId;     // of the backend server that has announced itself
   uint32_t mServerSlots = 0; // as announced; 0: as configured
   bool mProbing = false;
   HttpClient mBackend;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -186,9 +186,8 @@
   auto send = mCallerBudget.Open(identity);
   if (!send) {
     mMetrics.OnRefused(context->mService, context->mRank, CallReason::RetryBudget);
-    aExchange->Respond(
-      CallerResponse(Refused(CallReason::RetryBudget, {}, mCallerBudget.RetryAfter(identity)),
-                     mNames));
+    aExchange->Respond(CallerResponse(
+      Refused(CallReason::RetryBudget, {}, mCallerBudget.RetryAfter(identity)), mNames));
     return;
   }
   auto charged = std::make_shared<CallerSend>();
@@ -337,7 +336,7 @@
   if (complete && aAnswer.mResponse.mStatus < 500) {
     return;
   }
-  const auto name = complete ? "server-error"
+  const auto name = complete                                      ? "server-error"
                     : aAnswer.mOutcome == AttemptOutcome::Unknown ? "unknown"
                                                                   : "refused";
   Event("entry", name)
@@ -351,8 +350,7 @@
     .Add("elapsed_ms", std::chrono::duration<double, std::milli>(aElapsed).count())
     .Add("left_ms",
          std::chrono::duration<double, std::milli>(aContext.mDeadline - mClock.Now()).count())
-    .Add("retry_after_ms",
-         std::chrono::duration<double, std::milli>(aAnswer.mRetryAfter).count())
+    .Add("retry_after_ms", std::chrono::duration<double, std::milli>(aAnswer.mRetryAfter).count())
     .Add("config_revision", mRevision);
 }
 
@@ -407,13 +405,13 @@
   };
   HttpRequest request = aExchange->Request();
   RemoveInternalHeaders(request.mHeaders);
-  const auto call = mTarget.Handle(std::move(aContext), std::move(request), std::move(aBudget),
-                                   [this, aExchange, finish](Answer aAnswer) mutable {
-                                     if (finish(aAnswer)) {
-                                       aExchange->Respond(
-                                         CallerResponse(std::move(aAnswer), mNames));
-                                     }
-                                   });
+  const auto call =
+    mTarget.Handle(std::move(aContext), std::move(request), std::move(aBudget),
+                   [this, aExchange, finish](Answer aAnswer) mutable {
+                     if (finish(aAnswer)) {
+                       aExchange->Respond(CallerResponse(std::move(aAnswer), mNames));
+                     }
+                   });
   if (!*finished) {
     aExchange->OnCancel([call, finish]() mutable {
       Answer cancelled = Unknown(CallReason::None, {});
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -8,9 +8,9 @@
 
 #include "balsammount/config.h"
 #include "balsammount/entry_throttle.h"
-#include "balsammount/recent_refusals.h"
 #include "balsammount/message_names.h"
 #include "balsammount/random.h"
+#include "balsammount/recent_refusals.h"
 #include "balsammount/weighted_split.h"
 
 #include <map>
--- a/packages/node/src/local_target.cpp
+++ b/packages/node/src/local_target.cpp
@@ -43,12 +43,11 @@
                           std::move(aCallback));
   }
   const bool startsChains = StartsChains(aContext);
-  return mExecutor.Execute(
-    std::move(aContext), std::move(aRequest), std::move(aBudget),
-    [startsChains, callback = std::move(aCallback)](Answer aAnswer) {
-      aAnswer.mStartsChains = startsChains;
-      callback(std::move(aAnswer));
-    });
+  return mExecutor.Execute(std::move(aContext), std::move(aRequest), std::move(aBudget),
+                           [startsChains, callback = std::move(aCallback)](Answer aAnswer) {
+                             aAnswer.mStartsChains = startsChains;
+                             callback(std::move(aAnswer));
+                           });
 }
 
 } // namespace balsammount
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -214,11 +214,10 @@
     services.emplace_back("members", mMembers);
   }
   if (mSettings.mEgressListen.port() != 0) {
-    services.emplace_back("egress-listener",
-                          listener(mSettings.mEgressListen,
-                                   [this](const std::shared_ptr<Exchange>& aExchange) {
-                                     HandleEgress(aExchange);
-                                   }));
+    services.emplace_back(
+      "egress-listener",
+      listener(mSettings.mEgressListen,
+               [this](const std::shared_ptr<Exchange>& aExchange) { HandleEgress(aExchange); }));
   }
   if (mSettings.mReadyListen.port() != 0) {
     services.emplace_back("ready-listener", listener(mSettings.mReadyListen, handleAdmin));
@@ -363,8 +362,8 @@
   if (handedOver) {
     mExecutor->SetDraining(true);
   }
-  const bool idle = mExecutor->Pending() == 0 && mGateway->Pending() == 0 &&
-                    (!mOwner || mOwner->Drained());
+  const bool idle =
+    mExecutor->Pending() == 0 && mGateway->Pending() == 0 && (!mOwner || mOwner->Drained());
   if (noticed && !mListenerStopped) {
     // Connections of callers close with their next answer, before the process ends.
     mCallerListener->Stop();
--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -8,9 +8,8 @@
 
 std::optional<float> LoadOf(const Answer& aAnswer)
 {
-  return aAnswer.mLoadPercent > 0
-           ? std::optional(static_cast<float>(aAnswer.mLoadPercent) / 100)
-           : std::nullopt;
+  return aAnswer.mLoadPercent > 0 ? std::optional(static_cast<float>(aAnswer.mLoadPercent) / 100)
+                                  : std::nullopt;
 }
 
 UpstreamId IdOf(const std::string& aNodeId)
--- a/packages/store/src/etcd_json.cpp
+++ b/packages/store/src/etcd_json.cpp
@@ -227,9 +227,8 @@
     if (revision <= 0) {
       throw MalformedMessage("event without a mod revision");
     }
-    parsed.mEvents.push_back(
-      { isDelete ? std::nullopt : std::optional(Bytes(entry, "value")), revision,
-        Bytes(entry, "key") });
+    parsed.mEvents.push_back({ isDelete ? std::nullopt : std::optional(Bytes(entry, "value")),
+                               revision, Bytes(entry, "key") });
   }
   return parsed;
 }
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -211,8 +211,7 @@
                      });
   }
 
-  void Range(const std::string& aPrefix, Freshness aFreshness,
-             StoreCallback<StoreRange> aCallback)
+  void Range(const std::string& aPrefix, Freshness aFreshness, StoreCallback<StoreRange> aCallback)
   {
     Json request = etcd::PrefixRequest(aPrefix);
     request["serializable"] = aFreshness == Freshness::MayBeStale;
@@ -289,8 +288,9 @@
         self->OnEnd(aResult);
       }
     };
-    mCall = mState->Preferred().Stream(MakeRequest("/v3/watch", etcd::WatchRequest(mKey, mEnd, mNext)),
-                                       mState->mSettings.mWatchIdleTimeout, std::move(callbacks));
+    mCall =
+      mState->Preferred().Stream(MakeRequest("/v3/watch", etcd::WatchRequest(mKey, mEnd, mNext)),
+                                 mState->mSettings.mWatchIdleTimeout, std::move(callbacks));
   }
 
   void Cancel()
--- a/packages/store/src/fake_store.cpp
+++ b/packages/store/src/fake_store.cpp
@@ -222,9 +222,8 @@
       }
       delivered = true;
       watcher->mNext = event.mRevision + 1;
-      watcher->mCallback(
-        { event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt, event.mRevision,
-          event.mKey });
+      watcher->mCallback({ event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt,
+                           event.mRevision, event.mKey });
     }
   }
   return delivered;
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -1,5 +1,5 @@
-// HTTP/1.1 server: keep-alive, pipelining, bounded headers and bodies, bounded time for slow clients.
-// A request without exactly one Host header is answered 400.
+// HTTP/1.1 server: keep-alive, pipelining, bounded headers and bodies, bounded time for slow
+// clients. A request without exactly one Host header is answered 400.
 #pragma once
 
 #include "balsammount/exchange.h"
@@ -21,8 +21,8 @@
   std::chrono::milliseconds mIdleTimeout{ 60'000 }; // between requests of a connection
   std::chrono::milliseconds mHeaderTimeout{ 10'000 }; // from the first byte to the whole header
   std::chrono::milliseconds mReadTimeout{ 10'000 };   // from the header to the whole body
-  std::chrono::milliseconds mWriteTimeout{ 10'000 }; // for the whole answer, or one streamed piece
-  size_t mMaxStreamBacklogBytes = 8 * 1024 * 1024;   // streamed and not yet written
+  std::chrono::milliseconds mWriteTimeout{ 10'000 };  // for the whole answer, or one streamed piece
+  size_t mMaxStreamBacklogBytes = 8 * 1024 * 1024;    // streamed and not yet written
 };
 
 // The exchanges of an HttpServer: besides a whole answer they can stream one.
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -320,9 +320,9 @@
       connection->mStream.close();
     }
     if (!belongs || (!isFramed && !self.mLimits.mAcceptUnframed)) {
-      aCall->Finish(Failure{ TransportError::Lost,
-                             self.mHost + (belongs ? ": answer without a length"
-                                                   : ": answer to another request") });
+      aCall->Finish(Failure{
+        TransportError::Lost,
+        self.mHost + (belongs ? ": answer without a length" : ": answer to another request") });
       co_return;
     }
     aCall->Finish(std::move(response));
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -269,8 +269,8 @@
     asio::steady_timer mTimer;   // bounds an idle connection, a request on its way, or the linger
     bool mReadingRequest = false;
     bool mTimedOut = false;
-    bool mOverLimit = false; // answers one request with a refusal, then closes
-    bool mLastRead = false;  // no further request is read from this connection
+    bool mOverLimit = false;    // answers one request with a refusal, then closes
+    bool mLastRead = false;     // no further request is read from this connection
     bool mDisconnected = false; // the client's side has ended; reading again would wait for ever
     bool mReaderDone = false;
     bool mWriterDone = false;
@@ -449,10 +449,9 @@
     }
     const bool keepAlive = aMessage.keep_alive();
     const unsigned version = aMessage.version();
-    auto exchange =
-      std::make_shared<ServerExchange>(aSession->mStream.get_executor(),
-                                       FromBeast(std::move(aMessage)), aSession->mAddress,
-                                       mLimits.mMaxStreamBacklogBytes);
+    auto exchange = std::make_shared<ServerExchange>(
+      aSession->mStream.get_executor(), FromBeast(std::move(aMessage)), aSession->mAddress,
+      mLimits.mMaxStreamBacklogBytes);
     aSession->mPending.push_back({ exchange, version, keepAlive, isHead });
     aSession->mLastRead = !keepAlive;
     aSession->mReadingRequest = false;
@@ -471,8 +470,8 @@
     aSession->mPending.push_back({ std::move(exchange), 11, false, false });
   }
 
-  asio::awaitable<beast::error_code> ReadRequest(
-    std::shared_ptr<Session> aSession, http::request_parser<http::string_body>& aParser)
+  asio::awaitable<beast::error_code> ReadRequest(std::shared_ptr<Session> aSession,
+                                                 http::request_parser<http::string_body>& aParser)
   {
     beast::tcp_stream& stream = aSession->mStream;
     StartTimer(aSession, mLimits.mHeaderTimeout);
@@ -547,8 +546,7 @@
         co_await Write(stream, std::move(*response), pending.mVersion, false, false);
         co_return false;
       }
-      const bool streamed =
-        co_await WriteStream(stream, *pending.mExchange, std::move(*response));
+      const bool streamed = co_await WriteStream(stream, *pending.mExchange, std::move(*response));
       co_return streamed&& Pop(aSession, pending.mKeepAlive);
     }
     // While the server closes, the connection ends with the last of the requests that were read.
@@ -556,8 +554,8 @@
                         !session.mReadingRequest && session.mBuffer.size() == 0;
     session.mLastRead = session.mLastRead || closes;
     const bool keepAlive = pending.mKeepAlive && !closes;
-    const bool written = co_await Write(stream, std::move(*response), pending.mVersion, keepAlive,
-                                        pending.mIsHead);
+    const bool written =
+      co_await Write(stream, std::move(*response), pending.mVersion, keepAlive, pending.mIsHead);
     co_return written&& Pop(aSession, keepAlive);
   }
 
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -280,8 +280,8 @@
   for (const char* hosts : { "", "Host: a\r\nHost: b\r\n" }) {
     tcp::socket socket(mContext);
     socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
-    boost::asio::write(
-      socket, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n") + hosts + "\r\n"));
+    boost::asio::write(socket,
+                       boost::asio::buffer(std::string("GET / HTTP/1.1\r\n") + hosts + "\r\n"));
     RunSome();
     std::string answer(1000, '\0');
     answer.resize(socket.read_some(boost::asio::buffer(answer)));
