--- /dev/null
+++ b/packages/node/src/drain_progress.h
@@ -0,0 +1,36 @@
+// When a node that drains may end.
+#pragma once
+
+#include "balsammount/clock.h"
+
+#include <optional>
+
+namespace balsammount {
+
+// A node may end once its listener has stopped and nothing was in flight for a while: an answer
+// that was just handed to a connection still has to be written.
+class DrainProgress
+{
+public:
+  explicit DrainProgress(Duration aSettle)
+    : mSettle(aSettle)
+  {
+  }
+
+  // Called at every check; true when the node may end.
+  bool MayEnd(SteadyTime aNow, bool aListenerStopped, bool aIdle)
+  {
+    if (!aListenerStopped || !aIdle) {
+      mIdleSince.reset();
+      return false;
+    }
+    mIdleSince = mIdleSince.value_or(aNow);
+    return aNow - *mIdleSince >= mSettle;
+  }
+
+private:
+  Duration mSettle;
+  std::optional<SteadyTime> mIdleSince;
+};
+
+} // namespace balsammount
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -3,6 +3,7 @@
 #include "admin.h"
 #include "config_service.h"
 #include "directory_service.h"
+#include "drain_progress.h"
 #include "executor.h"
 #include "forwarder.h"
 #include "gateway.h"
@@ -38,7 +39,7 @@
 // this time it refuses them, so that a leaving backend server gets no new work after a few seconds.
 constexpr auto kMaxHandover = 3000ms;
 // After the caller listener has stopped, requests that were on their way are still served for this
-// long.
+// long, and the last answers are written.
 constexpr auto kListenerSettle = 100ms;
 
 HttpServerLimits ListenerLimits(const CallerLimits& aLimits)
@@ -142,6 +143,7 @@
   std::function<void()> mOnDrainRequest = [] {};
   SteadyTime mDrainStarted{};
   std::optional<SteadyTime> mListenerStopped;
+  DrainProgress mProgress{ kListenerSettle };
   ServerLife mServer;
   bool mBackendLeaving = false;
 };
@@ -373,8 +375,8 @@
     }
   }
   const bool expired = waited >= std::chrono::seconds(mSettings.mDrainSeconds);
-  const bool settled = mListenerStopped && mClock.Now() - *mListenerStopped >= kListenerSettle;
-  if ((idle && settled) || expired) {
+  const bool mayEnd = mProgress.MayEnd(mClock.Now(), mListenerStopped.has_value(), idle);
+  if (mayEnd || expired) {
     Log("node").info("drained after {} ms with {} requests left",
                      std::chrono::duration_cast<std::chrono::milliseconds>(waited).count(),
                      mExecutor->Pending() + mGateway->Pending());
--- /dev/null
+++ b/packages/node/tests/drain_progress_test.cpp
@@ -0,0 +1,40 @@
+#include "drain_progress.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+TEST_GROUP(DrainProgress)
+{
+  ManualClock mClock;
+  DrainProgress mProgress{ 100ms };
+
+  bool Check(bool aStopped, bool aIdle, Duration aAfter)
+  {
+    mClock.Advance(aAfter);
+    return mProgress.MayEnd(mClock.Now(), aStopped, aIdle);
+  }
+};
+
+// Guards against a process that ends between the answer of a backend server and its way to the
+// caller. Seen on a rolling restart (bleskovod-logs, trouble-1 --seed 901179932943): the check ran
+// right after the last request had been answered, and the listener had stopped long before.
+TEST(DrainProgress, WaitsAfterTheLastAnswer)
+{
+  CHECK_FALSE(Check(true, false, 20ms));
+  CHECK_FALSE(Check(true, false, 500ms));
+  CHECK_FALSE(Check(true, true, 20ms));
+  CHECK_FALSE(Check(true, true, 80ms));
+  CHECK(Check(true, true, 20ms));
+}
+
+// Guards against a wait that is cut short by an earlier idle moment.
+TEST(DrainProgress, StartsAnewAfterAnotherRequest)
+{
+  CHECK_FALSE(Check(true, true, 20ms));
+  CHECK_FALSE(Check(true, false, 20ms));
+  CHECK_FALSE(Check(true, true, 90ms));
+  CHECK(Check(true, true, 100ms));
+  CHECK_FALSE(Check(false, true, 100ms));
+}
