--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -157,7 +157,7 @@
   mWatch = mStore.WatchPrefix(
     mPrefix, aResult->mRevision + 1, [this](const WatchEvent& aEvent) { OnEvent(aEvent); },
     [this] {
-      Event("directory", "history-lost");
+      Event("directory", "history-lost").Add("prefix", mPrefix);
       ReadList(Freshness::Latest);
     });
   Publish();
