--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -445,7 +445,9 @@
 
 void Executor::StartProbe()
 {
-  if (!mProbing) {
+  // A server that is probed all the time is probed at once as well: its death must be known before
+  // the request that caused it comes again.
+  if (!mProbing || mPresence == ServerPresence::Probed) {
     mProbing = true;
     ProbeBackend();
   }
