--- a/packages/config/include/balsammount/config_revision.h
+++ b/packages/config/include/balsammount/config_revision.h
@@ -169,6 +169,8 @@
 
 private:
   OfferResult OfferDecoded(std::string_view aBytes, std::string_view aSource);
+  // The result for a revision that is not above the one in force.
+  OfferResult NotNewer(uint64_t aRevision, bool aIsSame) const;
   void Apply(uint64_t aRevision, std::shared_ptr<const Config> aConfig, std::string_view aBytes,
              std::string_view aSource);
 
--- a/packages/config/src/config_revision.cpp
+++ b/packages/config/src/config_revision.cpp
@@ -424,15 +424,9 @@
     return { OfferOutcome::RefusedInvalid, 0, decoded.error(), {} };
   }
   const uint64_t revision = decoded->mRevision;
-  if (revision < Revision()) {
-    return { OfferOutcome::RefusedLower, revision, {}, {} };
-  }
-  if (revision == Revision()) {
+  if (revision <= Revision()) {
     // The same content in another JSON spelling is the same value.
-    return { *decoded == *mRevision ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting,
-             revision,
-             {},
-             {} };
+    return NotNewer(revision, *decoded == *mRevision);
   }
   FolderResult checked = CheckFiles(decoded->mFiles);
   if (!checked.mConfig) {
@@ -443,6 +437,15 @@
   return { OfferOutcome::Applied, revision, {}, {} };
 }
 
+OfferResult ConfigHolder::NotNewer(uint64_t aRevision, bool aIsSame) const
+{
+  OfferOutcome outcome = OfferOutcome::RefusedLower;
+  if (aRevision == Revision()) {
+    outcome = aIsSame ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting;
+  }
+  return { outcome, aRevision, {}, {} };
+}
+
 OfferResult ConfigHolder::OfferDecoded(std::string_view aBytes, std::string_view aSource)
 {
   auto decoded = mDecoder(aBytes);
@@ -450,14 +453,14 @@
     return { OfferOutcome::RefusedInvalid, 0, decoded.error(), {} };
   }
   const uint64_t revision = decoded->mRevision;
-  if (revision < Revision()) {
-    return { OfferOutcome::RefusedLower, revision, {}, {} };
-  }
-  if (revision == Revision()) {
-    const bool same = *decoded->mConfig == *mConfig;
-    return {
-      same ? OfferOutcome::AlreadyKnown : OfferOutcome::RefusedConflicting, revision, {}, {}
-    };
+  if (revision == 0) {
+    return { OfferOutcome::RefusedInvalid,
+             0,
+             Failure{ RevisionError::OutOfRange, "the revision must be above 0" },
+             {} };
+  }
+  if (revision <= Revision()) {
+    return NotNewer(revision, *decoded->mConfig == *mConfig);
   }
   Apply(revision, std::move(decoded->mConfig), aBytes, aSource);
   return { OfferOutcome::Applied, revision, {}, {} };
--- a/packages/config/tests/route_test.cpp
+++ b/packages/config/tests/route_test.cpp
@@ -96,3 +96,16 @@
   CHECK_EQUAL(6, holder.Revision());
   STRCMP_EQUAL("peer", holder.Source().c_str());
 }
+
+// Guards against a value without a version, which is compared with a configuration that is not
+// there.
+TEST(Route, HolderRefusesADecodedValueWithoutAVersion)
+{
+  ConfigHolder holder([](std::string_view) -> Result<VersionedConfig> {
+    return VersionedConfig{ 0, std::make_shared<const Config>() };
+  });
+  const OfferResult result = holder.Offer("{}", "store");
+  CHECK(result.mOutcome == OfferOutcome::RefusedInvalid);
+  CHECK(result.mFailure->mCode == RevisionError::OutOfRange);
+  POINTERS_EQUAL(nullptr, holder.Current().get());
+}
