--- a/packages/store/include/balsammount/fake_store.h
+++ b/packages/store/include/balsammount/fake_store.h
@@ -48,7 +48,6 @@
 
 private:
   struct Watcher;
-  class Handle;
   struct Answer
   {
     SteadyTime mDue;
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -2,9 +2,10 @@
 
 #include "etcd_json.h"
 
+#include "balsammount/backoff.h"
 #include "balsammount/http_client.h"
 #include "balsammount/log.h"
-#include "balsammount/random.h"
+#include "balsammount/watch_handle.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -255,6 +256,7 @@
     , mNext(aFrom)
     , mCallback(std::move(aCallback))
     , mOnHistoryLost(std::move(aOnHistoryLost))
+    , mBackoff(mState->mSettings.mMinReconnectDelay, mState->mSettings.mMaxReconnectDelay)
   {
   }
 
@@ -364,7 +366,7 @@
     if (aRevision + 1 < mNext) {
       Resync();
     } else {
-      mDelay = {};
+      mBackoff.Reset();
     }
   }
 
@@ -455,10 +457,7 @@
 
   void ConnectLater()
   {
-    const auto& settings = mState->mSettings;
-    mDelay = std::clamp(mDelay * 2, settings.mMinReconnectDelay, settings.mMaxReconnectDelay);
-    mTimer.expires_after(std::chrono::duration_cast<std::chrono::milliseconds>(
-      mDelay * (0.5 + 0.5 * mState->mRandom.Uniform())));
+    mTimer.expires_after(mBackoff.Next(mState->mRandom));
     mTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
       if (!aError) {
         self->Connect();
@@ -477,26 +476,12 @@
   std::string mBuffer;
   uint64_t mConnection = 0;
   unsigned mStatus = 0;
-  std::chrono::milliseconds mDelay{ 0 };
+  Backoff mBackoff;
   bool mCreated = false;
   bool mIsDeleted = false; // as last reported
   bool mCancelled = false;
 };
 
-class WatchHandle final : public StoreWatch
-{
-public:
-  explicit WatchHandle(std::shared_ptr<WatchLoop> aLoop)
-    : mLoop(std::move(aLoop))
-  {
-  }
-  ~WatchHandle() override { mLoop->Cancel(); }
-  void Cancel() override { mLoop->Cancel(); }
-
-private:
-  std::shared_ptr<WatchLoop> mLoop;
-};
-
 } // namespace
 
 EtcdStore::EtcdStore(asio::io_context& aContext, EtcdStoreSettings aSettings)
@@ -594,7 +579,7 @@
   auto loop =
     std::make_shared<WatchLoop>(mState, std::move(aKey), aFrom, std::move(aCallback), nullptr);
   loop->Connect();
-  return std::make_unique<WatchHandle>(std::move(loop));
+  return std::make_unique<WatchHandle<WatchLoop>>(std::move(loop));
 }
 
 std::unique_ptr<StoreWatch> EtcdStore::WatchPrefix(std::string aPrefix, Revision aFrom,
@@ -604,7 +589,7 @@
   auto loop = std::make_shared<WatchLoop>(mState, std::move(aPrefix), aFrom, std::move(aCallback),
                                           std::move(aOnHistoryLost));
   loop->Connect();
-  return std::make_unique<WatchHandle>(std::move(loop));
+  return std::make_unique<WatchHandle<WatchLoop>>(std::move(loop));
 }
 
 } // namespace balsammount
--- a/packages/store/src/fake_store.cpp
+++ b/packages/store/src/fake_store.cpp
@@ -1,5 +1,7 @@
 #include "balsammount/fake_store.h"
 
+#include "balsammount/watch_handle.h"
+
 #include <algorithm>
 
 namespace balsammount {
@@ -12,26 +14,13 @@
   std::function<void()> mOnHistoryLost; // set for a watch of a prefix
   bool mCancelled = false;
 
+  void Cancel() { mCancelled = true; }
   bool Covers(const std::string& aKey) const
   {
     return mOnHistoryLost ? aKey.starts_with(mKey) : aKey == mKey;
   }
 };
 
-class FakeStore::Handle final : public StoreWatch
-{
-public:
-  explicit Handle(std::shared_ptr<Watcher> aWatcher)
-    : mWatcher(std::move(aWatcher))
-  {
-  }
-  ~Handle() override { mWatcher->mCancelled = true; }
-  void Cancel() override { mWatcher->mCancelled = true; }
-
-private:
-  std::shared_ptr<Watcher> mWatcher;
-};
-
 namespace {
 
 StoreEntry ToEntry(const ModelEntry& aEntry)
@@ -178,7 +167,7 @@
   watcher->mCallback = std::move(aCallback);
   watcher->mOnHistoryLost = std::move(aOnHistoryLost);
   mWatchers.push_back(watcher);
-  return std::make_unique<Handle>(std::move(watcher));
+  return std::make_unique<WatchHandle<Watcher>>(std::move(watcher));
 }
 
 void FakeStore::Poll()
