--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -113,7 +113,7 @@
 
 void Gateway::HandleCaller(const std::shared_ptr<Exchange>& aExchange)
 {
-  if (mConfig && !mConfig->Routes().empty()) {
+  if (UsesRoutes()) {
     HandleRouted(aExchange);
     return;
   }
@@ -123,7 +123,7 @@
 
 void Gateway::HandleEgress(const std::shared_ptr<Exchange>& aExchange)
 {
-  if (mConfig && !mConfig->Routes().empty()) {
+  if (UsesRoutes()) {
     HandleRouted(aExchange);
     return;
   }
@@ -141,6 +141,18 @@
   HandleSubCall(aExchange, parent);
 }
 
+std::optional<std::chrono::milliseconds> Gateway::CallerWait(Exchange& aExchange,
+                                                             std::chrono::milliseconds aBound)
+{
+  const auto deadline = ReadDeadline(aExchange.Request().mHeaders, mNames);
+  if (!deadline) {
+    Reject(aExchange, 400,
+           mNames.mDeadline + ": a whole number of milliseconds above 0 is expected");
+    return std::nullopt;
+  }
+  return *deadline > 0ms ? std::min(*deadline, aBound) : aBound;
+}
+
 std::optional<CallContext> Gateway::EntryContext(Exchange& aExchange, std::string_view aCaller)
 {
   const HttpRequest& request = aExchange.Request();
@@ -154,13 +166,11 @@
     Reject(aExchange, unknown ? 404 : 400, Describe(found.error()));
     return std::nullopt;
   }
-  const auto deadline = ReadDeadline(request.mHeaders, mNames);
-  const std::string_view key = request.mHeaders.Find("Idempotency-Key");
-  if (!deadline) {
-    Reject(aExchange, 400,
-           mNames.mDeadline + ": a whole number of milliseconds above 0 is expected");
+  const auto wait = CallerWait(aExchange, found->mService->mDefaultDeadline);
+  if (!wait) {
     return std::nullopt;
   }
+  const std::string_view key = request.mHeaders.Find("Idempotency-Key");
   if (key.size() > kMaxKeyBytes) {
     Reject(aExchange, 400, "Idempotency-Key: at most 255 bytes are allowed");
     return std::nullopt;
@@ -177,10 +187,8 @@
   context.mIdempotent = found->mIdempotent;
   context.mKey = key;
   context.mCallerHash = Hash64(aCaller);
-  const auto bound = found->mService->mDefaultDeadline;
-  const auto remaining = *deadline > 0ms ? std::min(*deadline, bound) : bound;
-  context.mDeadline = mClock.Now() + remaining;
-  context.mExpires = mClock.WallNow() + remaining;
+  context.mDeadline = mClock.Now() + *wait;
+  context.mExpires = mClock.WallNow() + *wait;
   context.mFingerprint = FingerprintOf(context.mService, context.mKey, request);
   context.mRequestHash = IdentityHash(context);
   return context;
@@ -207,7 +215,7 @@
   budget.LimitTo(service->mRetries.mAttempts > 0 ? service->mRetries.mAttempts - 1 : 0);
   const uint32_t granted = budget.Left();
   Forward(aExchange, std::move(*context), std::move(budget),
-          [this, identity, charged, granted](Answer& aAnswer) {
+          [this, identity, charged, granted](const CallContext&, Answer& aAnswer) {
             charged->mBudget = RequestBudget(granted);
             charged->mBudget.LimitTo(aAnswer.mBudget.Left());
             mCallerBudget.Close(identity, std::move(*charged), aAnswer.mOutcome);
@@ -226,14 +234,11 @@
     Reject(*aExchange, 404, "no route for the host and path");
     return;
   }
-  const auto deadline = ReadDeadline(request.mHeaders, mNames);
-  if (!deadline) {
-    Reject(*aExchange, 400,
-           mNames.mDeadline + ": a whole number of milliseconds above 0 is expected");
+  const auto wait = CallerWait(*aExchange, route->mTimeout);
+  if (!wait) {
     return;
   }
-  const auto wait = *deadline > 0ms ? std::min(*deadline, route->mTimeout) : route->mTimeout;
-  auto context = RoutedContext(request, *route, wait);
+  auto context = RoutedContext(request, *route, *wait);
   if (!context) {
     aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
     return;
@@ -241,10 +246,9 @@
   if (!PassThrottle(*aExchange, *context)) {
     return;
   }
-  auto counted = std::make_shared<CallContext>(*context);
   Forward(aExchange, std::move(*context), RequestBudget::ForAttempts(route->mAttempts),
-          [this, counted](Answer& aAnswer) {
-            CountForThrottle(*counted, aAnswer);
+          [this](const CallContext& aContext, Answer& aAnswer) {
+            CountForThrottle(aContext, aAnswer);
             if (aAnswer.mOutcome != AttemptOutcome::NotRun) {
               return;
             }
@@ -388,29 +392,28 @@
   // The number of concurrent sub-calls is not known, so each takes half of what is left.
   RequestBudget budget = aParent->mBudget.Split((aParent->mBudget.Left() + 1) / 2);
   Forward(aExchange, std::move(context), std::move(budget),
-          [aParent](Answer& aAnswer) { aParent->mBudget.Return(std::move(aAnswer.mBudget)); });
+          [aParent](const CallContext&, Answer& aAnswer) {
+            aParent->mBudget.Return(std::move(aAnswer.mBudget));
+          });
 }
 
 void Gateway::Forward(const std::shared_ptr<Exchange>& aExchange, CallContext aContext,
-                      RequestBudget aBudget, std::function<void(Answer&)> aOnAnswer)
+                      RequestBudget aBudget, AnswerHook aOnAnswer)
 {
   ++mPending;
   const SteadyTime start = mClock.Now();
-  const std::string service = aContext.mService;
-  const std::string rank = aContext.mRank;
-  mMetrics.OnOffered(service, rank);
+  mMetrics.OnOffered(aContext.mService, aContext.mRank);
   auto finished = std::make_shared<bool>(false);
-  auto logged = std::make_shared<CallContext>(aContext);
-  auto finish = [this, finished, service, rank, start, logged,
+  auto finish = [this, finished, start, context = std::make_shared<const CallContext>(aContext),
                  onAnswer = std::move(aOnAnswer)](Answer& aAnswer) {
     if (*finished) {
       return false;
     }
     *finished = true;
     --mPending;
-    mMetrics.OnAnswered(service, rank, aAnswer, mClock.Now() - start);
-    onAnswer(aAnswer);
-    LogEnd(*logged, aAnswer, mClock.Now() - start);
+    mMetrics.OnAnswered(context->mService, context->mRank, aAnswer, mClock.Now() - start);
+    onAnswer(*context, aAnswer);
+    LogEnd(*context, aAnswer, mClock.Now() - start);
     return true;
   };
   HttpRequest request = aExchange->Request();
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -37,6 +37,10 @@
   // Fills in the context of a request that starts a call chain; nothing when it was answered.
   std::optional<CallContext> EntryContext(Exchange& aExchange, std::string_view aCaller);
   void HandleEntry(const std::shared_ptr<Exchange>& aExchange, std::string_view aCaller);
+  bool UsesRoutes() const { return mConfig && !mConfig->Routes().empty(); }
+  // How long the caller waits, at most aBound; nothing when it was answered for a malformed header.
+  std::optional<std::chrono::milliseconds> CallerWait(Exchange& aExchange,
+                                                      std::chrono::milliseconds aBound);
   // A request under a configuration with routes.
   void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
@@ -50,9 +54,10 @@
   void LogEnd(const CallContext& aContext, const Answer& aAnswer, Duration aElapsed) const;
   void HandleSubCall(const std::shared_ptr<Exchange>& aExchange,
                      const std::shared_ptr<InFlightRequest>& aParent);
-  // aOnAnswer sees the answer before the caller does, and may change it.
+  // Sees an answer before the caller does, and may change it.
+  using AnswerHook = std::function<void(const CallContext&, Answer&)>;
   void Forward(const std::shared_ptr<Exchange>& aExchange, CallContext aContext,
-               RequestBudget aBudget, std::function<void(Answer&)> aOnAnswer);
+               RequestBudget aBudget, AnswerHook aOnAnswer);
   std::string NewRequestId();
 
   const Clock& mClock;
