--- a/packages/base/include/balsammount/clock.h
+++ b/packages/base/include/balsammount/clock.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace balsammount {
 
@@ -10,6 +11,13 @@
 using WallTime = std::chrono::system_clock::time_point;
 using Duration = std::chrono::nanoseconds;
 
+// For times that other processes read. The wall clock is after 1970.
+inline uint64_t MillisecondsSinceEpoch(WallTime aTime)
+{
+  return static_cast<uint64_t>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count());
+}
+
 class Clock
 {
 public:
--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -39,7 +39,6 @@
   std::string mServerId;         // of the backend server; empty when none has announced itself
   uint64_t mServerStarted = 0;   // ms of the wall clock
   uint64_t mServerWarmUntil = 0; // ms of the wall clock; it is slow before
-  uint32_t mSlots = 0;           // requests that the backend server runs at the same time
   bool mServing = false;         // takes new work
   bool mServerLeft = false;      // the backend server has announced that it leaves
   bool mLeaving = false;         // the node's process ends soon
--- a/packages/directory/src/node_record.cpp
+++ b/packages/directory/src/node_record.cpp
@@ -30,7 +30,6 @@
   Field{ "server", &NodeRecord::mServerId },
   Field{ "server_started", &NodeRecord::mServerStarted },
   Field{ "server_warm_until", &NodeRecord::mServerWarmUntil },
-  Field{ "slots", &NodeRecord::mSlots },
   Field{ "serving", &NodeRecord::mServing },
   Field{ "server_left", &NodeRecord::mServerLeft },
   Field{ "leaving", &NodeRecord::mLeaving },
--- a/packages/log/include/balsammount/event.h
+++ b/packages/log/include/balsammount/event.h
@@ -36,11 +36,4 @@
   nlohmann::ordered_json mLine;
 };
 
-struct EventLimits
-{
-  double mLinesPerSecond = 50; // one line costs about 10 microseconds of a core
-  double mBurst = 300;         // lines
-};
-void SetEventLimits(const EventLimits& aLimits);
-
 } // namespace balsammount
--- a/packages/log/src/event.cpp
+++ b/packages/log/src/event.cpp
@@ -10,10 +10,13 @@
 
 using Clock = std::chrono::steady_clock;
 
+// One line costs about 10 microseconds of a core.
+constexpr double kLinesPerSecond = 50;
+constexpr double kBurstLines = 300;
+
 struct LineBudget
 {
-  EventLimits mLimits;
-  double mTokens = mLimits.mBurst;
+  double mTokens = kBurstLines;
   Clock::time_point mRefilled = Clock::now();
   uint64_t mDropped = 0;
 
@@ -21,7 +24,7 @@
   {
     const auto now = Clock::now();
     const double passed = std::chrono::duration<double>(now - mRefilled).count();
-    mTokens = std::min(mLimits.mBurst, mTokens + passed * mLimits.mLinesPerSecond);
+    mTokens = std::min(kBurstLines, mTokens + passed * kLinesPerSecond);
     mRefilled = now;
     if (mTokens < 1) {
       ++mDropped;
@@ -67,9 +70,4 @@
   }
 }
 
-void SetEventLimits(const EventLimits& aLimits)
-{
-  Budget().mLimits = aLimits;
-}
-
 } // namespace balsammount
--- a/packages/node/include/balsammount/node_program.h
+++ b/packages/node/include/balsammount/node_program.h
@@ -19,8 +19,8 @@
   // Started after the node, and stopped before it; null: nothing.
   std::function<std::shared_ptr<Service>(boost::asio::io_context&, const NodeSettings&, Node&)>
     mMakeExtension;
-  // Reads the settings file.
-  std::function<Result<NodeSettings>(const std::string&)> mReadSettings = ReadNodeSettings;
+  // Parses the text of the settings file.
+  SettingsParser mParseSettings = ParseNodeSettings;
 };
 
 // Runs until the node has stopped; returns the exit code.
--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -7,6 +7,7 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstdint>
+#include <functional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -55,7 +56,10 @@
 
 // Reads JSON with comments. The detail of a failure names the setting and what was expected.
 Result<NodeSettings> ParseNodeSettings(std::string_view aText);
-Result<NodeSettings> ReadNodeSettings(const std::string& aPath);
+
+using SettingsParser = std::function<Result<NodeSettings>(std::string_view)>;
+Result<NodeSettings> ReadNodeSettings(const std::string& aPath,
+                                      const SettingsParser& aParse = ParseNodeSettings);
 
 } // namespace balsammount
 
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -222,6 +222,18 @@
   }
 }
 
+void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders)
+{
+  if (aRevision > 0) {
+    aHeaders.Add(kConfigRevision, std::to_string(aRevision));
+  }
+}
+
+uint64_t ReadConfigRevision(const Headers& aHeaders)
+{
+  return ParseNumber(aHeaders.Find(kConfigRevision)).value_or(0);
+}
+
 HttpResponse EncodeAnswer(Answer aAnswer)
 {
   HttpResponse response = std::move(aAnswer.mResponse);
@@ -245,9 +257,7 @@
   if (aAnswer.mReachedServer) {
     response.mHeaders.Add(kReachedServer, "1");
   }
-  if (aAnswer.mConfigRevision > 0) {
-    response.mHeaders.Add(kConfigRevision, std::to_string(aAnswer.mConfigRevision));
-  }
+  WriteConfigRevision(aAnswer.mConfigRevision, response.mHeaders);
   if (aAnswer.mLoadPercent > 0) {
     response.mHeaders.Add(kLoad, std::to_string(aAnswer.mLoadPercent));
   }
@@ -279,7 +289,7 @@
   answer.mStartsChains = headers.Has(kStartsChains);
   // A peer that does not state an outcome may have sent the request on.
   answer.mReachedServer = !outcome || headers.Has(kReachedServer);
-  answer.mConfigRevision = ParseNumber(headers.Find(kConfigRevision)).value_or(0);
+  answer.mConfigRevision = ReadConfigRevision(headers);
   answer.mLoadPercent = static_cast<uint32_t>(
     std::min<uint64_t>(ParseNumber(headers.Find(kLoad)).value_or(0), UINT32_MAX));
   answer.mResponse = std::move(aResponse);
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -91,6 +91,10 @@
 // Removes every header that only the nodes may set.
 void RemoveInternalHeaders(Headers& aHeaders);
 
+// The configuration revision that a node states with every answer to another; 0: not stated.
+void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders);
+uint64_t ReadConfigRevision(const Headers& aHeaders);
+
 // Between nodes.
 HttpResponse EncodeAnswer(Answer aAnswer);
 Answer DecodeAnswer(HttpResponse aResponse);
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -5,7 +5,6 @@
 #include <boost/asio/ip/address.hpp>
 
 #include <algorithm>
-#include <charconv>
 
 namespace balsammount {
 
@@ -37,22 +36,6 @@
 // Bounds what a wrong clock can make of the end of a warm-up.
 constexpr Duration kMaxWarmUp = 30s;
 
-constexpr const char* kRevisionHeader = "bm-config";
-
-uint64_t WallMillis(WallTime aTime)
-{
-  return static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(aTime.time_since_epoch()).count());
-}
-
-uint64_t ReadRevision(const Headers& aHeaders)
-{
-  const std::string_view text = aHeaders.Find(kRevisionHeader);
-  uint64_t value = 0;
-  std::from_chars(text.data(), text.data() + text.size(), value);
-  return value;
-}
-
 } // namespace
 
 DirectoryService::DirectoryService(asio::io_context& aContext, const Clock& aClock, Random& aRandom,
@@ -68,6 +51,7 @@
   , mLeaseTimer(aContext)
   , mTickTimer(aContext)
   , mWaiterTimer(aContext)
+  , mBackoff(kMinBackoff, kMaxBackoff)
 {
   mOwn.mNodeId = aSettings.mNodeId;
   mOwn.mStarted = aStarted;
@@ -114,9 +98,7 @@
 {
   if (!aResult) {
     SetStoreReachable(false, "list", Describe(aResult.error()));
-    mBackoff = std::clamp(mBackoff * 2, kMinBackoff, kMaxBackoff);
-    mListTimer.expires_after(
-      std::chrono::duration_cast<Duration>(mBackoff * (0.5 + 0.5 * mRandom.Uniform())));
+    mListTimer.expires_after(mBackoff.Next(mRandom));
     mListTimer.async_wait([this](const auto& aError) {
       if (!aError) {
         ReadList(Freshness::Latest);
@@ -125,7 +107,7 @@
     return;
   }
   SetStoreReachable(true, "list", {});
-  mBackoff = {};
+  mBackoff.Reset();
   std::vector<NodeRecord> records;
   mOwnRevision = kAbsent;
   for (const StoreItem& item : aResult->mItems) {
@@ -221,12 +203,12 @@
       incarnation.mServerStarted != record.mServerStarted) {
     incarnation = { record.mServerId, record.mServerStarted, incarnation.mNumber + 1 };
   }
-  const auto warmMillis = static_cast<int64_t>(record.mServerWarmUntil) -
-                          static_cast<int64_t>(WallMillis(mClock.WallNow()));
+  const auto warmMillis =
+    static_cast<int64_t>(record.mServerWarmUntil - MillisecondsSinceEpoch(mClock.WallNow()));
   const Duration warmUp =
     std::clamp<Duration>(std::chrono::milliseconds(warmMillis), 0ms, kMaxWarmUp);
-  mUsers.mUpstreams.Upsert({ record.mNodeId, record.mService, record.mDataCentre,
-                             incarnation.mNumber, false, record.mSlots, warmUp });
+  mUsers.mUpstreams.Upsert(
+    { record.mNodeId, record.mService, record.mDataCentre, incarnation.mNumber, false, warmUp });
 }
 
 // The own record.
@@ -239,11 +221,11 @@
       record.mServerId != server->mServerId || record.mServerStarted != server->mStarted;
     record.mServerId = server->mServerId;
     record.mServerStarted = server->mStarted;
-    record.mSlots = server->mSlots;
     if (isOther) {
       const auto left =
         std::chrono::duration_cast<std::chrono::milliseconds>(server->mWarmUpLeft).count();
-      record.mServerWarmUntil = WallMillis(mClock.WallNow()) + static_cast<uint64_t>(left);
+      record.mServerWarmUntil =
+        MillisecondsSinceEpoch(mClock.WallNow()) + static_cast<uint64_t>(left);
     }
   }
   record.mServing = aLife.IsServing() && aAvailable;
@@ -286,7 +268,6 @@
 void DirectoryService::Publish()
 {
   if (mPublishing) {
-    mRepublish = true;
     return;
   }
   if (mLease == kNoLease) {
@@ -294,7 +275,6 @@
     return;
   }
   mPublishing = true;
-  mRepublish = false;
   const uint64_t sequence = mOwn.mSequence;
   mStore.CompareAndSwap(OwnKey(), mOwnRevision, EncodeNodeRecord(mOwn), mLease,
                         [this, sequence](const StoreResult<Revision>& aResult) {
@@ -313,8 +293,8 @@
     mPublishedSequence = aSequence;
     if (IsPublished()) {
       RunWaiters();
-    }
-    if (mRepublish && mPublishedSequence != mOwn.mSequence) {
+    } else {
+      // The record changed while it was being written.
       Publish();
     }
     return;
@@ -332,8 +312,7 @@
     return;
   }
   SetStoreReachable(false, "publish", Describe(failure));
-  mLeaseTimer.expires_after(
-    std::chrono::duration_cast<Duration>(kMaxBackoff * (0.5 + 0.5 * mRandom.Uniform())));
+  mLeaseTimer.expires_after(Jittered(kMaxBackoff, mRandom));
   mLeaseTimer.async_wait([this](const auto& aError) {
     if (!aError) {
       Publish();
@@ -510,7 +489,7 @@
     for (size_t i = 1; i < records.size(); ++i) {
       mDirectory.OnReported(records[i]);
     }
-    OnPeerRevision(aNodeId, ReadRevision(aResult->mHeaders));
+    OnPeerRevision(aNodeId, ReadConfigRevision(aResult->mHeaders));
   }
   ApplyChanges();
 }
@@ -534,7 +513,7 @@
     }
   }
   response.mBody = EncodeNodeRecords(records);
-  response.mHeaders.Set(kRevisionHeader, std::to_string(mUsers.mConfig.Holder().Revision()));
+  WriteConfigRevision(mUsers.mConfig.Holder().Revision(), response.mHeaders);
   return response;
 }
 
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -6,6 +6,7 @@
 #include "peers.h"
 #include "upstreams.h"
 
+#include "balsammount/backoff.h"
 #include "balsammount/directory.h"
 #include "balsammount/kernel.h"
 #include "balsammount/node_settings.h"
@@ -49,17 +50,16 @@
   void Withdraw();
   // The record that an earlier process of this node has left in the store, once it has been read.
   void SetRecallCallback(std::function<void(const NodeRecord&)> aCallback);
-  // Told when the store stops or starts answering this node.
+  // Whether the store answered this node's last call.
   bool StoreReachable() const { return mStoreReachable; }
   bool HasList() const { return mHasList; }
 
   HttpResponse HandlePeer(const HttpRequest& aRequest);
-  // A peer has announced this configuration revision with an answer or request.
+  // A peer has announced this configuration revision with an answer.
   void OnPeerRevision(const std::string& aNodeId, uint64_t aRevision);
 
   std::vector<FleetNode> Fleet() const;
   std::vector<NodeRecord> Nodes() const { return mDirectory.Nodes(); }
-  const NodeRecord& Own() const { return mOwn; }
 
 private:
   void ReadList(Freshness aFreshness);
@@ -105,11 +105,10 @@
   LeaseId mLease = kNoLease;
   Revision mOwnRevision = kAbsent; // mod revision of the own key, as far as known
   uint64_t mPublishedSequence = 0;
-  Duration mBackoff{};
+  Backoff mBackoff; // of reading the list
   SteadyTime mNextAsk{};
   bool mHasList = false;
   bool mPublishing = false;
-  bool mRepublish = false;
   bool mLeaving = false;
   bool mStoreReachable = true;
   bool mStopped = false;
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -140,9 +140,7 @@
   if (verdict.mDecision == Decision::Refused) {
     auto answer =
       Refused(ReasonOf(verdict.mReason), std::move(job->mRequest->mBudget), verdict.mRetryAfter);
-    answer.mShedLevel = mAdmission.ShedLevel();
-    answer.mLeaving = mLeaving;
-    answer.mLoadPercent = LoadPercent();
+    AddNodeState(answer);
     PollAdmission();
     job->mCallback(std::move(answer));
     return std::make_shared<JobCall>(*this, std::weak_ptr<Job>());
@@ -220,9 +218,7 @@
     StartProbe();
   }
   answer.mServiceTime = service;
-  answer.mShedLevel = mAdmission.ShedLevel();
-  answer.mLeaving = mLeaving;
-  answer.mLoadPercent = LoadPercent();
+  AddNodeState(answer);
   Finish(aJob, std::move(answer));
   PollAdmission();
 }
@@ -320,9 +316,7 @@
       } else {
         auto answer = Refused(ReasonOf(actions[i].mReason), std::move(job->mRequest->mBudget),
                               actions[i].mRetryAfter);
-        answer.mShedLevel = mAdmission.ShedLevel();
-        answer.mLeaving = mLeaving;
-        answer.mLoadPercent = LoadPercent();
+        AddNodeState(answer);
         Finish(job, std::move(answer));
       }
     }
@@ -357,17 +351,19 @@
 
 void Executor::ApplyPolicy()
 {
-  const std::shared_ptr<const Config>& aConfig = mConfig;
-  const ServicePolicy* service = aConfig ? aConfig->FindService(mSettings.mService) : nullptr;
+  if (!mConfig) {
+    return;
+  }
+  const ServicePolicy* service = mConfig->FindService(mSettings.mService);
   if (!service) {
     Log("admission").warn("service {} is not in the configuration", mSettings.mService);
     return;
   }
   AdmissionPolicy policy;
-  policy.mRankCount = std::min(aConfig->Ranks().size(), kMaxRanks);
+  policy.mRankCount = std::min(mConfig->Ranks().size(), kMaxRanks);
   for (size_t i = 0; i < policy.mRankCount; ++i) {
-    policy.mRanks[i] = { static_cast<double>(aConfig->Ranks()[i].mWorth),
-                         aConfig->Ranks()[i].mFloor };
+    policy.mRanks[i] = { static_cast<double>(mConfig->Ranks()[i].mWorth),
+                         mConfig->Ranks()[i].mFloor };
   }
   policy.mSlots = mServerSlots > 0 ? mServerSlots : service->mSlots;
   policy.mAdaptiveLimit = mPresence == ServerPresence::Probed;
@@ -415,6 +411,13 @@
   }
 }
 
+void Executor::AddNodeState(Answer& aAnswer) const
+{
+  aAnswer.mShedLevel = mAdmission.ShedLevel();
+  aAnswer.mLeaving = mLeaving;
+  aAnswer.mLoadPercent = LoadPercent();
+}
+
 uint32_t Executor::LoadPercent() const
 {
   const uint32_t slots = std::max(1U, mAdmission.Policy().mSlots);
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -93,6 +93,8 @@
   void ApplyPolicy();
   void ApplyDraining();
   uint32_t LoadPercent() const;
+  // What every answer tells of this node.
+  void AddNodeState(Answer& aAnswer) const;
   void StartProbe();
   void ProbeBackend();
   void OnProbe(bool aConnected);
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -118,9 +118,7 @@
   SystemClock mClock;
   // The start of this process in ms of the wall clock tells its records from those of an earlier
   // process of the same node.
-  uint64_t mStarted = static_cast<uint64_t>(
-    std::chrono::duration_cast<std::chrono::milliseconds>(mClock.WallNow().time_since_epoch())
-      .count());
+  uint64_t mStarted = MillisecondsSinceEpoch(mClock.WallNow());
   Random mRandom;
   Metrics mMetrics;
   std::unique_ptr<Store> mStore;
@@ -185,14 +183,15 @@
     AdminParts{ mSettings, mClock, *mConfig, *mExecutor, mUpstreams, *mGateway, mMetrics,
                 mMembers.get(), mOwner.get(), mDirectory.get(), *mQuarantine,
                 [this] { mOnDrainRequest(); }, [this] { return IsReady(); } });
-  mCallerListener = std::make_shared<HttpServer>(
-    mContext, mSettings.mCallerListen, HttpServerLimits{},
-    [gateway](const std::shared_ptr<Exchange>& aExchange) { gateway->HandleCaller(aExchange); });
   const auto listener = [this](const boost::asio::ip::tcp::endpoint& aEndpoint,
                                ExchangeHandler aHandler) {
     return std::make_shared<HttpServer>(mContext, aEndpoint, HttpServerLimits{},
                                         std::move(aHandler));
   };
+  mCallerListener =
+    listener(mSettings.mCallerListen, [gateway](const std::shared_ptr<Exchange>& aExchange) {
+      gateway->HandleCaller(aExchange);
+    });
   const auto handleAdmin = [admin](const std::shared_ptr<Exchange>& aExchange) {
     admin->Handle(aExchange);
   };
--- a/packages/node/src/node_program.cpp
+++ b/packages/node/src/node_program.cpp
@@ -36,7 +36,7 @@
     if (aError) {
       return;
     }
-    if (const auto settings = aProgram.mReadSettings(aPath)) {
+    if (const auto settings = ReadNodeSettings(aPath, aProgram.mParseSettings)) {
       aNode.Reload(*settings);
     } else {
       Event("node", "reload-failed").Add("error", Describe(settings.error()));
@@ -125,7 +125,7 @@
     return kUsage;
   }
   const std::string path = values["settings"].as<std::string>();
-  const auto settings = aProgram.mReadSettings(path);
+  const auto settings = ReadNodeSettings(path, aProgram.mParseSettings);
   if (!settings) {
     std::cerr << aProgram.mName << ": " << Describe(settings.error()) << "\n";
     return kUsage;
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -171,14 +171,14 @@
   return settings;
 }
 
-Result<NodeSettings> ReadNodeSettings(const std::string& aPath)
+Result<NodeSettings> ReadNodeSettings(const std::string& aPath, const SettingsParser& aParse)
 {
   std::ifstream file(aPath);
   if (!file) {
     return Failure{ SettingsError::Unreadable, aPath };
   }
   const std::string text{ std::istreambuf_iterator<char>(file), {} };
-  auto settings = ParseNodeSettings(text);
+  auto settings = aParse(text);
   if (!settings) {
     return Failure{ settings.error().mCode, aPath + ": " + settings.error().mDetail };
   }
--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -49,7 +49,7 @@
   mNodes[id] = aRecord.mNodeId;
   mRouter.UpsertUpstream({ id, ServiceNumber(aRecord.mService),
                            DataCentreNumber(aRecord.mDataCentre), aRecord.mIncarnation,
-                           aRecord.mSlots, aRecord.mWarmUpLeft });
+                           aRecord.mWarmUpLeft });
   if (aRecord.mLeaving) {
     mRouter.SetLeaving(id);
   }
--- a/packages/node/src/upstreams.h
+++ b/packages/node/src/upstreams.h
@@ -22,7 +22,6 @@
   std::string mDataCentre;
   uint64_t mIncarnation = 0;
   bool mLeaving = false;
-  uint32_t mSlots = 0;                   // of the backend server; 0: not known
   std::optional<Duration> mWarmUpLeft{}; // as announced by the backend server
 
   bool operator==(const UpstreamRecord&) const = default;
--- a/packages/routing/include/balsammount/routing.h
+++ b/packages/routing/include/balsammount/routing.h
@@ -89,7 +89,6 @@
   ServiceId mService{};
   DataCentreId mDataCentre{};
   uint64_t mIncarnation = 0;
-  uint32_t mSlots = 0;               // requests that it runs at the same time; 0: not known
   std::optional<Duration> mWarmUp{}; // it is slow for this long from now; nothing: not known
 
   bool operator==(const UpstreamInfo&) const = default;
