--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -118,6 +118,7 @@
   // Once the call is finished its connection may carry another call.
   void Cancel() override
   {
+    mFilter = nullptr;
     if (!std::exchange(mCallback, nullptr)) {
       return;
     }
@@ -133,12 +134,14 @@
   void Finish(Result<HttpResponse> aResult)
   {
     mConnection.reset();
+    mFilter = nullptr;
     if (auto callback = std::exchange(mCallback, nullptr)) {
       callback(std::move(aResult));
     }
   }
 
 private:
+  // Both may own the caller's state, which may own this call, so they are dropped at the end.
   ResponseCallback mCallback;
   AnswerFilter mFilter;
   std::weak_ptr<Connection> mConnection;
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -143,6 +143,28 @@
   CHECK_EQUAL(1, mServer->Connections());
 }
 
+// Guards against a leak of every request: the filter owned the caller's state, and that state owned
+// the call.
+TEST(Http, FinishedCallReleasesItsFilter)
+{
+  const auto state = std::make_shared<int>(0);
+  const auto send = [&] {
+    return mClient->Send(
+      Post("a"), 5000ms, [this](const auto&) { mAnswers.emplace_back(); },
+      [state](const HttpResponse&) { return true; });
+  };
+  const auto answered = send();
+  RunUntil([&] { return mHeld.size() == 1; });
+  mHeld[0]->Respond({});
+  RunUntil([&] { return mAnswers.size() == 1; });
+  CHECK_EQUAL(1, state.use_count());
+
+  const auto cancelled = send();
+  RunUntil([&] { return mHeld.size() == 2; });
+  cancelled->Cancel();
+  CHECK_EQUAL(1, state.use_count());
+}
+
 // Guards against handing surplus bytes of one answer to the next request as its answer.
 TEST(Http, SurplusBytesAreNotTheNextAnswer)
 {
