--- a/packages/node/src/forwarder.cpp
+++ b/packages/node/src/forwarder.cpp
@@ -99,6 +99,7 @@
     }
     mUpstream = *chosen;
     mTried.push_back(mUpstream);
+    const size_t attempts = mTried.size();
     mAttemptStart = now;
     mForwarder.mUpstreams.OnStart(mUpstream);
     // One retry stays here, so that a lost connection to the next hop does not lose them all.
@@ -113,7 +114,8 @@
         ? mForwarder.mLocal.Handle(mContext, mRequest, std::move(budget), std::move(onAnswer))
         : mForwarder.mPeers.Forward(mForwarder.mUpstreams.NodeOf(mUpstream), mContext, mRequest,
                                     std::move(budget), now, std::move(onAnswer));
-    if (mWaiting) {
+    // An attempt that was answered at once may have led to further ones.
+    if (mWaiting && mTried.size() == attempts) {
       mAttempt = std::move(attempt);
     }
   }
