--- a/packages/node/include/balsammount/server_life.h
+++ b/packages/node/include/balsammount/server_life.h
@@ -27,6 +27,15 @@
   bool operator==(const ServerAnnouncement&) const = default;
 };
 
+// All incarnations of an id that started no later than this have left.
+struct LeftServer
+{
+  std::string mServerId;
+  uint64_t mStartedUntil = 0; // ms of the wall clock
+
+  bool operator==(const LeftServer&) const = default;
+};
+
 enum class AnnouncementResult
 {
   Applied,
@@ -48,28 +57,25 @@
 
   AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
   // The server ends, or has ended; also one that has not announced itself to this process. Without
-  // a start the incarnation of that id in force is meant. False when another one is in force.
-  bool OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted);
-  // An incarnation that had announced to an earlier process of this node that it leaves.
-  void RecallLeaving(const std::string& aServerId, uint64_t aStarted);
+  // a start the incarnation of that id in force is meant, or all that have started until now. False
+  // when another one is in force, or none.
+  bool OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted, WallTime aNow);
+  // Incarnations that had announced to an earlier process of this node that they leave.
+  void RecallLeaving(const std::string& aServerId, uint64_t aStartedUntil);
 
   // Nothing until an announcement was applied.
   const std::optional<ServerAnnouncement>& Current() const { return mCurrent; }
   bool IsServing() const { return mCurrent && !mCurrent->mLeaving; }
+  // The last server that departed.
+  const std::optional<LeftServer>& Left() const { return mLeft; }
 
 private:
-  struct Left
-  {
-    std::string mServerId;
-    uint64_t mStarted = 0;
-  };
-
   bool HasLeft(const ServerAnnouncement& aAnnouncement) const;
 
   std::string mService;
   std::string mAddress;
   std::optional<ServerAnnouncement> mCurrent;
-  std::optional<Left> mLeft;
+  std::optional<LeftServer> mLeft;
 };
 
 } // namespace balsammount
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -227,9 +227,13 @@
       record.mServerWarmUntil =
         MillisecondsSinceEpoch(mClock.WallNow()) + static_cast<uint64_t>(left);
     }
+    record.mServerLeft = server->mLeaving;
+  } else if (const auto& left = aLife.Left()) {
+    record.mServerId = left->mServerId;
+    record.mServerStarted = left->mStartedUntil;
+    record.mServerLeft = true;
   }
   record.mServing = aLife.IsServing() && aAvailable;
-  record.mServerLeft = aLife.Current() ? aLife.Current()->mLeaving : record.mServerLeft;
   if (!(record == mOwn)) {
     mOwn = record;
     OwnChanged();
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -289,7 +289,8 @@
 void Node::Parts::FinishAnnouncement(std::function<void()> aDone)
 {
   const auto& server = mServer.Current();
-  if (mDirectory && server && server->mLeaving) {
+  const bool hasLeft = server ? server->mLeaving : mServer.Left().has_value();
+  if (mDirectory && hasLeft) {
     mDirectory->WhenPublished(std::move(aDone));
   } else {
     aDone();
@@ -456,8 +457,11 @@
 void Node::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted,
                        std::function<void()> aDone)
 {
-  const bool applied = mParts->mServer.OnDeparture(aServerId, aStarted);
-  Event("backend", "departure").Add("server", aServerId).Add("applied", applied);
+  const bool applied = mParts->mServer.OnDeparture(aServerId, aStarted, mParts->mClock.WallNow());
+  Event("backend", "departure")
+    .Add("server", aServerId)
+    .Add("started", aStarted.value_or(0))
+    .Add("applied", applied);
   mParts->ServerChanged();
   mParts->FinishAnnouncement(std::move(aDone));
 }
--- a/packages/node/src/server_life.cpp
+++ b/packages/node/src/server_life.cpp
@@ -13,7 +13,7 @@
 bool ServerLife::HasLeft(const ServerAnnouncement& aAnnouncement) const
 {
   return mLeft && mLeft->mServerId == aAnnouncement.mServerId &&
-         mLeft->mStarted == aAnnouncement.mStarted;
+         aAnnouncement.mStarted <= mLeft->mStartedUntil;
 }
 
 AnnouncementResult ServerLife::OnAnnouncement(const ServerAnnouncement& aAnnouncement)
@@ -38,22 +38,28 @@
   return AnnouncementResult::Applied;
 }
 
-bool ServerLife::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted)
+bool ServerLife::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted,
+                             WallTime aNow)
 {
   const bool isCurrent = mCurrent && mCurrent->mServerId == aServerId &&
                          mCurrent->mStarted == aStarted.value_or(mCurrent->mStarted);
   if (isCurrent) {
     mCurrent->mLeaving = true;
-    mLeft = Left{ mCurrent->mServerId, mCurrent->mStarted };
-  } else if (aStarted && (!mCurrent || *aStarted >= mCurrent->mStarted)) {
-    mLeft = Left{ std::string(aServerId), *aStarted };
+    mLeft = LeftServer{ mCurrent->mServerId, mCurrent->mStarted };
+    return true;
   }
-  return isCurrent;
+  // A server that has not announced itself to this process started before it departed. Its next
+  // incarnation starts after that.
+  const uint64_t startedUntil = aStarted.value_or(MillisecondsSinceEpoch(aNow));
+  if (!mCurrent || startedUntil >= mCurrent->mStarted) {
+    mLeft = LeftServer{ std::string(aServerId), startedUntil };
+  }
+  return false;
 }
 
-void ServerLife::RecallLeaving(const std::string& aServerId, uint64_t aStarted)
+void ServerLife::RecallLeaving(const std::string& aServerId, uint64_t aStartedUntil)
 {
-  mLeft = Left{ aServerId, aStarted };
+  mLeft = LeftServer{ aServerId, aStartedUntil };
   if (mCurrent && HasLeft(*mCurrent)) {
     mCurrent->mLeaving = true;
   }
--- a/packages/node/tests/server_life_test.cpp
+++ b/packages/node/tests/server_life_test.cpp
@@ -6,6 +6,8 @@
 
 namespace {
 
+constexpr WallTime kNow{ std::chrono::milliseconds(50) };
+
 ServerAnnouncement Announcement(const char* aId, uint64_t aStarted, uint64_t aSequence)
 {
   ServerAnnouncement announcement;
@@ -57,7 +59,7 @@
   mLife.OnAnnouncement(Announcement("b", 20, 1));
   CHECK(mLife.OnAnnouncement(Announcement("a", 10, 99)) == AnnouncementResult::Late);
   STRCMP_EQUAL("b", mLife.Current()->mServerId.c_str());
-  CHECK_FALSE(mLife.OnDeparture("a", 10));
+  CHECK_FALSE(mLife.OnDeparture("a", 10, kNow));
   CHECK(mLife.IsServing());
 }
 
@@ -65,13 +67,42 @@
 // rolling restart during an outage of the store: the server announced itself once more as ready.
 TEST(ServerLife, DepartureBeforeTheFirstAnnouncementBinds)
 {
-  CHECK_FALSE(mLife.OnDeparture("a", 10));
+  CHECK_FALSE(mLife.OnDeparture("a", 10, kNow));
   CHECK(mLife.OnAnnouncement(Announcement("a", 10, 20)) == AnnouncementResult::Applied);
   CHECK_FALSE(mLife.IsServing());
   CHECK(mLife.OnAnnouncement(Announcement("a", 11, 1)) == AnnouncementResult::Applied);
   CHECK(mLife.IsServing());
 }
 
+// Guards against the same for a departure that does not tell the start of the server, which is all
+// that some servers send (bleskovod-logs, trouble-3: 78 requests reached a server that had left).
+TEST(ServerLife, DepartureWithoutAStartBindsUntilTheNextOne)
+{
+  CHECK_FALSE(mLife.OnDeparture("a", std::nullopt, kNow));
+  CHECK(mLife.OnAnnouncement(Announcement("a", 10, 21)) == AnnouncementResult::Applied);
+  CHECK_FALSE(mLife.IsServing());
+  CHECK(mLife.OnAnnouncement(Announcement("a", 51, 1)) == AnnouncementResult::Applied);
+  CHECK(mLife.IsServing());
+}
+
+// Guards against work for a server that departed while an earlier incarnation of its id was known.
+TEST(ServerLife, DepartureOfTheNextIncarnationBinds)
+{
+  mLife.OnAnnouncement(Announcement("a", 10, 20));
+  CHECK_FALSE(mLife.OnDeparture("a", 11, kNow));
+  CHECK(mLife.OnAnnouncement(Announcement("a", 11, 2)) == AnnouncementResult::Applied);
+  CHECK_FALSE(mLife.IsServing());
+}
+
+// Guards against a late departure of an id that takes its next incarnation out of service.
+TEST(ServerLife, DepartureOfAnotherServerLeavesTheCurrentOne)
+{
+  mLife.OnAnnouncement(Announcement("b", 20, 1));
+  CHECK_FALSE(mLife.OnDeparture("a", std::nullopt, kNow));
+  CHECK(mLife.OnAnnouncement(Announcement("b", 20, 2)) == AnnouncementResult::Applied);
+  CHECK(mLife.IsServing());
+}
+
 // Guards against a restarted node that sends work to a server whose departure the one before it had
 // acknowledged.
 TEST(ServerLife, RecalledDepartureBinds)
