--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -12,6 +12,13 @@
                                   : std::nullopt;
 }
 
+// A request with too little time left for an upstream that has room is refused there. That says
+// nothing about the upstream: to avoid it would load the others, which makes more requests late.
+bool IsOwnDeadline(const Answer& aAnswer)
+{
+  return aAnswer.mReason == CallReason::Deadline && aAnswer.mLoadPercent < 100;
+}
+
 UpstreamId IdOf(const std::string& aNodeId)
 {
   return static_cast<UpstreamId>(Hash64(aNodeId));
@@ -89,13 +96,21 @@
       mRouter.OnAnswer(aUpstream, { aElapsed, LoadOf(aAnswer), aAnswer.mResponse.mStatus >= 500 });
       break;
     case AttemptOutcome::Unknown:
-      mRouter.OnFailure(aUpstream);
+      if (aAnswer.mReason == CallReason::Deadline) {
+        mRouter.OnTimeout(aUpstream, aElapsed);
+      } else {
+        mRouter.OnFailure(aUpstream);
+      }
       return;
     case AttemptOutcome::NotRunEverywhere:
       // Says nothing about this upstream.
       mRouter.OnCancel(aUpstream, aElapsed);
       break;
     case AttemptOutcome::NotRun:
+      if (IsOwnDeadline(aAnswer)) {
+        mRouter.OnCancel(aUpstream, Duration::zero());
+        break;
+      }
       mRouter.OnRefused(aUpstream);
       break;
   }
--- /dev/null
+++ b/packages/node/tests/upstreams_test.cpp
@@ -0,0 +1,48 @@
+#include "upstreams.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+TEST_GROUP(Upstreams)
+{
+  ManualClock mClock;
+  Random mRandom{ 1 };
+  Upstreams mUpstreams{ mClock, mRandom, "entry", "dc1" };
+
+  void setup() override
+  {
+    mUpstreams.Upsert({ "a", "orders", "dc1", 1 });
+    mUpstreams.Upsert({ "b", "orders", "dc1", 1 });
+  }
+
+  // The state of the upstream after one request that was refused for its deadline.
+  UpstreamState AfterRefusal(uint32_t aLoadPercent)
+  {
+    const UpstreamId upstream = *mUpstreams.Choose("orders", {});
+    mUpstreams.OnStart(upstream);
+    Answer answer = Refused(CallReason::Deadline, RequestBudget::ForAttempts(1));
+    answer.mLoadPercent = aLoadPercent;
+    mUpstreams.OnEnd("orders", upstream, answer, 1ms);
+    for (const UpstreamView& view : mUpstreams.View("orders")) {
+      if (view.mInfo.mId == upstream) {
+        return view.mState;
+      }
+    }
+    return UpstreamState::Leaving;
+  }
+};
+
+// Guards against upstreams with room that are avoided because late requests meet them: the others
+// get the load, and more requests are late (bleskovod-logs, scale-1).
+TEST(Upstreams, RefusalForTheOwnDeadlineDoesNotAvoid)
+{
+  CHECK(AfterRefusal(40) == UpstreamState::Normal);
+}
+
+// Guards against requests for an upstream whose queue is what makes them late.
+TEST(Upstreams, RefusalForAQueueAvoids)
+{
+  CHECK(AfterRefusal(150) == UpstreamState::Avoided);
+}
--- a/packages/routing/include/balsammount/routing.h
+++ b/packages/routing/include/balsammount/routing.h
@@ -157,11 +157,14 @@
 
   Result<UpstreamId> Choose(ServiceId aService, const ChooseHints& aHints = {});
 
-  // Every OnStart is followed by exactly one of the four others. Unknown upstreams are ignored.
+  // Every OnStart is followed by exactly one of the five others. Unknown upstreams are ignored.
   void OnStart(UpstreamId aUpstream);
   void OnAnswer(UpstreamId aUpstream, const UpstreamAnswer& aAnswer);
-  void OnRefused(UpstreamId aUpstream);                   // not-run
-  void OnFailure(UpstreamId aUpstream);                   // connection lost, no progress, deadline
+  void OnRefused(UpstreamId aUpstream); // not-run
+  void OnFailure(UpstreamId aUpstream); // connection lost, no progress
+  // No answer before the request's deadline. A failure only of an upstream that has answered
+  // nothing else meanwhile: an overloaded one must not be ejected, which would overload the others.
+  void OnTimeout(UpstreamId aUpstream, Duration aElapsed);
   void OnCancel(UpstreamId aUpstream, Duration aElapsed); // the caller went away
 
   void OnShedLevel(ServiceId aService, UpstreamId aUpstream, uint32_t aLevel);
--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -58,6 +58,7 @@
   uint32_t mInFlight = 0;
   double mLatency = 0; // ns; 0 without a sample
   SteadyTime mSampled{};
+  SteadyTime mAnswered = SteadyTime::min();
   SteadyTime mWarmAt = SteadyTime::min();
 
   SteadyTime mAvoidUntil = SteadyTime::min();
@@ -583,6 +584,7 @@
   }
   const SteadyTime now = mClock.Now();
   Finish(*upstream);
+  upstream->mAnswered = now;
   if (aAnswer.mLoad) {
     upstream->mLoad = *aAnswer.mLoad;
     upstream->mLoadAt = now;
@@ -620,6 +622,16 @@
   }
 }
 
+void Router::OnTimeout(UpstreamId aUpstream, Duration aElapsed)
+{
+  const Upstream* upstream = Find(aUpstream);
+  if (upstream && upstream->mAnswered > mClock.Now() - aElapsed) {
+    OnCancel(aUpstream, aElapsed);
+  } else {
+    OnFailure(aUpstream);
+  }
+}
+
 void Router::OnCancel(UpstreamId aUpstream, Duration aElapsed)
 {
   if (Upstream* upstream = Find(aUpstream)) {
--- /dev/null
+++ b/packages/routing/tests/deep_timeout_test.cpp
@@ -0,0 +1,70 @@
+// The load pattern: the deepest service of a call graph is overloaded, so calls end at their
+// parents' deadlines while its upstreams answer others all the time.
+#include "balsammount/routing.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr ServiceId kService{ 1 };
+constexpr Duration kDeadline = 700ms;
+
+} // namespace
+
+TEST_GROUP(DeepTimeout)
+{
+  ManualClock mClock;
+  Random mRandom{ 1 };
+  Router mRouter{ mClock, mRandom, RoutingPolicy{} };
+
+  void setup() override
+  {
+    for (const uint64_t id : { 1, 2, 3 }) {
+      mRouter.UpsertUpstream({ UpstreamId{ id }, kService, DataCentreId{ 1 }, 1 });
+    }
+  }
+
+  size_t Ejected() const
+  {
+    size_t count = 0;
+    for (const UpstreamView& view : mRouter.Upstreams(kService)) {
+      count += view.mState == UpstreamState::Ejected ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+// Guards against the ejection of one of three overloaded upstreams, which doubles the trouble of
+// the others (bleskovod-logs, scale-1: the fastest server stood idle from second 6 to 12).
+TEST(DeepTimeout, AnsweringUpstreamIsNotEjected)
+{
+  const UpstreamId slow{ 1 };
+  for (int i = 0; i < 100; ++i) {
+    mClock.Advance(kDeadline);
+    for (int call = 0; call < 10; ++call) {
+      mRouter.OnStart(slow);
+    }
+    mClock.Advance(kDeadline / 2);
+    mRouter.OnAnswer(slow, { kDeadline / 2, 2.0F, false });
+    mClock.Advance(kDeadline / 2);
+    for (int call = 0; call < 9; ++call) {
+      mRouter.OnTimeout(slow, kDeadline);
+    }
+  }
+  CHECK_EQUAL(0, Ejected());
+}
+
+// Guards against requests for an upstream that answers nothing at all.
+TEST(DeepTimeout, SilentUpstreamIsEjected)
+{
+  const UpstreamId silent{ 1 };
+  for (int call = 0; call < 5; ++call) {
+    mRouter.OnStart(silent);
+    mClock.Advance(kDeadline);
+    mRouter.OnTimeout(silent, kDeadline);
+  }
+  CHECK_EQUAL(1, Ejected());
+}
