--- a/packages/admission/tests/deep_overload_test.cpp
+++ b/packages/admission/tests/deep_overload_test.cpp
@@ -136,3 +136,66 @@
   }
   CHECK_COMPARE(admitted, >=, 2000 * 0.14);
 }
+
+// Guards against an overload that lets everybody in at the second try: returned requests go first,
+// but within the share.
+TEST(DeepOverload, ReturnedRequestsGoFirstWithinTheShare)
+{
+  EntryThrottle throttle(mClock);
+  for (int i = 0; i < 400; ++i) {
+    throttle.Admit();
+    throttle.OnEnd(false);
+    mClock.Advance(20ms);
+  }
+  DOUBLES_EQUAL(0.15, throttle.Share(), 0.001);
+  int fresh = 0;
+  int returned = 0;
+  for (int i = 0; i < 1000; ++i) {
+    fresh += throttle.Admit() ? 1 : 0;
+    returned += throttle.Admit(true) ? 1 : 0;
+    throttle.OnEnd(false);
+    mClock.Advance(20ms);
+  }
+  CHECK_COMPARE(fresh, <, returned / 10);
+  CHECK_COMPARE(returned + fresh, <, 2000 * 0.15 + 10);
+}
+
+// Guards against an urgent route that is cut as fast as one that can wait, when both lack the same
+// deep service.
+TEST(DeepOverload, LessUrgentRoutesAreCutFirst)
+{
+  EntryThrottles throttles(mClock, {});
+  throttles.Add("order", 1);
+  throttles.Add("certify", 2);
+  const auto run = [&](int aSteps) {
+    for (int i = 0; i < aSteps; ++i) {
+      for (const char* route : { "order", "certify" }) {
+        throttles.Find(route)->Admit();
+        throttles.Find(route)->OnEnd(i % 2 == 0);
+      }
+      mClock.Advance(20ms);
+    }
+  };
+  run(50);
+  const double certifyCut = 1 - throttles.Find("certify")->Share();
+  const double orderCut = 1 - throttles.Find("order")->Share();
+  CHECK_COMPARE(certifyCut, >, 0);
+  CHECK_COMPARE(orderCut, >, 2 * certifyCut);
+  // When there is nothing left to cut there, the urgent one follows.
+  run(1000);
+  DOUBLES_EQUAL(0.15, throttles.Find("order")->Share(), 0.001);
+  DOUBLES_EQUAL(0.15, throttles.Find("certify")->Share(), 0.001);
+}
+
+// Guards against callers that come back too late for their target, and against all of them at once.
+TEST(DeepOverload, RefusedRequestsReturnWithinTheirTarget)
+{
+  EntryThrottle throttle(mClock);
+  for (int i = 0; i < 200; ++i) {
+    throttle.OnEnd(true, 800ms);
+  }
+  CHECK(throttle.ReturnAfter(1500ms, 1) + 800ms < 1500ms);
+  CHECK(throttle.ReturnAfter(1500ms, 0) < throttle.ReturnAfter(1500ms, 1));
+  CHECK(throttle.ReturnAfter(500ms, 1) == 200ms);
+  CHECK(throttle.ReturnAfter(10s, 1) == 2s);
+}
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -21,19 +21,6 @@
 // return do not meet again.
 constexpr Duration kMinReturn = 100ms;
 constexpr double kReturnSpread = 0.5;
-// When the entry itself refuses: chains take about half a second, and an overload lasts seconds.
-constexpr Duration kThrottledReturn = 500ms;
-
-// Callers that are refused and come back are mostly late, so the entry refuses only when more than
-// four in ten chains fail. With the default of one in ten a day with moderate overload was worth
-// 0.57 instead of 0.68.
-EntryThrottlePolicy ThrottlePolicy()
-{
-  EntryThrottlePolicy policy;
-  policy.mTarget = 0.6;
-  return policy;
-}
-
 // The header's value in milliseconds; zero when it is absent, nothing when it is malformed.
 std::optional<std::chrono::milliseconds> ReadDeadline(const Headers& aHeaders,
                                                       const MessageNames& aNames)
@@ -75,6 +62,7 @@
   , mTarget(aTarget)
   , mMetrics(aMetrics)
   , mCallerBudget(aClock, {})
+  , mThrottles(aClock, {})
   , mRefusals(aClock)
   , mIdPrefix(aRandom.Next())
 {
@@ -84,12 +72,12 @@
 {
   mConfig = aConfig;
   mRevision = aRevision;
-  const auto isGone = [&](const auto& aEntry) {
-    return std::ranges::find(aConfig->Routes(), aEntry.first, &RoutePolicy::mName) ==
+  const auto isGone = [&](const std::string& aRoute) {
+    return std::ranges::find(aConfig->Routes(), aRoute, &RoutePolicy::mName) ==
            aConfig->Routes().end();
   };
-  std::erase_if(mSplits, isGone);
-  std::erase_if(mThrottles, isGone);
+  std::erase_if(mSplits, [&](const auto& aSplit) { return isGone(aSplit.first); });
+  mThrottles.RemoveIf(isGone);
 }
 
 void Gateway::Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText)
@@ -243,12 +231,12 @@
     aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
     return;
   }
-  if (!PassThrottle(*aExchange, *context)) {
+  if (!PassThrottle(*aExchange, *context, route->mTarget)) {
     return;
   }
   Forward(aExchange, std::move(*context), RequestBudget::ForAttempts(route->mAttempts),
-          [this](const CallContext& aContext, Answer& aAnswer) {
-            CountForThrottle(aContext, aAnswer);
+          [this, start = mClock.Now()](const CallContext& aContext, Answer& aAnswer) {
+            CountForThrottle(aContext, aAnswer, mClock.Now() - start);
             if (aAnswer.mOutcome != AttemptOutcome::NotRun) {
               return;
             }
@@ -263,44 +251,42 @@
           });
 }
 
-bool Gateway::PassThrottle(Exchange& aExchange, const CallContext& aContext)
+bool Gateway::PassThrottle(Exchange& aExchange, const CallContext& aContext,
+                           std::chrono::milliseconds aTarget)
 {
-  const auto throttle = mThrottles.find(aContext.mRoute);
-  if (throttle == mThrottles.end()) {
-    return true;
-  }
-  const bool admitted = throttle->second.Admit();
-  if (admitted || mRefusals.Take(aContext.mFingerprint)) {
+  EntryThrottle* throttle = mThrottles.Find(aContext.mRoute);
+  if (!throttle || throttle->Admit(mRefusals.Take(aContext.mFingerprint))) {
     return true;
   }
   mRefusals.Add(aContext.mFingerprint);
   mMetrics.OnOffered(aContext.mService, aContext.mRank);
   mMetrics.OnRefused(aContext.mService, aContext.mRank, CallReason::Overload);
-  const Duration retryAfter =
-    std::chrono::duration_cast<Duration>(kThrottledReturn * (1 + mRandom.Uniform()));
+  const Duration retryAfter = throttle->ReturnAfter(aTarget, mRandom.Uniform());
   Event("entry", "throttled")
     .Add("request", aContext.mRequestId)
     .Add("route", aContext.mRoute)
-    .Add("share", throttle->second.Share())
+    .Add("share", throttle->Share())
     .Add("retry_after_ms", std::chrono::duration<double, std::milli>(retryAfter).count());
   aExchange.Respond(CallerResponse(Refused(CallReason::Overload, {}, retryAfter), mNames));
   return false;
 }
 
-void Gateway::CountForThrottle(const CallContext& aContext, const Answer& aAnswer)
+void Gateway::CountForThrottle(const CallContext& aContext, const Answer& aAnswer,
+                               Duration aElapsed)
 {
   if (aAnswer.mStartsChains) {
-    mThrottles.try_emplace(aContext.mRoute, mClock, ThrottlePolicy());
+    const RankPolicy* rank = mConfig->FindRank(aContext.mRank);
+    mThrottles.Add(aContext.mRoute, rank ? static_cast<double>(rank->mWorth) : 0);
   }
-  const auto throttle = mThrottles.find(aContext.mRoute);
-  if (throttle == mThrottles.end()) {
+  EntryThrottle* throttle = mThrottles.Find(aContext.mRoute);
+  if (!throttle) {
     return;
   }
   // A lost connection or a node that leaves says nothing about capacity.
   if (aAnswer.mOutcome == AttemptOutcome::Complete) {
-    throttle->second.OnEnd(aAnswer.mResponse.mStatus < 500);
+    throttle->OnEnd(aAnswer.mResponse.mStatus < 500, aElapsed);
   } else if (aAnswer.mReason == CallReason::Overload || aAnswer.mReason == CallReason::Deadline) {
-    throttle->second.OnEnd(false);
+    throttle->OnEnd(false, aElapsed);
   }
 }
 
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -46,8 +46,9 @@
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
                                            std::chrono::milliseconds aWait);
   // False when the request was refused, because too many chains of its route fail.
-  bool PassThrottle(Exchange& aExchange, const CallContext& aContext);
-  void CountForThrottle(const CallContext& aContext, const Answer& aAnswer);
+  bool PassThrottle(Exchange& aExchange, const CallContext& aContext,
+                    std::chrono::milliseconds aTarget);
+  void CountForThrottle(const CallContext& aContext, const Answer& aAnswer, Duration aElapsed);
   const std::string& TargetOf(const RoutePolicy& aRoute);
   void Reject(Exchange& aExchange, unsigned aStatus, std::string_view aText);
   // Why and how a request ended, when it was not answered by a backend server.
@@ -71,7 +72,7 @@
   CallerBudget mCallerBudget;
   std::map<std::string, WeightedSplit> mSplits; // by route
   // By route; only routes that start chains of calls have one.
-  std::map<std::string, EntryThrottle> mThrottles;
+  EntryThrottles mThrottles;
   RecentRefusals mRefusals;
   uint64_t mIdPrefix;
   uint64_t mNextId = 1;
