--- a/packages/ctl/include/balsammount/ctl.h
+++ b/packages/ctl/include/balsammount/ctl.h
@@ -40,9 +40,11 @@
 
 struct CtlCommand
 {
-  std::string_view mName;      // one or more words, such as "config check"
-  std::string_view mArguments; // names of the positional arguments, such as "DIR"
-  std::string_view mHelp;      // one line
+  std::string_view mName; // one or more words, such as "config check"
+  std::string_view
+    mArguments;           // names of the positional arguments, such as "DIR"; one that ends with
+                          // "..." stands for one or more
+  std::string_view mHelp; // one line
   void (*mAddOptions)(boost::program_options::options_description&) = nullptr;
   ExitCode (*mRun)(const CtlCall&) = nullptr;
 };
@@ -50,6 +52,7 @@
 // One group per source file; a new group is added to the list in ctl.cpp.
 std::span<const CtlCommand> ConfigCommands(); // check, diff and show of directories
 std::span<const CtlCommand> SyncCommands();   // push, pull, sync and history of the store's value
+std::span<const CtlCommand> LogCommands();    // explain of logs
 std::span<const CtlCommand> NodeCommands();   // state, members, drain and the like of a node
 
 // Runs the command line without the program's name.
--- a/packages/ctl/src/ctl.cpp
+++ b/packages/ctl/src/ctl.cpp
@@ -15,7 +15,7 @@
 std::vector<CtlCommand> AllCommands()
 {
   std::vector<CtlCommand> commands;
-  for (const auto& group : { ConfigCommands(), SyncCommands(), NodeCommands() }) {
+  for (const auto& group : { ConfigCommands(), SyncCommands(), NodeCommands(), LogCommands() }) {
     commands.insert(commands.end(), group.begin(), group.end());
   }
   return commands;
@@ -111,7 +111,9 @@
   }
   call.mArguments = call.mOptions["argument"].as<Words>();
   call.mJson = call.mOptions.count("json") > 0;
-  if (call.mArguments.size() != SplitWords(aCommand.mArguments).size()) {
+  const size_t expected = SplitWords(aCommand.mArguments).size();
+  const bool mayBeMore = aCommand.mArguments.ends_with("...");
+  if (call.mArguments.size() < expected || (!mayBeMore && call.mArguments.size() > expected)) {
     return Usage(aEnvironment, "expected: balsamctl " + Synopsis(aCommand));
   }
   return aCommand.mRun(call);
--- /dev/null
+++ b/packages/ctl/src/request_story.cpp
@@ -0,0 +1,131 @@
+#include "balsammount/request_story.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+using Json = nlohmann::ordered_json;
+
+struct Meaning
+{
+  std::string_view mPart;
+  std::string_view mEvent;
+  std::string_view mReason; // empty: any
+  std::string_view mText;
+};
+
+// The first that fits counts.
+constexpr std::array kMeanings = {
+  Meaning{ "entry", "throttled", "",
+           "refused before any work: too many chains of this route failed; the caller was invited "
+           "back" },
+  Meaning{ "entry", "rejected", "", "the request is malformed, or no route fits it; nothing ran" },
+  Meaning{ "entry", "refused", "overload",
+           "refused, not run: no upstream had room; see the upstreams' nodes for their load" },
+  Meaning{ "entry", "refused", "deadline", "refused, not run: too little time was left" },
+  Meaning{ "entry", "refused", "unavailable",
+           "refused, not run: no upstream was available; see the directory lines of this node" },
+  Meaning{ "entry", "refused", "draining", "refused, not run: the upstreams were leaving" },
+  Meaning{ "entry", "refused", "quarantined",
+           "refused, not run: this request has crashed backend servers" },
+  Meaning{ "entry", "refused", "", "refused, not run" },
+  Meaning{ "entry", "unknown", "deadline", "no answer in time; a backend server may have run it" },
+  Meaning{ "entry", "unknown", "none", "the caller left before the answer" },
+  Meaning{ "entry", "unknown", "", "may have run: the answer did not arrive" },
+  Meaning{ "entry", "server-error", "",
+           "a backend server ran it and failed; look for its calls on that server's node" },
+  Meaning{ "routing", "again", "", "the first upstream did not run it; it was offered to another" },
+  Meaning{ "backend", "server-refused", "", "the backend server stated that it did not run it" },
+  Meaning{ "backend", "other-server", "", "another backend server answered at this address" },
+  Meaning{ "backend", "no-answer", "",
+           "the connection to the backend server gave no whole answer" },
+  Meaning{ "quarantine", "held", "", "held back: this request has crashed backend servers" },
+};
+
+std::string TextOf(const Json& aRecord, const char* aName)
+{
+  const auto found = aRecord.find(aName);
+  if (found == aRecord.end()) {
+    return {};
+  }
+  return found->is_string() ? found->get<std::string>() : found->dump();
+}
+
+std::string DetailsOf(const Json& aRecord)
+{
+  std::string details;
+  for (const auto& [name, value] : aRecord.items()) {
+    if (name == "time" || name == "part" || name == "event" || name == "request") {
+      continue;
+    }
+    details += (details.empty() ? "" : " ") + name + "=" + TextOf(aRecord, name.c_str());
+  }
+  return details;
+}
+
+// The last word of the text before the record.
+std::string_view LastWord(std::string_view aText)
+{
+  const size_t end = aText.find_last_not_of(" \t");
+  if (end == std::string_view::npos) {
+    return {};
+  }
+  aText = aText.substr(0, end + 1);
+  const size_t space = aText.find_last_of(" \t");
+  return space == std::string_view::npos ? aText : aText.substr(space + 1);
+}
+
+} // namespace
+
+void ReadLog(std::istream& aLog, std::string_view aFile, std::string_view aRequestId,
+             RequestStory& aStory)
+{
+  std::string node(aFile);
+  for (std::string line; std::getline(aLog, line);) {
+    const size_t start = line.find('{');
+    if (start == std::string::npos) {
+      continue;
+    }
+    const Json record = Json::parse(line.substr(start), nullptr, false);
+    if (!record.is_object()) {
+      ++aStory.mUnreadable;
+      continue;
+    }
+    const std::string_view prefix = LastWord(std::string_view(line).substr(0, start));
+    if (!prefix.empty()) {
+      node = prefix;
+    } else if (TextOf(record, "part") == "node" && TextOf(record, "event") == "start") {
+      node = TextOf(record, "node");
+    }
+    if (const auto dropped = record.find("dropped");
+        dropped != record.end() && dropped->is_number_unsigned()) {
+      aStory.mDropped += dropped->get<uint64_t>();
+    }
+    if (TextOf(record, "request") == aRequestId) {
+      aStory.mRecords.push_back({ TextOf(record, "time"), node, TextOf(record, "part"),
+                                  TextOf(record, "event"), TextOf(record, "reason"),
+                                  DetailsOf(record) });
+    }
+  }
+}
+
+void SortByTime(RequestStory& aStory)
+{
+  std::ranges::stable_sort(aStory.mRecords, {}, &LogRecord::mTime);
+}
+
+std::string_view MeaningOf(const LogRecord& aRecord)
+{
+  const auto found = std::ranges::find_if(kMeanings, [&](const Meaning& aMeaning) {
+    return aMeaning.mPart == aRecord.mPart && aMeaning.mEvent == aRecord.mEvent &&
+           (aMeaning.mReason.empty() || aMeaning.mReason == aRecord.mReason);
+  });
+  return found == kMeanings.end() ? "" : found->mText;
+}
+
+} // namespace balsammount
