--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -42,6 +42,8 @@
 constexpr std::string_view kReachedServer = "bm-reached-server";
 constexpr std::string_view kLoad = "bm-load";
 constexpr std::string_view kConfigRevision = "bm-config";
+// In place of a request id that equals the one of the context.
+constexpr std::string_view kSameId = "=";
 
 // A deadline further away than this is malformed: it would overflow the clock's arithmetic.
 constexpr uint64_t kMaxDeadlineUs = 3'600'000'000;
@@ -222,6 +224,20 @@
   }
 }
 
+void ShortenRequestId(std::string_view aRequestId, const MessageNames& aNames, Headers& aHeaders)
+{
+  if (aNames.mKeepRequestId && aHeaders.Find(aNames.mRequestId) == aRequestId) {
+    aHeaders.Set(aNames.mRequestId, kSameId);
+  }
+}
+
+void RestoreRequestId(std::string_view aRequestId, const MessageNames& aNames, Headers& aHeaders)
+{
+  if (aNames.mKeepRequestId && aHeaders.Find(aNames.mRequestId) == kSameId) {
+    aHeaders.Set(aNames.mRequestId, aRequestId);
+  }
+}
+
 void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders)
 {
   if (aRevision > 0) {
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -91,6 +91,11 @@
 // Removes every header that only the nodes may set.
 void RemoveInternalHeaders(Headers& aHeaders);
 
+// Between nodes the context tells the request id, so the header of a backend server's answer that
+// repeats it is sent as one character.
+void ShortenRequestId(std::string_view aRequestId, const MessageNames& aNames, Headers& aHeaders);
+void RestoreRequestId(std::string_view aRequestId, const MessageNames& aNames, Headers& aHeaders);
+
 // The configuration revision that a node states with every answer to another; 0: not stated.
 void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders);
 uint64_t ReadConfigRevision(const Headers& aHeaders);
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -78,7 +78,7 @@
     , mComposition(std::move(aComposition))
     , mRandom(std::random_device()() ^ (static_cast<uint64_t>(std::random_device()()) << 32))
     , mStore(MakeStore(aContext, mComposition, mSettings, mRandom))
-    , mPeers(aContext)
+    , mPeers(aContext, mComposition.mNames)
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mComposition))
     , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mComposition.mNames,
@@ -91,7 +91,8 @@
     , mDirectory(MakeDirectory())
     , mGateway(std::make_shared<Gateway>(mClock, mRandom, mSettings, mComposition.mNames,
                                          *mExecutor, mForwarder, mMetrics))
-    , mPeerHandler(mClock, mLocal, *mConfig, mOwner.get(), *mQuarantine, mDirectory.get())
+    , mPeerHandler(mClock, mLocal, *mConfig, mOwner.get(), *mQuarantine, mDirectory.get(),
+                   mComposition.mNames)
     , mDrainTimer(aContext)
     , mServer(mSettings.mService, ToText(mSettings.mBackend))
   {
--- a/packages/node/src/peer_handler.cpp
+++ b/packages/node/src/peer_handler.cpp
@@ -64,13 +64,15 @@
     return;
   }
   auto answered = std::make_shared<bool>(false);
-  const auto call =
-    mLocal.Handle(std::move(received->mContext), aExchange->Request(),
-                  RequestBudget(received->mRetries), [this, aExchange, answered](Answer aAnswer) {
-                    *answered = true;
-                    aAnswer.mConfigRevision = mConfig.Holder().Revision();
-                    aExchange->Respond(EncodeAnswer(std::move(aAnswer)));
-                  });
+  const std::string id = received->mContext.mRequestId;
+  const auto call = mLocal.Handle(std::move(received->mContext), aExchange->Request(),
+                                  RequestBudget(received->mRetries),
+                                  [this, aExchange, answered, id](Answer aAnswer) {
+                                    *answered = true;
+                                    ShortenRequestId(id, mNames, aAnswer.mResponse.mHeaders);
+                                    aAnswer.mConfigRevision = mConfig.Holder().Revision();
+                                    aExchange->Respond(EncodeAnswer(std::move(aAnswer)));
+                                  });
   if (!*answered) {
     aExchange->OnCancel([call] { call->Cancel(); });
   }
--- a/packages/node/src/peer_handler.h
+++ b/packages/node/src/peer_handler.h
@@ -14,8 +14,10 @@
 public:
   // aOwner or aDirectory is null in a deployment without it.
   PeerHandler(const Clock& aClock, CallTarget& aLocal, ConfigService& aConfig, OwnerService* aOwner,
-              QuarantineService& aQuarantine, DirectoryService* aDirectory)
+              QuarantineService& aQuarantine, DirectoryService* aDirectory,
+              const MessageNames& aNames)
     : mClock(aClock)
+    , mNames(aNames)
     , mLocal(aLocal)
     , mConfig(aConfig)
     , mOwner(aOwner)
@@ -31,6 +33,7 @@
   void HandleQuarantine(Exchange& aExchange);
 
   const Clock& mClock;
+  const MessageNames& mNames;
   CallTarget& mLocal;
   ConfigService& mConfig;
   OwnerService* mOwner;
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -34,30 +34,36 @@
                                      const std::vector<Header>& aExtraHeaders)
 {
   RemoveInternalHeaders(aRequest.mHeaders);
+  if (mNames.mKeepRequestId) {
+    // The peer sets both from the context.
+    aRequest.mHeaders.Remove(mNames.mRequestId);
+    aRequest.mHeaders.Remove(mNames.mDeadline);
+  }
   WriteContext(aContext, aBudget.Left(), aNow, aRequest.mHeaders);
   for (const Header& header : aExtraHeaders) {
     aRequest.mHeaders.Add(header.mName, header.mValue);
   }
   auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
-  return Send(
-    aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
-    [this, aNodeId, budget, callback = std::move(aCallback)](Result<HttpResponse> aResult) {
-      if (!aResult) {
-        // What the peer spent before the connection was lost is not known.
-        if (!ProvesNotRun(aResult.error().mCode)) {
-          budget->LimitTo(0);
-        }
-        callback(AnswerOfFailure(aResult.error().mCode, std::move(*budget)));
-        return;
-      }
-      Answer answer = DecodeAnswer(std::move(*aResult));
-      if (mOnRevision && answer.mConfigRevision > 0) {
-        mOnRevision(aNodeId, answer.mConfigRevision);
-      }
-      budget->LimitTo(answer.mBudget.Left());
-      answer.mBudget = std::move(*budget);
-      callback(std::move(answer));
-    });
+  return Send(aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
+              [this, aNodeId, budget, id = aContext.mRequestId,
+               callback = std::move(aCallback)](Result<HttpResponse> aResult) {
+                if (!aResult) {
+                  // What the peer spent before the connection was lost is not known.
+                  if (!ProvesNotRun(aResult.error().mCode)) {
+                    budget->LimitTo(0);
+                  }
+                  callback(AnswerOfFailure(aResult.error().mCode, std::move(*budget)));
+                  return;
+                }
+                Answer answer = DecodeAnswer(std::move(*aResult));
+                RestoreRequestId(id, mNames, answer.mResponse.mHeaders);
+                if (mOnRevision && answer.mConfigRevision > 0) {
+                  mOnRevision(aNodeId, answer.mConfigRevision);
+                }
+                budget->LimitTo(answer.mBudget.Left());
+                answer.mBudget = std::move(*budget);
+                callback(std::move(answer));
+              });
 }
 
 std::shared_ptr<Call> Peers::Send(const std::string& aNodeId, HttpRequest aRequest,
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -16,8 +16,9 @@
 class Peers
 {
 public:
-  explicit Peers(boost::asio::io_context& aContext)
+  explicit Peers(boost::asio::io_context& aContext, MessageNames aNames = {})
     : mContext(aContext)
+    , mNames(std::move(aNames))
   {
   }
 
@@ -50,6 +51,7 @@
   };
 
   boost::asio::io_context& mContext;
+  MessageNames mNames;
   std::map<std::string, Peer> mPeers;
   std::function<void(const std::string&, uint64_t)> mOnRevision;
 };
--- a/packages/node/tests/call_context_test.cpp
+++ b/packages/node/tests/call_context_test.cpp
@@ -126,6 +126,24 @@
   STRCMP_EQUAL("429 not-run retry-budget", Outcome(Refused(CallReason::RetryBudget, {})).c_str());
 }
 
+// Guards against an answer that reaches the caller without the id that the backend server repeated,
+// or with another server's id in place of a foreign one.
+TEST(CallContext, RequestIdOfAnAnswerIsRestored)
+{
+  MessageNames names;
+  names.mRequestId = "Request-Id";
+  names.mKeepRequestId = true;
+  Headers headers;
+  headers.Add("Request-Id", "0123-1");
+  ShortenRequestId("0123-1", names, headers);
+  STRCMP_EQUAL("=", std::string(headers.Find("Request-Id")).c_str());
+  RestoreRequestId("0123-1", names, headers);
+  STRCMP_EQUAL("0123-1", std::string(headers.Find("Request-Id")).c_str());
+  ShortenRequestId("4567-1", names, headers);
+  RestoreRequestId("4567-1", names, headers);
+  STRCMP_EQUAL("0123-1", std::string(headers.Find("Request-Id")).c_str());
+}
+
 // Guards against callers and backend servers that set headers which only nodes may set.
 TEST(CallContext, RemovesInternalHeaders)
 {
--- a/packages/transport/src/h2_connection.cpp
+++ b/packages/transport/src/h2_connection.cpp
@@ -14,6 +14,10 @@
 // Bytes collected before a write is handed to the socket.
 constexpr size_t kMaxWriteBytes = 256 * 1024;
 
+// Every request adds about 500 bytes of values that never come again to the table, which push out
+// those that do. With the protocol's default of 4 KB they are sent whole every eight requests.
+constexpr uint32_t kHeaderTableBytes = 16 * 1024;
+
 std::string_view View(const uint8_t* aData, size_t aSize)
 {
   return { reinterpret_cast<const char*>(aData), aSize };
@@ -121,16 +125,21 @@
   nghttp2_session_callbacks_set_on_header_callback(callbacks, Callbacks::OnHeader);
   nghttp2_session_callbacks_set_on_data_chunk_recv_callback(callbacks, Callbacks::OnData);
   nghttp2_session_callbacks_set_on_stream_close_callback(callbacks, Callbacks::OnStreamClosed);
+  nghttp2_option* options = nullptr;
+  nghttp2_option_new(&options);
+  nghttp2_option_set_max_deflate_dynamic_table_size(options, kHeaderTableBytes);
   nghttp2_session* session = nullptr;
   if (aIsServer) {
-    nghttp2_session_server_new(&session, callbacks, this);
+    nghttp2_session_server_new2(&session, callbacks, this, options);
   } else {
-    nghttp2_session_client_new(&session, callbacks, this);
+    nghttp2_session_client_new2(&session, callbacks, this, options);
   }
+  nghttp2_option_del(options);
   nghttp2_session_callbacks_del(callbacks);
   mSession.reset(session);
 
   const nghttp2_settings_entry settings[] = {
+    { NGHTTP2_SETTINGS_HEADER_TABLE_SIZE, kHeaderTableBytes },
     { NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, aMaxStreams },
     { NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow },
     { NGHTTP2_SETTINGS_MAX_HEADER_LIST_SIZE, static_cast<uint32_t>(aMaxHeaderBytes) },
--- a/packages/transport/src/h2_connection.h
+++ b/packages/transport/src/h2_connection.h
@@ -19,6 +19,10 @@
 constexpr int32_t kStreamWindow = 2 * 1024 * 1024;
 constexpr int32_t kConnectionWindow = 64 * 1024 * 1024;
 
+// Read from the socket at once. A node has two connections to every other, so this is memory for
+// each node of the fleet, twice.
+constexpr size_t kReadBytes = 16 * 1024;
+
 // A body that nghttp2 reads in pieces.
 struct OutgoingBody
 {
@@ -88,7 +92,7 @@
 
   boost::asio::ip::tcp::socket mSocket;
   std::unique_ptr<nghttp2_session, SessionDeleter> mSession;
-  std::array<uint8_t, 64 * 1024> mReadBuffer{};
+  std::array<uint8_t, kReadBytes> mReadBuffer{};
   std::string mWriteBuffer;
   std::chrono::steady_clock::time_point mLastReceived = std::chrono::steady_clock::now();
   bool mWriting = false;
