--- a/packages/admission/tests/admission_load_test.cpp
+++ b/packages/admission/tests/admission_load_test.cpp
@@ -172,3 +172,27 @@
   CHECK_EQUAL(0U, mRig.mController.ShedLevel());
   CHECK_EQUAL(0U, mRig.mMaxOverLimit);
 }
+
+// Guards against a queue that makes chains of calls late (bleskovod-logs, scale-1: five calls in a
+// row, each behind a queue of 100, took longer than the 1,000 ms of their parent, which needs a
+// third of them itself). What does not fit is refused at once and may go to another upstream.
+TEST(AdmissionLoad, CallsInARowStayWithinTheirParentsTime)
+{
+  AdmissionPolicy policy;
+  policy.mSlots = 42;
+  policy.mMaxQueue = 32;
+  policy.mAdaptiveLimit = false;
+  policy.mDeadlineCheck = false;
+  ServerRig rig(policy, 1);
+  rig.mService = 0.057;
+  rig.mDeadline = milliseconds(670 / 5);
+  rig.SetRate(0, 1.3 * policy.mSlots / rig.mService);
+  rig.Run(seconds(2));
+  rig.ClearCounts();
+  rig.Run(seconds(10));
+  const RankCount& count = rig.mCounts[0];
+  CHECK(count.mRefused > 0);
+  // All five are in time in nine of ten chains.
+  CHECK(count.mServed > 0.98 * (count.mServed + count.mLate));
+  CHECK(count.mServed > 0.95 * 10 * policy.mSlots / rig.mService);
+}
