--- a/packages/ctl/src/request_story.cpp
+++ b/packages/ctl/src/request_story.cpp
@@ -39,6 +39,11 @@
   Meaning{ "entry", "unknown", "", "may have run: the answer did not arrive" },
   Meaning{ "entry", "server-error", "",
            "a backend server ran it and failed; look for its calls on that server's node" },
+  Meaning{
+    "routing", "again", "connection-lost",
+    "the connection broke before the answer; it may run again, so another upstream gets it" },
+  Meaning{ "routing", "again", "deadline",
+           "the first upstream did not run it for lack of time; another may be faster" },
   Meaning{ "routing", "again", "", "the first upstream did not run it; it was offered to another" },
   Meaning{ "backend", "server-refused", "", "the backend server stated that it did not run it" },
   Meaning{ "backend", "other-server", "", "another backend server answered at this address" },
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -39,6 +39,7 @@
 constexpr std::string_view kCallerService = "bm-caller-service";
 constexpr std::string_view kRoute = "bm-route";
 constexpr std::string_view kStartsChains = "bm-starts-chains";
+constexpr std::string_view kOverloadAge = "bm-overload-ms";
 constexpr std::string_view kReachedServer = "bm-reached-server";
 constexpr std::string_view kLoad = "bm-load";
 constexpr std::string_view kConfigRevision = "bm-config";
@@ -139,6 +140,14 @@
   return answer;
 }
 
+bool IsForCapacity(const Answer& aAnswer)
+{
+  const bool isFull = aAnswer.mLoadPercent >= 100;
+  return aAnswer.mOutcome == AttemptOutcome::NotRun &&
+         (aAnswer.mReason == CallReason::Overload ||
+          (aAnswer.mReason == CallReason::Deadline && isFull));
+}
+
 Answer Unknown(CallReason aReason, RequestBudget aBudget)
 {
   Answer answer;
@@ -267,6 +276,9 @@
   if (aAnswer.mLeaving) {
     response.mHeaders.Add(kLeaving, "1");
   }
+  if (aAnswer.mOverloadAge) {
+    response.mHeaders.Add(kOverloadAge, std::to_string(Microseconds(*aAnswer.mOverloadAge) / 1000));
+  }
   if (aAnswer.mStartsChains) {
     response.mHeaders.Add(kStartsChains, "1");
   }
@@ -285,7 +297,6 @@
   Answer answer;
   const Headers& headers = aResponse.mHeaders;
   const auto outcome = IndexOf(kOutcomes, headers.Find(kOutcome));
-  answer.mStartsChains = headers.Has(kStartsChains);
   // A peer that does not state an outcome may have run the request.
   answer.mOutcome = outcome ? static_cast<AttemptOutcome>(*outcome) : AttemptOutcome::Unknown;
   answer.mReason = ParseCallReason(headers.Find(kReason)).value_or(CallReason::None);
@@ -303,6 +314,9 @@
     std::min<uint64_t>(ParseNumber(headers.Find(kAttemptsLeft)).value_or(0), UINT32_MAX)));
   answer.mLeaving = headers.Has(kLeaving);
   answer.mStartsChains = headers.Has(kStartsChains);
+  if (const auto age = ParseNumber(headers.Find(kOverloadAge))) {
+    answer.mOverloadAge = std::chrono::milliseconds(std::min(*age, kMaxRetryAfterMs));
+  }
   // A peer that does not state an outcome may have sent the request on.
   answer.mReachedServer = !outcome || headers.Has(kReachedServer);
   answer.mConfigRevision = ReadConfigRevision(headers);
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -59,12 +59,13 @@
 {
   AttemptOutcome mOutcome = AttemptOutcome::NotRun;
   CallReason mReason = CallReason::None;
-  HttpResponse mResponse;       // set when the outcome is Complete
-  Duration mRetryAfter{};       // zero: no advice
-  RequestBudget mBudget;        // retries that were not spent
-  uint32_t mShedLevel = 0;      // of the node that executed or refused it
-  Duration mServiceTime{};      // measured by the executing node
-  bool mLeaving = false;        // the executing node takes no new work
+  HttpResponse mResponse;               // set when the outcome is Complete
+  Duration mRetryAfter{};               // zero: no advice
+  RequestBudget mBudget;                // retries that were not spent
+  uint32_t mShedLevel = 0;              // of the node that executed or refused it
+  Duration mServiceTime{};              // measured by the executing node
+  bool mLeaving = false;                // the executing node takes no new work
+  std::optional<Duration> mOverloadAge; // since a lack of capacity was seen, here or further down
   bool mStartsChains = false;   // callers send requests of this route, not only backend servers
   bool mReachedServer = false;  // the request was sent to a backend server, whether it ran or not
   uint64_t mConfigRevision = 0; // in force at the executing node; 0: not stated
@@ -73,6 +74,9 @@
 
 using AnswerCallback = std::function<void(Answer)>;
 
+// Refused because the backend server or its node had no room; not for the request's own deadline.
+bool IsForCapacity(const Answer& aAnswer);
+
 Answer Refused(CallReason aReason, RequestBudget aBudget, Duration aRetryAfter = {});
 Answer Unknown(CallReason aReason, RequestBudget aBudget);
 
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -86,10 +86,11 @@
 };
 
 Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
-                   const MessageNames& aNames, ServerPresence aPresence)
+                   RecentOverload& aOverload, const MessageNames& aNames, ServerPresence aPresence)
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(aSettings)
+  , mOverload(aOverload)
   , mNames(aNames)
   , mPresence(aPresence)
   , mBackend(aContext, aSettings.mBackend, BackendLimits())
@@ -416,6 +417,10 @@
   aAnswer.mShedLevel = mAdmission.ShedLevel();
   aAnswer.mLeaving = mLeaving;
   aAnswer.mLoadPercent = LoadPercent();
+  if (IsForCapacity(aAnswer)) {
+    mOverload.Note();
+  }
+  aAnswer.mOverloadAge = mOverload.Age();
 }
 
 uint32_t Executor::LoadPercent() const
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -9,6 +9,7 @@
 #include "balsammount/kernel.h"
 #include "balsammount/node_composition.h"
 #include "balsammount/node_settings.h"
+#include "balsammount/recent_overload.h"
 #include "balsammount/server_life.h"
 
 #include <boost/asio/io_context.hpp>
@@ -43,7 +44,7 @@
 {
 public:
   Executor(boost::asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
-           const MessageNames& aNames, ServerPresence aPresence);
+           RecentOverload& aOverload, const MessageNames& aNames, ServerPresence aPresence);
   ~Executor() override;
 
   Result<void> Start() override;
@@ -104,6 +105,7 @@
   boost::asio::io_context& mContext;
   const Clock& mClock;
   NodeSettings mSettings;
+  RecentOverload& mOverload;
   const MessageNames& mNames;
   ServerPresence mPresence;
   std::string mServerId;     // of the backend server that has announced itself
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -52,11 +52,12 @@
 } // namespace
 
 Gateway::Gateway(const Clock& aClock, Random& aRandom, const NodeSettings& aSettings,
-                 const MessageNames& aNames, Executor& aExecutor, CallTarget& aTarget,
-                 Metrics& aMetrics)
+                 RecentOverload& aOverload, const MessageNames& aNames, Executor& aExecutor,
+                 CallTarget& aTarget, Metrics& aMetrics)
   : mClock(aClock)
   , mRandom(aRandom)
   , mSettings(aSettings)
+  , mOverload(aOverload)
   , mNames(aNames)
   , mExecutor(aExecutor)
   , mTarget(aTarget)
@@ -282,11 +283,15 @@
   if (!throttle) {
     return;
   }
-  // A lost connection or a node that leaves says nothing about capacity.
-  if (aAnswer.mOutcome == AttemptOutcome::Complete) {
-    throttle->OnEnd(aAnswer.mResponse.mStatus < 500, aElapsed);
-  } else if (aAnswer.mReason == CallReason::Overload || aAnswer.mReason == CallReason::Deadline) {
-    throttle->OnEnd(false, aElapsed);
+  // A lost connection, a node that leaves, or a failure while no service lacks capacity says
+  // nothing about how many requests to let in.
+  const bool isGood =
+    aAnswer.mOutcome == AttemptOutcome::Complete && aAnswer.mResponse.mStatus < 500;
+  const bool mayBeOverload = aAnswer.mOutcome == AttemptOutcome::Complete ||
+                             aAnswer.mReason == CallReason::Overload ||
+                             aAnswer.mReason == CallReason::Deadline;
+  if (isGood || (mayBeOverload && mOverload.Age())) {
+    throttle->OnEnd(isGood, aElapsed);
   }
 }
 
@@ -397,6 +402,9 @@
     }
     *finished = true;
     --mPending;
+    if (aAnswer.mOverloadAge) {
+      mOverload.Note(*aAnswer.mOverloadAge);
+    }
     mMetrics.OnAnswered(context->mService, context->mRank, aAnswer, mClock.Now() - start);
     onAnswer(*context, aAnswer);
     LogEnd(*context, aAnswer, mClock.Now() - start);
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -10,6 +10,7 @@
 #include "balsammount/entry_throttle.h"
 #include "balsammount/message_names.h"
 #include "balsammount/random.h"
+#include "balsammount/recent_overload.h"
 #include "balsammount/recent_refusals.h"
 #include "balsammount/weighted_split.h"
 
@@ -23,7 +24,8 @@
 {
 public:
   Gateway(const Clock& aClock, Random& aRandom, const NodeSettings& aSettings,
-          const MessageNames& aNames, Executor& aExecutor, CallTarget& aTarget, Metrics& aMetrics);
+          RecentOverload& aOverload, const MessageNames& aNames, Executor& aExecutor,
+          CallTarget& aTarget, Metrics& aMetrics);
 
   void HandleCaller(const std::shared_ptr<Exchange>& aExchange);
   void HandleEgress(const std::shared_ptr<Exchange>& aExchange);
@@ -64,6 +66,7 @@
   const Clock& mClock;
   Random& mRandom;
   NodeSettings mSettings;
+  RecentOverload& mOverload;
   const MessageNames& mNames;
   Executor& mExecutor;
   CallTarget& mTarget;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -81,15 +81,15 @@
     , mPeers(aContext, mComposition.mNames)
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mComposition))
-    , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mComposition.mNames,
-                                           mComposition.mServerPresence))
+    , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mOverload,
+                                           mComposition.mNames, mComposition.mServerPresence))
     , mOwner(MakeOwner())
     , mQuarantine(std::make_shared<QuarantineService>(aContext, mClock, mRandom, mPeers, mSettings))
     , mLocal(mSettings, *mExecutor, mOwner.get(), *mQuarantine)
     , mForwarder(mClock, mSettings, mUpstreams, mPeers, mLocal, mMetrics)
     , mMembers(MakeMembers())
     , mDirectory(MakeDirectory())
-    , mGateway(std::make_shared<Gateway>(mClock, mRandom, mSettings, mComposition.mNames,
+    , mGateway(std::make_shared<Gateway>(mClock, mRandom, mSettings, mOverload, mComposition.mNames,
                                          *mExecutor, mForwarder, mMetrics))
     , mPeerHandler(mClock, mLocal, *mConfig, mOwner.get(), *mQuarantine, mDirectory.get(),
                    mComposition.mNames)
@@ -122,6 +122,7 @@
   uint64_t mStarted = MillisecondsSinceEpoch(mClock.WallNow());
   Random mRandom;
   Metrics mMetrics;
+  RecentOverload mOverload{ mClock };
   std::unique_ptr<Store> mStore;
   Peers mPeers;
   Upstreams mUpstreams;
