--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -95,8 +95,12 @@
   // A node that was asked did not answer, or another node answered at its address.
   void OnConfirmationFailed(const std::string& aNodeId);
 
-  // Nodes to ask for their record now. Each counts as asked.
-  std::vector<NodeRecord> TakeDueConfirmations();
+  // Null for a node that is not known.
+  const NodeRecord* Find(const std::string& aNodeId) const;
+
+  // Nodes to ask for their record now. Each counts as asked. While the store is away that includes
+  // nodes that leave: when they have started again, nobody else tells.
+  std::vector<NodeRecord> TakeDueConfirmations(bool aStoreAway = false);
   // The changes since the last call, in order. The node's own record is never among them.
   std::vector<DirectoryChange> TakeChanges();
 
--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -132,12 +132,13 @@
   }
 }
 
-std::vector<NodeRecord> Directory::TakeDueConfirmations()
+std::vector<NodeRecord> Directory::TakeDueConfirmations(bool aStoreAway)
 {
   const SteadyTime now = mClock.Now();
   std::vector<NodeRecord> due;
   for (auto& [id, node] : mNodes) {
-    if ((!node.mListed || !node.mPublished) && node.mNextConfirmation <= now) {
+    const bool mayBeBack = aStoreAway && node.mRecord.mLeaving;
+    if ((!node.mListed || !node.mPublished || mayBeBack) && node.mNextConfirmation <= now) {
       node.mNextConfirmation = now + mPolicy.mConfirmInterval;
       due.push_back(node.mRecord);
     }
@@ -145,6 +146,12 @@
   return due;
 }
 
+const NodeRecord* Directory::Find(const std::string& aNodeId) const
+{
+  const auto found = mNodes.find(aNodeId);
+  return found == mNodes.end() ? nullptr : &found->second.mRecord;
+}
+
 std::vector<DirectoryChange> Directory::TakeChanges()
 {
   return std::exchange(mChanges, {});
--- a/packages/directory/tests/directory_test.cpp
+++ b/packages/directory/tests/directory_test.cpp
@@ -46,6 +46,31 @@
   }
 };
 
+// Guards against a node that was restarted while the store was away and is not used until the store
+// is back (incident inc-c998: all nodes of a service were restarted within four seconds of an
+// outage).
+TEST(Directory, LeavingNodeIsAskedWhileItIsListed)
+{
+  NodeRecord record = Record("b", 1, 1);
+  mDirectory.OnList({ record });
+  CHECK_EQUAL(0, mDirectory.TakeDueConfirmations().size());
+  record.mSequence = 2;
+  record.mLeaving = true;
+  mDirectory.OnConfirmed(record);
+  mClock.Advance(1s);
+  CHECK_EQUAL(0, mDirectory.TakeDueConfirmations(false).size());
+  CHECK_EQUAL(1, mDirectory.TakeDueConfirmations(true).size());
+  mDirectory.OnConfirmationFailed("b");
+  mDirectory.OnConfirmationFailed("b");
+  mClock.Advance(1s);
+  CHECK_EQUAL(1, mDirectory.TakeDueConfirmations(true).size());
+  mDirectory.TakeChanges();
+  mDirectory.OnConfirmed(Record("b", 2, 1));
+  const auto changes = mDirectory.TakeChanges();
+  CHECK_EQUAL(1, changes.size());
+  CHECK_FALSE(changes[0].mRecord.mLeaving);
+}
+
 // Guards against nodes that are missed, repeated or reported about themselves.
 TEST(Directory, FollowsTheList)
 {
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -422,7 +422,7 @@
 
 void DirectoryService::Tick()
 {
-  for (const NodeRecord& record : mDirectory.TakeDueConfirmations()) {
+  for (const NodeRecord& record : mDirectory.TakeDueConfirmations(!mStoreReachable)) {
     Confirm(record);
   }
   const SteadyTime now = mClock.Now();
@@ -467,7 +467,11 @@
   request.mMethod = aTell ? "POST" : "GET";
   request.mTarget = kNodesTarget;
   if (aTell) {
-    request.mBody = EncodeNodeRecord(mOwn);
+    std::vector<NodeRecord> records = { mOwn };
+    if (const NodeRecord* known = mDirectory.Find(aNodeId)) {
+      records.push_back(*known);
+    }
+    request.mBody = EncodeNodeRecords(records);
   }
   mUsers.mPeers.Send(aNodeId, std::move(request), kExchangeTimeout,
                      [this, aNodeId](const Result<HttpResponse>& aResult) {
@@ -503,13 +507,18 @@
   HttpResponse response;
   std::vector<NodeRecord> records = { mOwn };
   if (aRequest.mMethod == "POST") {
-    const auto record = DecodeNodeRecord(aRequest.mBody);
-    if (!record) {
-      Event("directory", "bad-message").Add("error", Describe(record.error()));
+    size_t skipped = 0;
+    const auto told = DecodeNodeRecords(aRequest.mBody, skipped);
+    if (!told || told->empty() || skipped > 0) {
+      Event("directory", "bad-message")
+        .Add("error", told ? "records that cannot be read" : Describe(told.error()));
       response.mStatus = 400;
       return response;
     }
-    mDirectory.OnConfirmed(*record);
+    mDirectory.OnConfirmed(told->front());
+    if (const NodeRecord& last = told->back(); last.mNodeId == mOwn.mNodeId) {
+      mOnRecall(last);
+    }
     ApplyChanges();
   } else {
     for (NodeRecord& node : mDirectory.Nodes()) {
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -18,7 +18,8 @@
 namespace balsammount {
 
 // Requests between nodes about records: GET of kNodesTarget answers all known records, POST tells
-// the sender's own. Both answer with this node's record first, and its configuration revision.
+// the sender's own and what it knows of the receiver, which may have started again since. Both
+// answer with this node's record first, and its configuration revision.
 inline const std::string kNodesTarget = "/balsammount/nodes";
 
 // The parts that follow the nodes of the fleet.
--- a/packages/node/src/server_life.cpp
+++ b/packages/node/src/server_life.cpp
@@ -59,7 +59,9 @@
 
 void ServerLife::RecallLeaving(const std::string& aServerId, uint64_t aStartedUntil)
 {
-  mLeft = LeftServer{ aServerId, aStartedUntil };
+  if (!mLeft || mLeft->mStartedUntil < aStartedUntil) {
+    mLeft = LeftServer{ aServerId, aStartedUntil };
+  }
   if (mCurrent && HasLeft(*mCurrent)) {
     mCurrent->mLeaving = true;
   }
