--- a/packages/node/tests/call_context_test.cpp
+++ b/packages/node/tests/call_context_test.cpp
@@ -131,17 +131,17 @@
 TEST(CallContext, RequestIdOfAnAnswerIsRestored)
 {
   MessageNames names;
-  names.mRequestId = "Request-Id";
+  names.mRequestId = "Call-Id";
   names.mKeepRequestId = true;
   Headers headers;
-  headers.Add("Request-Id", "0123-1");
+  headers.Add("Call-Id", "0123-1");
   ShortenRequestId("0123-1", names, headers);
-  STRCMP_EQUAL("=", std::string(headers.Find("Request-Id")).c_str());
+  STRCMP_EQUAL("=", std::string(headers.Find("Call-Id")).c_str());
   RestoreRequestId("0123-1", names, headers);
-  STRCMP_EQUAL("0123-1", std::string(headers.Find("Request-Id")).c_str());
+  STRCMP_EQUAL("0123-1", std::string(headers.Find("Call-Id")).c_str());
   ShortenRequestId("4567-1", names, headers);
   RestoreRequestId("4567-1", names, headers);
-  STRCMP_EQUAL("0123-1", std::string(headers.Find("Request-Id")).c_str());
+  STRCMP_EQUAL("0123-1", std::string(headers.Find("Call-Id")).c_str());
 }
 
 // Guards against callers and backend servers that set headers which only nodes may set.
