--- a/packages/log/include/balsammount/event.h
+++ b/packages/log/include/balsammount/event.h
@@ -3,6 +3,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <chrono>
 #include <string_view>
 
 namespace balsammount {
@@ -22,6 +23,12 @@
   Event(const Event&) = delete;
   Event& operator=(const Event&) = delete;
 
+  // Durations are written in milliseconds, with fractions.
+  Event& Add(const char* aField, std::chrono::nanoseconds aValue)
+  {
+    return Add(aField, std::chrono::duration<double, std::milli>(aValue).count());
+  }
+
   template <class T>
   Event& Add(const char* aField, const T& aValue)
   {
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -140,12 +140,16 @@
   return answer;
 }
 
+bool IsForOwnDeadline(const Answer& aAnswer)
+{
+  return aAnswer.mOutcome == AttemptOutcome::NotRun && aAnswer.mReason == CallReason::Deadline &&
+         aAnswer.mLoadPercent < 100;
+}
+
 bool IsForCapacity(const Answer& aAnswer)
 {
-  const bool isFull = aAnswer.mLoadPercent >= 100;
-  return aAnswer.mOutcome == AttemptOutcome::NotRun &&
-         (aAnswer.mReason == CallReason::Overload ||
-          (aAnswer.mReason == CallReason::Deadline && isFull));
+  return aAnswer.mOutcome == AttemptOutcome::NotRun && !IsForOwnDeadline(aAnswer) &&
+         (aAnswer.mReason == CallReason::Overload || aAnswer.mReason == CallReason::Deadline);
 }
 
 Answer Unknown(CallReason aReason, RequestBudget aBudget)
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -74,7 +74,9 @@
 
 using AnswerCallback = std::function<void(Answer)>;
 
-// Refused because the backend server or its node had no room; not for the request's own deadline.
+// Refused for too little time by a node that has room: the request is late, not the node full.
+bool IsForOwnDeadline(const Answer& aAnswer);
+// Refused because the backend server or its node had no room.
 bool IsForCapacity(const Answer& aAnswer);
 
 Answer Refused(CallReason aReason, RequestBudget aBudget, Duration aRetryAfter = {});
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -127,12 +127,6 @@
   if (const NodeRecord* own = mDirectory.OwnListed(); own && isFirst) {
     // Later than every record of an earlier process, also when the clock was set back in between.
     mOwn.mStarted = std::max(mOwn.mStarted, own->mStarted + 1);
-    if (own->mServerLeft && mOwn.mServerId.empty()) {
-      // Kept until another server announces itself, so that a further restart knows it as well.
-      mOwn.mServerId = own->mServerId;
-      mOwn.mServerStarted = own->mServerStarted;
-      mOwn.mServerLeft = true;
-    }
     mOnRecall(*own);
   }
   ApplyChanges();
@@ -229,6 +223,7 @@
     }
     record.mServerLeft = server->mLeaving;
   } else if (const auto& left = aLife.Left()) {
+    // Kept until another server announces itself, so that a restarted node knows it as well.
     record.mServerId = left->mServerId;
     record.mServerStarted = left->mStartedUntil;
     record.mServerLeft = true;
--- a/packages/node/src/forwarder.cpp
+++ b/packages/node/src/forwarder.cpp
@@ -172,7 +172,7 @@
       .Add("reason", ToString(aAnswer.mReason))
       .Add("reached_server", aAnswer.mReachedServer)
       .Add("attempt", mTried.size())
-      .Add("elapsed_ms", std::chrono::duration<double, std::milli>(aNow - mAttemptStart).count());
+      .Add("elapsed_ms", aNow - mAttemptStart);
   }
 
   void Finish(Answer aAnswer)
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -267,7 +267,7 @@
     .Add("request", aContext.mRequestId)
     .Add("route", aContext.mRoute)
     .Add("share", throttle->Share())
-    .Add("retry_after_ms", std::chrono::duration<double, std::milli>(retryAfter).count());
+    .Add("retry_after_ms", retryAfter);
   aExchange.Respond(CallerResponse(Refused(CallReason::Overload, {}, retryAfter), mNames));
   return false;
 }
@@ -352,10 +352,9 @@
     .Add("reason", ToString(aAnswer.mReason))
     .Add("status", complete ? aAnswer.mResponse.mStatus : 0)
     .Add("reached_server", aAnswer.mReachedServer)
-    .Add("elapsed_ms", std::chrono::duration<double, std::milli>(aElapsed).count())
-    .Add("left_ms",
-         std::chrono::duration<double, std::milli>(aContext.mDeadline - mClock.Now()).count())
-    .Add("retry_after_ms", std::chrono::duration<double, std::milli>(aAnswer.mRetryAfter).count())
+    .Add("elapsed_ms", aElapsed)
+    .Add("left_ms", aContext.mDeadline - mClock.Now())
+    .Add("retry_after_ms", aAnswer.mRetryAfter)
     .Add("config_revision", mRevision);
 }
 
--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -12,13 +12,6 @@
                                   : std::nullopt;
 }
 
-// A request with too little time left for an upstream that has room is refused there. That says
-// nothing about the upstream: to avoid it would load the others, which makes more requests late.
-bool IsOwnDeadline(const Answer& aAnswer)
-{
-  return aAnswer.mReason == CallReason::Deadline && aAnswer.mLoadPercent < 100;
-}
-
 UpstreamId IdOf(const std::string& aNodeId)
 {
   return static_cast<UpstreamId>(Hash64(aNodeId));
@@ -107,7 +100,9 @@
       mRouter.OnCancel(aUpstream, aElapsed);
       break;
     case AttemptOutcome::NotRun:
-      if (IsOwnDeadline(aAnswer)) {
+      // Says nothing about this upstream: to avoid it would load the others, which makes more
+      // requests late.
+      if (IsForOwnDeadline(aAnswer)) {
         mRouter.OnCancel(aUpstream, Duration::zero());
         break;
       }
