Let a node behind a proxy advertise its address; close inherited sockets of test processes

A node told the others the address of its own listener, so nothing could stand between two nodes: no port mapping of an operator, and no fault proxy of a test. peer_advertise sets the address that others are told.

Processes that the test runner starts inherited its open sockets. A stand-in that ran in the runner could not listen again on its address, because a child still held the listening socket ("Address already in use" after 3 s of the first soak). Ruled out: a missing SO_REUSEADDR. The child now closes them.

--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -35,9 +35,12 @@
   std::string mService;    // the service of the backend server beside this node
   std::string mDataCentre; // name, as in other nodes' settings
   std::string mRegion;
-  Endpoint mCallerListen;          // callers, HTTP/1.1
-  Endpoint mEgressListen;          // the backend server's own calls, HTTP/1.1; port 0: none
-  Endpoint mPeerListen;            // other nodes, HTTP/2; its UDP port carries gossip
+  Endpoint mCallerListen; // callers, HTTP/1.1
+  Endpoint mEgressListen; // the backend server's own calls, HTTP/1.1; port 0: none
+  Endpoint mPeerListen;   // other nodes, HTTP/2; its UDP port carries gossip
+  // Where other nodes reach the peer listener, when that differs from it: behind a proxy or a port
+  // mapping. Port 0: the listener itself. Gossip is sent to it as well.
+  Endpoint mPeerAdvertise;
   Endpoint mAdminListen;           // operators and metrics, HTTP/1.1
   Endpoint mBackend;               // the backend server, HTTP/1.1
   std::vector<Endpoint> mStore;    // tried in turn
@@ -52,6 +55,11 @@
   uint32_t mFleetRetrySlack = 0;
 
   bool operator==(const NodeSettings&) const = default;
+  // The address that this node tells the others.
+  const Endpoint& AdvertisedPeer() const
+  {
+    return mPeerAdvertise.port() != 0 ? mPeerAdvertise : mPeerListen;
+  }
 };
 
 // Reads JSON with comments. The detail of a failure names the setting and what was expected.
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -55,8 +55,8 @@
 {
   mOwn.mNodeId = aSettings.mNodeId;
   mOwn.mStarted = aStarted;
-  mOwn.mAddress = aSettings.mPeerListen.address().to_string();
-  mOwn.mPort = aSettings.mPeerListen.port();
+  mOwn.mAddress = aSettings.AdvertisedPeer().address().to_string();
+  mOwn.mPort = aSettings.AdvertisedPeer().port();
   mOwn.mService = aSettings.mService;
   mOwn.mDataCentre = aSettings.mDataCentre;
 }
--- a/packages/node/src/member_service.cpp
+++ b/packages/node/src/member_service.cpp
@@ -45,7 +45,7 @@
   MemberRecord record;
   record.mId = aSettings.mNodeId;
   record.mStartMs = static_cast<int64_t>(aStarted);
-  record.mPeer = ToCore(aSettings.mPeerListen);
+  record.mPeer = ToCore(aSettings.AdvertisedPeer());
   record.mDataCentre = aSettings.mDataCentre;
   record.mService = aSettings.mService;
   return record;
@@ -67,7 +67,7 @@
   , mContactTimer(aContext)
 {
   for (const auto& contact : aSettings.mContacts) {
-    if (contact != aSettings.mPeerListen) {
+    if (contact != aSettings.AdvertisedPeer()) {
       mContacts.push_back(ToCore(contact));
     }
   }
@@ -326,7 +326,7 @@
 void MemberService::OnContact(const std::string& aValue)
 {
   const auto endpoint = ParseEndpoint(aValue);
-  if (!endpoint || *endpoint == mSettings.mPeerListen) {
+  if (!endpoint || *endpoint == mSettings.AdvertisedPeer()) {
     return;
   }
   const Endpoint contact = ToCore(*endpoint);
@@ -368,7 +368,7 @@
   if (aSlot == kContactSlots || mContactLease != kNoLease) {
     return;
   }
-  mStore.CompareAndSwap(ContactKey(aSlot), kAbsent, ToText(mSettings.mPeerListen), aLease,
+  mStore.CompareAndSwap(ContactKey(aSlot), kAbsent, ToText(mSettings.AdvertisedPeer()), aLease,
                         [this, aSlot, aLease](const StoreResult<Revision>& aResult) {
                           if (aResult) {
                             mContactLease = aLease;
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -36,6 +36,7 @@
   Setting{ "caller_listen", &NodeSettings::mCallerListen, true },
   Setting{ "egress_listen", &NodeSettings::mEgressListen, false },
   Setting{ "peer_listen", &NodeSettings::mPeerListen, true },
+  Setting{ "peer_advertise", &NodeSettings::mPeerAdvertise, false },
   Setting{ "admin_listen", &NodeSettings::mAdminListen, true },
   Setting{ "backend", &NodeSettings::mBackend, true },
   Setting{ "store", &NodeSettings::mStore, true },
--- a/packages/node/tests/node_settings_test.cpp
+++ b/packages/node/tests/node_settings_test.cpp
@@ -39,6 +39,17 @@
   CHECK_EQUAL(6, settings->mStore.front().port());
 }
 
+// Guards against a node behind a proxy whose own address is told to the others.
+TEST(NodeSettings, AdvertisesTheListenerUnlessToldOtherwise)
+{
+  const auto plain = ParseNodeSettings(kValid);
+  CHECK(plain->AdvertisedPeer() == plain->mPeerListen);
+  const auto proxied = ParseNodeSettings(
+    Replace(kValid, "\"admin_listen\"", "\"peer_advertise\": \"127.0.0.1:9\", \"admin_listen\""));
+  CHECK(proxied.has_value());
+  CHECK_EQUAL(9, proxied->AdvertisedPeer().port());
+}
+
 // Guards against a node that starts with a setting it silently ignored or misread.
 TEST(NodeSettings, NamesTheFault)
 {
--- a/testing/scenario/src/child_process.cpp
+++ b/testing/scenario/src/child_process.cpp
@@ -22,6 +22,8 @@
   prctl(PR_SET_PDEATHSIG, SIGKILL);
   dup2(aLog, STDOUT_FILENO);
   dup2(aLog, STDERR_FILENO);
+  // The runner's sockets would stay open in the new process after the runner has closed them.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execv(aArguments.front(), aArguments.data());
   _exit(127);
 }
