Do not hold a request that was completed shortly before

Cause: a server died twice within 260 ms. The second run of the call had started more than the clock tolerance (250 ms) after the first death, so both deaths counted, and no completed run elsewhere was later than the tolerance. Then every node held the call, so no run could complete and clear it. Ruled out: lost gossip (all three nodes of the service had the record), a node that did not come back (all were ready), the throttle (no such line).

A node that has completed the fingerprint within the last minute no longer holds it. Its next completed run voids the deaths on all nodes, also on those that never ran it. A request that kills every server completes nowhere and is held as before.

--- a/packages/quarantine/include/balsammount/quarantine.h
+++ b/packages/quarantine/include/balsammount/quarantine.h
@@ -11,6 +11,9 @@
 //    die together for another reason hold runs that all started before the first death.
 //  * A completed run voids the deaths before it. Popular requests complete within milliseconds on
 //    other servers and are cleared before a second, unrelated death.
+//  * A fingerprint that this node has completed shortly before is not held here. Servers that die
+//    within the clock tolerance, or one that dies again and again, leave no time for a completed
+//    run in between, and a request that is held everywhere could never be cleared.
 //  * When a second death leaves several candidates, at most one of them is guilty. All of them are
 //    held for a short time with different ends, and only a third death quarantines one for the full
 //    time. Candidates that are cleared later still count, so that the last one that waits is not
@@ -96,6 +99,9 @@
   Duration mEvidence = std::chrono::minutes(20); // life of a death; at least mQuarantine
   // Difference between the clocks of two nodes up to which the order of events is not trusted.
   Duration mClockTolerance = std::chrono::milliseconds(250);
+  // A completed run speaks for the fingerprint for this long. A request that begins to crash
+  // servers, because they were replaced, kills one more on each node that has completed it.
+  Duration mKnownGood = std::chrono::minutes(1);
   Duration mMaxFuture = std::chrono::minutes(1); // records later than this are ignored
   size_t mMaxRecords = 1024;                     // about 250 bytes each
   size_t mMaxInFlight = 4096;                    // further runs are not tracked
@@ -179,6 +185,7 @@
   bool Normalise(SuspectRecord& aRecord, WallMillis aNow) const;
   bool VoidDeaths(SuspectRecord& aRecord, WallMillis aCompletedAt) const;
   WallMillis CompletedAt(Fingerprint aFingerprint) const;
+  bool IsKnownGood(Fingerprint aFingerprint, WallMillis aDeath) const;
   void RecordCompletion(Fingerprint aFingerprint, WallMillis aAt);
   bool Expire(WallMillis aNow);
   void Evaluate();
--- a/packages/quarantine/src/quarantine.cpp
+++ b/packages/quarantine/src/quarantine.cpp
@@ -320,7 +320,7 @@
     entry.mChain = chain.mLength;
     entry.mHeld = false;
     entry.mUntil = 0;
-    if (chain.mLength < 2) {
+    if (chain.mLength < 2 || IsKnownGood(fingerprint, chain.mLast.first)) {
       continue;
     }
     WallMillis time = Millis(mPolicy.mQuarantine);
@@ -369,6 +369,12 @@
   return 0;
 }
 
+bool Quarantine::IsKnownGood(Fingerprint aFingerprint, WallMillis aDeath) const
+{
+  const WallMillis completed = CompletedAt(aFingerprint);
+  return completed != 0 && completed + Millis(mPolicy.mKnownGood) >= aDeath;
+}
+
 void Quarantine::RecordCompletion(Fingerprint aFingerprint, WallMillis aAt)
 {
   const size_t set = SetOf(aFingerprint, mCompletions.size());
--- a/packages/quarantine/tests/quarantine_test.cpp
+++ b/packages/quarantine/tests/quarantine_test.cpp
@@ -203,6 +203,33 @@
   CHECK_FALSE(mNodes[9]->IsQuarantined(Fingerprint{ 1 }));
 }
 
+// Guards against a popular request that is blamed for a server that dies again within the clock
+// tolerance: held everywhere, it could not complete and be cleared.
+TEST(Quarantine, PopularRequestOutlivesAServerThatDiesAgainAtOnce)
+{
+  const auto run = [this](size_t aNode) {
+    mNodes[aNode]->OnDispatch(1000, kCulprit);
+    mClock.Advance(5ms);
+    mNodes[aNode]->OnEnd(1000, true);
+  };
+  run(0);
+  run(1);
+  for (int death = 0; death < 3; ++death) {
+    mNodes[0]->OnDispatch(1000, kCulprit);
+    mClock.Advance(5ms);
+    mNodes[0]->OnServerDeath();
+    Exchange();
+    mClock.Advance(mPolicy.mClockTolerance);
+  }
+  CHECK_FALSE(mNodes[0]->IsQuarantined(kCulprit));
+  CHECK_FALSE(mNodes[1]->IsQuarantined(kCulprit));
+  run(1);
+  Exchange();
+  CHECK(StateOn(0, 1000) == SuspectState::Cleared);
+  // A node that has never completed it learns of that as well.
+  CHECK(StateOn(5, 1000) == SuspectState::Cleared);
+}
+
 // Guards against a release that older records undo, on nodes that learn of both in any order.
 TEST(Quarantine, ReleaseWinsOverOlderRecords)
 {
