Add a fault soak of real node processes on the platform's protocol

Runs balsammount-platformd as separate processes against a stand-in of the platform's store and stand-ins of backend servers, with faults from outside: signals, proxies on the links to the store, between nodes and to the server, and faults of the stand-ins.

--- /dev/null
+++ b/testing/proxy/src/fault_proxy.cpp
@@ -0,0 +1,324 @@
+#include "balsammount/fault_proxy.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <array>
+#include <deque>
+#include <list>
+#include <string>
+
+namespace balsammount {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr size_t kReadBytes = 16 * 1024;
+// Bytes of one direction that wait in the proxy; beyond that it stops reading, like a full window.
+constexpr size_t kMaxWaitingBytes = 256 * 1024;
+
+void Reset(tcp::socket& aSocket)
+{
+  error_code error;
+  aSocket.set_option(asio::socket_base::linger(true, 0), error);
+  aSocket.close(error);
+}
+
+} // namespace
+
+// One connection through the proxy.
+class ProxiedConnection : public std::enable_shared_from_this<ProxiedConnection>
+{
+public:
+  ProxiedConnection(tcp::socket aClient, const LinkFaults& aFaults)
+    : mFaults(aFaults)
+    , mClient(std::move(aClient))
+    , mServer(mClient.get_executor())
+    , mTowards(mClient, mServer)
+    , mFrom(mServer, mClient)
+    , mEnd(mClient.get_executor())
+  {
+  }
+
+  void Open(const tcp::endpoint& aTarget)
+  {
+    mServer.async_connect(aTarget, [self = shared_from_this()](const error_code& aError) {
+      if (aError) {
+        self->ResetBoth();
+        return;
+      }
+      self->Read(self->mTowards);
+      self->Read(self->mFrom);
+    });
+  }
+
+  void ResetBoth()
+  {
+    mOver = true;
+    mEnd.cancel();
+    mTowards.mTimer.cancel();
+    mFrom.mTimer.cancel();
+    Reset(mClient);
+    Reset(mServer);
+  }
+
+  void Silence(std::chrono::milliseconds aEnd)
+  {
+    mSilent = true;
+    mEnd.expires_after(aEnd);
+    mEnd.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->ResetBoth();
+      }
+    });
+  }
+
+  void FaultsChanged()
+  {
+    Write(mTowards);
+    Write(mFrom);
+  }
+
+  bool IsOver() const { return mOver; }
+
+private:
+  struct Piece
+  {
+    std::string mBytes; // empty: the sender has shut down its side
+    steady_clock::time_point mDue;
+  };
+
+  struct Direction
+  {
+    Direction(tcp::socket& aSource, tcp::socket& aTarget)
+      : mSource(aSource)
+      , mTarget(aTarget)
+      , mTimer(aSource.get_executor())
+    {
+    }
+    tcp::socket& mSource;
+    tcp::socket& mTarget;
+    asio::steady_timer mTimer;
+    std::array<char, kReadBytes> mBuffer{};
+    std::deque<Piece> mPieces;
+    size_t mWaitingBytes = 0;
+    bool mReading = false;
+    bool mWriting = false;
+    bool mEnded = false;
+  };
+
+  bool IsHeld(const Direction& aDirection) const
+  {
+    return mSilent || (&aDirection == &mTowards ? mFaults.mHoldTowards : mFaults.mHoldFrom);
+  }
+
+  void Read(Direction& aDirection)
+  {
+    if (mOver || aDirection.mEnded || aDirection.mReading ||
+        aDirection.mWaitingBytes >= kMaxWaitingBytes) {
+      return;
+    }
+    aDirection.mReading = true;
+    aDirection.mSource.async_read_some(
+      asio::buffer(aDirection.mBuffer),
+      [self = shared_from_this(), &aDirection](const error_code& aError, size_t aBytes) {
+        aDirection.mReading = false;
+        self->OnRead(aDirection, aError, aBytes);
+      });
+  }
+
+  void OnRead(Direction& aDirection, const error_code& aError, size_t aBytes)
+  {
+    if (mOver) {
+      return;
+    }
+    if (aError && aError != asio::error::eof) {
+      ResetBoth();
+      return;
+    }
+    aDirection.mEnded = static_cast<bool>(aError);
+    aDirection.mWaitingBytes += aBytes;
+    aDirection.mPieces.push_back(
+      { std::string(aDirection.mBuffer.data(), aBytes), steady_clock::now() + mFaults.mDelay });
+    Write(aDirection);
+    Read(aDirection);
+  }
+
+  void Write(Direction& aDirection)
+  {
+    if (mOver || aDirection.mWriting || aDirection.mPieces.empty() || IsHeld(aDirection)) {
+      return;
+    }
+    const Piece& piece = aDirection.mPieces.front();
+    if (piece.mDue > steady_clock::now()) {
+      aDirection.mTimer.expires_at(piece.mDue);
+      aDirection.mTimer.async_wait(
+        [self = shared_from_this(), &aDirection](const error_code& aError) {
+          if (!aError) {
+            self->Write(aDirection);
+          }
+        });
+      return;
+    }
+    if (piece.mBytes.empty()) {
+      error_code error;
+      aDirection.mTarget.shutdown(tcp::socket::shutdown_send, error);
+      aDirection.mPieces.pop_front();
+      // Both directions have ended.
+      if (mTowards.mEnded && mFrom.mEnded && mTowards.mPieces.empty() && mFrom.mPieces.empty()) {
+        ResetBoth();
+      }
+      return;
+    }
+    aDirection.mWriting = true;
+    asio::async_write(
+      aDirection.mTarget, asio::buffer(piece.mBytes),
+      [self = shared_from_this(), &aDirection](const error_code& aError, size_t aBytes) {
+        aDirection.mWriting = false;
+        if (self->mOver) {
+          return;
+        }
+        if (aError) {
+          self->ResetBoth();
+          return;
+        }
+        aDirection.mWaitingBytes -= aBytes;
+        aDirection.mPieces.pop_front();
+        self->Write(aDirection);
+        self->Read(aDirection);
+      });
+  }
+
+  const LinkFaults& mFaults;
+  tcp::socket mClient;
+  tcp::socket mServer;
+  Direction mTowards;
+  Direction mFrom;
+  asio::steady_timer mEnd;
+  bool mSilent = false;
+  bool mOver = false;
+};
+
+struct FaultProxy::State : std::enable_shared_from_this<State>
+{
+  State(asio::io_context& aContext, const tcp::endpoint& aListen, const tcp::endpoint& aTarget)
+    : mAcceptor(aContext)
+    , mListen(aListen)
+    , mTarget(aTarget)
+  {
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      [weak = weak_from_this()](const error_code& aError, tcp::socket aClient) {
+        auto self = weak.lock();
+        if (!self || aError == asio::error::operation_aborted) {
+          return;
+        }
+        if (!aError) {
+          self->OnAccepted(std::move(aClient));
+        }
+        self->Accept();
+      });
+  }
+
+  void OnAccepted(tcp::socket aClient)
+  {
+    if (mFaults.mRefuse) {
+      Reset(aClient);
+      return;
+    }
+    error_code error;
+    aClient.set_option(tcp::no_delay(true), error);
+    mConnections.remove_if([](const auto& aConnection) { return aConnection->IsOver(); });
+    mConnections.push_back(std::make_shared<ProxiedConnection>(std::move(aClient), mFaults));
+    mConnections.back()->Open(mTarget);
+  }
+
+  tcp::acceptor mAcceptor;
+  tcp::endpoint mListen;
+  tcp::endpoint mTarget;
+  LinkFaults mFaults;
+  std::list<std::shared_ptr<ProxiedConnection>> mConnections;
+};
+
+FaultProxy::FaultProxy(asio::io_context& aContext, const tcp::endpoint& aListen,
+                       const tcp::endpoint& aTarget)
+  : mState(std::make_shared<State>(aContext, aListen, aTarget))
+{
+}
+
+FaultProxy::~FaultProxy()
+{
+  error_code error;
+  mState->mAcceptor.close(error);
+  ResetOpen();
+}
+
+Result<void> FaultProxy::Start()
+{
+  error_code error;
+  tcp::acceptor& acceptor = mState->mAcceptor;
+  acceptor.open(mState->mListen.protocol(), error);
+  acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  acceptor.bind(mState->mListen, error);
+  if (!error) {
+    acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
+  if (error) {
+    return Failure{ error, "fault proxy" };
+  }
+  mState->Accept();
+  return {};
+}
+
+tcp::endpoint FaultProxy::Endpoint() const
+{
+  error_code error;
+  return mState->mAcceptor.local_endpoint(error);
+}
+
+size_t FaultProxy::Connections() const
+{
+  size_t open = 0;
+  for (const auto& connection : mState->mConnections) {
+    open += connection->IsOver() ? 0 : 1;
+  }
+  return open;
+}
+
+void FaultProxy::SetFaults(const LinkFaults& aFaults)
+{
+  mState->mFaults = aFaults;
+  for (const auto& connection : mState->mConnections) {
+    connection->FaultsChanged();
+  }
+}
+
+const LinkFaults& FaultProxy::Faults() const
+{
+  return mState->mFaults;
+}
+
+void FaultProxy::SilenceOpen(std::chrono::milliseconds aEnd)
+{
+  for (const auto& connection : mState->mConnections) {
+    if (!connection->IsOver()) {
+      connection->Silence(aEnd);
+    }
+  }
+}
+
+void FaultProxy::ResetOpen()
+{
+  for (const auto& connection : std::exchange(mState->mConnections, {})) {
+    connection->ResetBoth();
+  }
+}
+
+} // namespace balsammount
--- /dev/null
+++ b/testing/proxy/tests/fault_proxy_test.cpp
@@ -0,0 +1,147 @@
+#include "balsammount/fault_proxy.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+TEST_GROUP(FaultProxy)
+{
+  asio::io_context mContext{ 1 };
+  tcp::acceptor mTarget{ mContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0) };
+  std::unique_ptr<FaultProxy> mProxy;
+  tcp::socket mClient{ mContext };
+  tcp::socket mServer{ mContext };
+
+  void setup() override
+  {
+    mProxy = std::make_unique<FaultProxy>(
+      mContext, tcp::endpoint(asio::ip::address_v4::loopback(), 0), mTarget.local_endpoint());
+    CHECK(mProxy->Start().has_value());
+  }
+
+  void teardown() override
+  {
+    mProxy.reset();
+    mClient.close();
+    mServer.close();
+    mTarget.close();
+    mContext.restart();
+    mContext.run_for(20ms);
+  }
+
+  template <class Condition>
+  bool RunUntil(Condition aCondition, std::chrono::milliseconds aAtMost = 10s)
+  {
+    const auto end = std::chrono::steady_clock::now() + aAtMost;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      mContext.restart();
+      mContext.run_one_for(5ms);
+    }
+    return aCondition();
+  }
+
+  void Connect()
+  {
+    bool accepted = false;
+    mTarget.async_accept(mServer, [&](const error_code& aError) { accepted = !aError; });
+    mClient.connect(mProxy->Endpoint());
+    CHECK(RunUntil([&] { return accepted; }));
+  }
+
+  // The bytes that arrive, or the error instead.
+  bool Passes(tcp::socket & aFrom, tcp::socket & aTo, std::chrono::milliseconds aAtMost = 10s)
+  {
+    asio::write(aFrom, asio::buffer("ping", 4));
+    char buffer[4] = {};
+    bool done = false;
+    aTo.async_read_some(asio::buffer(buffer), [&](const error_code& aError, size_t aBytes) {
+      done = !aError && aBytes > 0;
+    });
+    const bool passed = RunUntil([&] { return done; }, aAtMost);
+    if (!passed) {
+      aTo.cancel();
+      mContext.restart();
+      mContext.run_for(20ms);
+    }
+    return passed;
+  }
+
+  bool IsReset(tcp::socket & aSocket)
+  {
+    char byte = 0;
+    error_code seen;
+    aSocket.async_read_some(asio::buffer(&byte, 1),
+                            [&](const error_code& aError, size_t) { seen = aError; });
+    RunUntil([&] { return static_cast<bool>(seen); });
+    return seen == asio::error::connection_reset;
+  }
+};
+
+TEST(FaultProxy, PassesBothWays)
+{
+  Connect();
+  CHECK(Passes(mClient, mServer));
+  CHECK(Passes(mServer, mClient));
+  CHECK_EQUAL(1, mProxy->Connections());
+}
+
+TEST(FaultProxy, HoldsOneDirectionUntilTheFaultIsOver)
+{
+  Connect();
+  mProxy->SetFaults({ .mHoldFrom = true });
+  CHECK(Passes(mClient, mServer));
+  CHECK_FALSE(Passes(mServer, mClient, 50ms));
+  mProxy->SetFaults({});
+  char buffer[4] = {};
+  bool arrived = false;
+  asio::async_read(mClient, asio::buffer(buffer),
+                   [&](const error_code& aError, size_t) { arrived = !aError; });
+  CHECK(RunUntil([&] { return arrived; }));
+}
+
+TEST(FaultProxy, SilencesOpenConnectionsAndResetsThemLater)
+{
+  Connect();
+  mProxy->SilenceOpen(100ms);
+  CHECK_FALSE(Passes(mClient, mServer, 30ms));
+  CHECK(IsReset(mClient));
+  mClient.close();
+  mServer.close();
+  Connect();
+  CHECK(Passes(mClient, mServer));
+}
+
+TEST(FaultProxy, ResetsBothSides)
+{
+  Connect();
+  mProxy->ResetOpen();
+  CHECK(IsReset(mClient));
+  CHECK(IsReset(mServer));
+}
+
+TEST(FaultProxy, RefusesNewConnections)
+{
+  mProxy->SetFaults({ .mRefuse = true });
+  mClient.connect(mProxy->Endpoint());
+  CHECK(IsReset(mClient));
+}
+
+// An orderly end of one side must reach the other.
+TEST(FaultProxy, PassesTheEndOfAConnectionOn)
+{
+  Connect();
+  mClient.shutdown(tcp::socket::shutdown_send);
+  char byte = 0;
+  error_code seen;
+  mServer.async_read_some(asio::buffer(&byte, 1),
+                          [&](const error_code& aError, size_t) { seen = aError; });
+  CHECK(RunUntil([&] { return static_cast<bool>(seen); }));
+  CHECK(seen == asio::error::eof);
+}
