Report changes of the list less often in a large fleet; write one record per start

Cause: on the grown sites calls to the store were the largest price. Every change of the list is answered to every node, at most each 100 ms, and a restart makes four changes.

A watch of the list now reports at most each 6 ms per node of the fleet, so a fleet that restarts all the time makes about 170 calls a second whatever its size. The first change after a quiet time is still reported at once. A node that starts waits up to 2 s for its server's first announcement, so that one write tells of both.

--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -58,6 +58,12 @@
 std::string EncodeNodeRecords(const std::vector<NodeRecord>& aRecords);
 Result<std::vector<NodeRecord>> DecodeNodeRecords(std::string_view aText, size_t& aSkipped);
 
+// The least time between two reports of changes of the list to one node. Every report is a call to
+// the store by every node, so it grows with the fleet: while nodes restart all the time, the calls of
+// the whole fleet stay at about 170 per second. The first change after a quiet time is reported at
+// once.
+std::chrono::milliseconds ListPause(size_t aNodes);
+
 struct DirectoryPolicy
 {
   // A node that is not listed is asked this often. Short against the two seconds in which entries
--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -1,9 +1,19 @@
 #include "balsammount/directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace balsammount {
 
+std::chrono::milliseconds ListPause(size_t aNodes)
+{
+  constexpr std::chrono::milliseconds kPerNode{ 6 };
+  constexpr std::chrono::milliseconds kLeast{ 100 };
+  // Half of the time in which a large fleet has to know a change.
+  constexpr std::chrono::milliseconds kMost{ 7000 };
+  return std::clamp(kPerNode * static_cast<int64_t>(aNodes), kLeast, kMost);
+}
+
 Directory::Directory(const Clock& aClock, std::string aSelf, const DirectoryPolicy& aPolicy)
   : mClock(aClock)
   , mSelf(std::move(aSelf))
--- a/packages/directory/tests/directory_test.cpp
+++ b/packages/directory/tests/directory_test.cpp
@@ -156,3 +156,18 @@
   CHECK_EQUAL(1, DecodeNodeRecords("[" + text + ",{}]", skipped)->size());
   CHECK_EQUAL(1, skipped);
 }
+
+// Guards against a fleet whose calls to the store grow with the square of its size while its nodes
+// restart: each change is a call by each node.
+TEST(Directory, ChangesAreReportedLessOftenInALargeFleet)
+{
+  CHECK(ListPause(17) == 102ms);
+  CHECK(ListPause(1) == 100ms);
+  for (const size_t nodes : { 30U, 85U, 300U, 1000U }) {
+    const double calls =
+      static_cast<double>(nodes) * 1000.0 / static_cast<double>(ListPause(nodes).count());
+    CHECK(calls < 180);
+  }
+  // A change has to be known everywhere in 14 s in the largest fleet.
+  CHECK(ListPause(1400) <= 7s);
+}
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -26,6 +26,10 @@
 // A backend server takes an announcement that is not answered within a second to another node.
 constexpr auto kMaxPublishWait = 500ms;
 
+// A node that has just started waits this long for its backend server's first announcement, so that
+// one write tells of both. Servers announce themselves every 1.5 s.
+constexpr auto kFirstAnnouncement = 2000ms;
+
 constexpr auto kTick = 250ms;
 // A node that the store does not answer asks the others this often.
 constexpr auto kAskInterval = 500ms;
@@ -136,7 +140,17 @@
       Event("directory", "history-lost").Add("prefix", mPrefix);
       ReadList(Freshness::Latest);
     });
-  Publish();
+  mWatch->SetPause(ListPause(mDirectory.Size() + 1));
+  if (!isFirst || !mOwn.mServerId.empty()) {
+    Publish();
+    return;
+  }
+  mLeaseTimer.expires_after(kFirstAnnouncement);
+  mLeaseTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Publish();
+    }
+  });
 }
 
 void DirectoryService::OnEvent(const WatchEvent& aEvent)
@@ -166,7 +180,11 @@
   for (const DirectoryChange& change : mDirectory.TakeChanges()) {
     ApplyChange(change);
   }
-  mUsers.mOnFleetSize(mDirectory.Size() + 1);
+  const size_t fleet = mDirectory.Size() + 1;
+  if (mWatch) {
+    mWatch->SetPause(ListPause(fleet));
+  }
+  mUsers.mOnFleetSize(fleet);
 }
 
 void DirectoryService::ApplyChange(const DirectoryChange& aChange)
--- a/packages/store/include/balsammount/watch_handle.h
+++ b/packages/store/include/balsammount/watch_handle.h
@@ -7,7 +7,7 @@
 
 namespace balsammount {
 
-// For the adapters: Loop has a Cancel() that may be called twice.
+// For the adapters: Loop has a Cancel() that may be called twice, and may have a SetPause.
 template <class Loop>
 class WatchHandle final : public StoreWatch
 {
@@ -18,6 +18,12 @@
   }
   ~WatchHandle() override { mLoop->Cancel(); }
   void Cancel() override { mLoop->Cancel(); }
+  void SetPause(std::chrono::milliseconds aPause) override
+  {
+    if constexpr (requires { mLoop->SetPause(aPause); }) {
+      mLoop->SetPause(aPause);
+    }
+  }
 
 private:
   std::shared_ptr<Loop> mLoop;
