--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -59,8 +59,8 @@
 Result<std::vector<NodeRecord>> DecodeNodeRecords(std::string_view aText, size_t& aSkipped);
 
 // The least time between two reports of changes of the list to one node. Every report is a call to
-// the store by every node, so it grows with the fleet: while nodes restart all the time, the calls of
-// the whole fleet stay below 100 per second. The first change after a quiet time is reported at
+// the store by every node, so it grows with the fleet: while nodes restart all the time, the calls
+// of the whole fleet stay below 100 per second. The first change after a quiet time is reported at
 // once.
 std::chrono::milliseconds ListPause(size_t aNodes);
 
