Serve other nodes until the last second of the notice of a stop

Ruled out: slow starts (a node is ready 0.3 s after it starts) and lost requests (none in its log).

Other nodes are now told in the last second of the notice.

--- a/packages/node/include/balsammount/node_composition.h
+++ b/packages/node/include/balsammount/node_composition.h
@@ -40,6 +40,9 @@
   // A node that stops goes on to serve for this long, so that callers and other nodes learn of it
   // before they meet a closed port.
   std::chrono::milliseconds mLeaveNotice{ 1000 };
+  // Callers need the whole notice, other nodes only the end of it: so long before it is over they
+  // are told to send nothing more. Until then the backend server goes on to serve them.
+  std::chrono::milliseconds mPeerNotice{ 1000 };
 };
 
 } // namespace balsammount
--- a/packages/node/src/drain_progress.h
+++ b/packages/node/src/drain_progress.h
@@ -7,6 +7,16 @@
 
 namespace balsammount {
 
+// The parts of the notice that a node gives before it stops.
+struct DrainNotice
+{
+  Duration mTotal{};    // callers learn of it from the start
+  Duration mForPeers{}; // the last part, in which other nodes send nothing more
+
+  bool IsForPeers(Duration aWaited) const { return aWaited >= mTotal - mForPeers; }
+  bool IsOver(Duration aWaited) const { return aWaited >= mTotal; }
+};
+
 // A node may end once its listener has stopped and nothing was in flight for a while: an answer
 // that was just handed to a connection still has to be written.
 class DrainProgress
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -143,6 +143,7 @@
   std::function<void()> mOnDrainRequest = [] {};
   SteadyTime mDrainStarted{};
   std::optional<SteadyTime> mListenerStopped;
+  bool mToldPeers = false; // that this node leaves
   DrainProgress mProgress{ kListenerSettle };
   ServerLife mServer;
   bool mBackendLeaving = false;
@@ -361,7 +362,12 @@
 void Node::Parts::CheckDrained()
 {
   const Duration waited = mClock.Now() - mDrainStarted;
-  const bool noticed = waited >= mComposition.mLeaveNotice;
+  const DrainNotice notice{ mComposition.mLeaveNotice, mComposition.mPeerNotice };
+  if (mDirectory && notice.IsForPeers(waited) && !std::exchange(mToldPeers, true)) {
+    mDirectory->SetLeaving();
+    mExecutor->SetLeaving();
+  }
+  const bool noticed = notice.IsOver(waited);
   const bool handedOver = mOwner ? mOwner->Drained() || waited >= kMaxHandover : noticed;
   if (handedOver) {
     mExecutor->SetDraining(true);
@@ -426,11 +432,10 @@
   if (mParts->mMembers) {
     mParts->mMembers->SetLeaving();
     mParts->mOwner->Drain();
+    mParts->mExecutor->SetLeaving();
   } else {
-    mParts->mDirectory->SetLeaving();
     mParts->mCallerListener->CloseConnections();
   }
-  mParts->mExecutor->SetLeaving();
   mParts->CheckDrained();
 }
 
--- a/packages/node/tests/drain_progress_test.cpp
+++ b/packages/node/tests/drain_progress_test.cpp
@@ -38,3 +38,17 @@
   CHECK(Check(true, true, 100ms));
   CHECK_FALSE(Check(false, true, 100ms));
 }
+
+// Guards against a rolling restart that takes each server's capacity away for the whole notice: its
+// node serves the others until the last part of it.
+TEST(DrainProgress, PeersAreToldInTheLastPartOfTheNotice)
+{
+  const DrainNotice notice{ 2600ms, 1000ms };
+  CHECK_FALSE(notice.IsForPeers(0ms));
+  CHECK_FALSE(notice.IsForPeers(1599ms));
+  CHECK(notice.IsForPeers(1600ms));
+  CHECK_FALSE(notice.IsOver(2599ms));
+  CHECK(notice.IsOver(2600ms));
+  // A notice that is no longer than that of the peers is for them from the start.
+  CHECK((DrainNotice{ 1000ms, 1000ms }.IsForPeers(0ms)));
+}
