Ignore an older record that a node itself sent

Cause: messages of a node can arrive out of order, and Directory::OnConfirmed took whichever came last, so a node whose server had left could be in use again. Change: a record from the node itself replaces the known one only if it is not older; it still shows that the node is alive. Result: Directory.IgnoresOlderRecordFromTheNodeItself fails on the code before ("+a" reported) and passes now.

--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -112,7 +112,10 @@
   Node& node = mNodes[aRecord.mNodeId];
   node.mFailedProbes = 0;
   node.mNextProbe = mClock.Now() + mPolicy.mProbeInterval;
-  Update(node, aRecord);
+  // Messages of a node can arrive out of order.
+  if (!node.mPublished || !node.mRecord.IsNewerThan(aRecord)) {
+    Update(node, aRecord);
+  }
 }
 
 void Directory::OnReported(const NodeRecord& aRecord)
--- a/packages/directory/tests/directory_test.cpp
+++ b/packages/directory/tests/directory_test.cpp
@@ -120,6 +120,34 @@
   STRCMP_EQUAL("+a ", Changes().c_str());
 }
 
+// Guards against a message of a node that arrives late and replaces what the node has said since,
+// for example that its backend server has left.
+TEST(Directory, IgnoresOlderRecordFromTheNodeItself)
+{
+  NodeRecord left = Record("a", 1, 3);
+  left.mServing = false;
+  left.mServerLeft = true;
+  mDirectory.OnConfirmed(left);
+  Changes();
+  mDirectory.OnConfirmed(Record("a", 1, 2));
+  STRCMP_EQUAL("", Changes().c_str());
+  CHECK(mDirectory.Find("a")->mServerLeft);
+  mDirectory.OnConfirmed(Record("a", 2, 1));
+  STRCMP_EQUAL("+a ", Changes().c_str());
+  CHECK_FALSE(mDirectory.Find("a")->mServerLeft);
+}
+
+// Guards against a node that is removed although it responds, with an older record than the known
+// one.
+TEST(Directory, OlderRecordShowsThatTheNodeIsAlive)
+{
+  mDirectory.OnConfirmed(Record("a", 1, 2));
+  mDirectory.OnProbeFailed("a");
+  mDirectory.OnConfirmed(Record("a", 1, 1));
+  mDirectory.OnProbeFailed("a");
+  CHECK_EQUAL(1, mDirectory.Size());
+}
+
 // Guards against the use of a terminated node that a third node still reports.
 TEST(Directory, ProbesReportedNodeBeforeUse)
 {
