Do not expire a later refusal in place of a used one

Cause: RecentRefusals::Take left its entry in the order of expiry, so the expiry of a refusal that a resent request had used up took the priority of a later one. Change: the used refusals of a request are counted and expire first. Result: RecentRefusals.UsedRefusalDoesNotExpireALaterOne fails on the code before and passes now.

--- a/packages/admission/include/balsammount/recent_refusals.h
+++ b/packages/admission/include/balsammount/recent_refusals.h
@@ -26,7 +26,7 @@
       DropOldest();
     }
     mOrder.push_back({ aRequestHash, mClock.Now() + kRetention });
-    ++mCounts[aRequestHash];
+    ++mCounts[aRequestHash].mAvailable;
   }
 
   // Returns true if the request was refused before. Each refusal matches one resent request.
@@ -34,10 +34,11 @@
   {
     Expire();
     const auto found = mCounts.find(aRequestHash);
-    if (found == mCounts.end() || found->second == 0) {
+    if (found == mCounts.end() || found->second.mAvailable == 0) {
       return false;
     }
-    --found->second;
+    --found->second.mAvailable;
+    ++found->second.mTaken;
     return true;
   }
 
@@ -52,6 +53,13 @@
     SteadyTime mExpiresAt;
   };
 
+  // The refusals of one request that are in mOrder. The oldest ones are taken first.
+  struct Count
+  {
+    uint32_t mAvailable = 0;
+    uint32_t mTaken = 0;
+  };
+
   void Expire()
   {
     while (!mOrder.empty() && mOrder.front().mExpiresAt <= mClock.Now()) {
@@ -62,18 +70,17 @@
   void DropOldest()
   {
     const auto found = mCounts.find(mOrder.front().mRequestHash);
-    if (found != mCounts.end()) {
-      found->second -= found->second > 0 ? 1 : 0;
-      if (found->second == 0) {
-        mCounts.erase(found);
-      }
+    Count& count = found->second;
+    --(count.mTaken > 0 ? count.mTaken : count.mAvailable);
+    if (count.mTaken + count.mAvailable == 0) {
+      mCounts.erase(found);
     }
     mOrder.pop_front();
   }
 
   const Clock& mClock;
   std::deque<Refusal> mOrder;
-  std::unordered_map<uint64_t, uint32_t> mCounts;
+  std::unordered_map<uint64_t, Count> mCounts;
 };
 
 } // namespace balsammount
--- a/packages/admission/tests/recent_refusals_test.cpp
+++ b/packages/admission/tests/recent_refusals_test.cpp
@@ -24,6 +24,20 @@
   CHECK_FALSE(mRefusals.Take(2));
 }
 
+// Guards against a refusal that expires in place of an earlier one, which a resent request has used
+// up.
+TEST(RecentRefusals, UsedRefusalDoesNotExpireALaterOne)
+{
+  mRefusals.Add(1);
+  CHECK(mRefusals.Take(1));
+  mClock.Advance(4s);
+  mRefusals.Add(1);
+  mClock.Advance(2s);
+  CHECK(mRefusals.Take(1));
+  mClock.Advance(6s);
+  CHECK_FALSE(mRefusals.Take(1));
+}
+
 // Guards against memory that grows with the number of refusals.
 TEST(RecentRefusals, ForgetsOldRefusals)
 {
