Keep ejections within the longest time including jitter

Cause: Router::Eject added the jitter after it had clamped the time. Change: the clamp leaves room for the jitter. Result: Router.EjectionNeverExceedsTheLongestTime fails on the code before and passes now.

--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -331,9 +331,13 @@
   for (uint32_t i = 0; i < aUpstream.mEjections && time < mPolicy.mMaxEjectionTime; ++i) {
     time *= 2;
   }
-  time = std::min(time, mPolicy.mMaxEjectionTime);
-  // Jitter, so that nodes that ejected an upstream together do not probe it together.
-  time += std::chrono::duration_cast<Duration>(time * (0.2 * mRandom.Uniform()));
+  // Jitter, so that nodes that ejected an upstream together do not probe it together. The longest
+  // ejection includes it.
+  constexpr double kJitter = 0.2;
+  const auto longest =
+    std::chrono::duration_cast<Duration>(mPolicy.mMaxEjectionTime / (1 + kJitter));
+  time = std::min(time, longest);
+  time += std::chrono::duration_cast<Duration>(time * (kJitter * mRandom.Uniform()));
   aUpstream.mEjected = true;
   aUpstream.mEjectedUntil = aNow + time;
   aUpstream.mEjections = std::min<uint32_t>(aUpstream.mEjections + 1, 32);
--- a/packages/routing/tests/routing_test.cpp
+++ b/packages/routing/tests/routing_test.cpp
@@ -167,6 +167,25 @@
   CHECK_EQUAL(0U, CountInState(UpstreamState::Ejected));
 }
 
+// Guards against ejections that exceed the longest ejection time by their jitter.
+TEST(Router, EjectionNeverExceedsTheLongestTime)
+{
+  CreateRouter({ 2 });
+  const RoutingPolicy policy;
+  const auto isEjected = [&] { return CountInState(UpstreamState::Ejected) > 0; };
+  const auto fail = [&] {
+    mRouter->OnStart(UpstreamId{ 0 });
+    mRouter->OnFailure(UpstreamId{ 0 });
+  };
+  for (int i = 0; i < 20; ++i) {
+    while (!isEjected()) {
+      fail();
+    }
+    mClock.Advance(policy.mMaxEjectionTime);
+    CHECK_FALSE(isEjected());
+  }
+}
+
 // Guards against ejecting a whole service when the fault is elsewhere.
 TEST(Router, EjectionsStayWithinLimit)
 {
