Report a suspected leaving member as leaving

Cause: a node that learned of a suspected member for the first time, or of a later process of it, reported it as alive even if it was leaving. Change: one function tells the state of a member that is neither suspected nor dead. Result: Membership.SuspectedLeavingNodeIsNeverReportedAsAlive fails on the code before and passes now.

--- a/packages/membership/src/membership.cpp
+++ b/packages/membership/src/membership.cpp
@@ -51,6 +51,12 @@
   return aRecord.mState != MemberState::Dead;
 }
 
+// The state of a member that is neither suspected nor dead.
+MemberState UnsuspectedState(const MemberRecord& aRecord)
+{
+  return aRecord.mLeaving ? MemberState::Leaving : MemberState::Alive;
+}
+
 bool SameExceptRevision(MemberRecord aLeft, const MemberRecord& aRight)
 {
   aLeft.mRevision = aRight.mRevision;
@@ -256,7 +262,7 @@
   if (aSelf.mStartMs == 0) {
     aSelf.mStartMs = Millis(aClock.WallNow());
   }
-  aSelf.mState = aSelf.mLeaving ? MemberState::Leaving : MemberState::Alive;
+  aSelf.mState = UnsuspectedState(aSelf);
   mHighestRevision = aSelf.mRevision;
   // Responses to an earlier process on the same endpoint must not match.
   mSequence = mRandom.Below(UINT32_MAX / 2);
@@ -506,7 +512,7 @@
   QueueGossip(aIdHash, 0, Form::Full);
   const bool suspect = entry.mRecord.mState == MemberState::Suspect;
   if (suspect) {
-    entry.mRecord.mState = MemberState::Alive;
+    entry.mRecord.mState = UnsuspectedState(entry.mRecord);
   }
   EmitEvent(MemberEventKind::Joined, entry);
   if (suspect) {
@@ -531,7 +537,8 @@
     }
     return;
   }
-  SetState(aIdHash, aEntry, state == MemberState::Suspect ? MemberState::Alive : state);
+  SetState(aIdHash, aEntry,
+           state == MemberState::Suspect ? UnsuspectedState(aEntry.mRecord) : state);
   QueueGossip(aIdHash, 0, Form::Full);
   EmitEvent(MemberEventKind::Joined, aEntry);
   if (state == MemberState::Suspect) {
@@ -554,7 +561,7 @@
   const bool claimed = state == MemberState::Dead || state == MemberState::Suspect;
   MemberState next = state;
   if (claimed) {
-    next = aEntry.mRecord.mLeaving ? MemberState::Leaving : MemberState::Alive;
+    next = UnsuspectedState(aEntry.mRecord);
   }
   SetState(aIdHash, aEntry, next);
   if (before.mState == MemberState::Dead) {
--- a/packages/membership/tests/membership_test.cpp
+++ b/packages/membership/tests/membership_test.cpp
@@ -91,6 +91,39 @@
   CHECK_EQUAL(31, mNet.CountEvents(MemberEventKind::Left));
 }
 
+// Guards against a leaving node that appears to be staying, to a node that learns of it while it is
+// suspected.
+TEST(Membership, SuspectedLeavingNodeIsNeverReportedAsAlive)
+{
+  const auto suspected = [](const MemberRecord* aRecord) {
+    return aRecord != nullptr && aRecord->mState == MemberState::Suspect;
+  };
+  StartCluster(16);
+  mNet.Core(5).Leave();
+  mNet.Schedule(5);
+  mNet.Run(3s);
+  mNet.Pause(5);
+  CHECK(mNet.RunUntil(20s, [&] { return mNet.AllKnow(5, suspected); }));
+  mNet.ClearEvents();
+  mNet.Start(16);
+  CHECK(mNet.RunUntil(5s, [&] { return mNet.Core(16).Find(VirtualNetwork::IdOf(5)) != nullptr; }));
+  mNet.Resume(5);
+  mNet.Run(10s);
+  size_t reports = 0;
+  for (size_t node = 0; node <= 16; ++node) {
+    for (const auto& [time, event] : mNet.Node(node).mEvents) {
+      if (event.mRecord.mId == VirtualNetwork::IdOf(5)) {
+        ++reports;
+        CHECK(event.mRecord.mState != MemberState::Alive);
+      }
+    }
+  }
+  CHECK(reports > 0);
+  CHECK(mNet.AllKnow(5, [](const MemberRecord* aRecord) {
+    return aRecord != nullptr && aRecord->mState == MemberState::Leaving;
+  }));
+}
+
 TEST(Membership, NoFalseDeadAtTwentyPercentLoss)
 {
   StartCluster(32);
