Check that every simulated request ends exactly once

Cause: the test allowed requests that the simulation loses, as it checked only an upper bound. Change: requests that still exist at the end of a run are counted, and the counts must add up.

--- a/packages/experiment/include/balsammount/experiment.h
+++ b/packages/experiment/include/balsammount/experiment.h
@@ -58,7 +58,8 @@
   uint64_t mOffered = 0;
   uint64_t mGoodput = 0; // complete response before the caller's deadline
   uint64_t mRefused = 0;
-  uint64_t mLate = 0; // deadline exceeded, connection lost or no response
+  uint64_t mLate = 0;       // deadline exceeded, connection lost or no response
+  uint64_t mUnfinished = 0; // not ended when the run ended
   double mFloor = 0;
   // Goodput / min(offered, floor * capacity), with the minimum taken per second; 1 without a floor.
   double mFloorKept = 1;
--- a/packages/experiment/src/simulation.cpp
+++ b/packages/experiment/src/simulation.cpp
@@ -123,6 +123,7 @@
   uint64_t mHash = 0;
   uint32_t mTriesLeft = 0;
   bool mMeasured = false;
+  bool mEnded = false;
 };
 
 struct Simulation::Source
@@ -279,7 +280,7 @@
     mEntries.back()->mCallers = std::make_unique<CallerBudget>(mClock, CallerBudgetPolicy{});
   }
   for (const RankSettings& rank : mRankSettings) {
-    mResults.push_back({ rank.mName, 0, 0, 0, 0, rank.mFloor, 1 });
+    mResults.push_back({ rank.mName, 0, 0, 0, 0, 0, rank.mFloor, 1 });
   }
 }
 
@@ -462,6 +463,7 @@
   request->mMeasured = mMeasuring;
   if (mMeasuring) {
     ++mResults[aSource.mRank].mOffered;
+    mMeasuredRequests.push_back(request);
   }
   Send(request);
   After(Exponential(1 / aSource.mRate),
@@ -546,6 +548,7 @@
   if (!aRequest.mMeasured) {
     return;
   }
+  aRequest.mEnded = true;
   RankResult& result = mResults[aRequest.mSource->mRank];
   ++(aKind == ReplyKind::Success   ? result.mGoodput
      : aKind == ReplyKind::Refused ? result.mRefused
@@ -1004,6 +1007,12 @@
   const double until = aSettings.mMeasureUntil > 0 ? aSettings.mMeasureUntil : aSettings.mDuration;
   result.mSeconds = until - aSettings.mMeasureFrom;
   result.mCapacity = mMeasuredCapacity / result.mSeconds;
+  // A request that was destroyed before its end is in none of the counts.
+  for (const auto& measured : mMeasuredRequests) {
+    if (const auto request = measured.lock(); request && !request->mEnded) {
+      ++mResults[request->mSource->mRank].mUnfinished;
+    }
+  }
   double offered = 0;
   double goodput = 0;
   for (size_t i = 0; i < mResults.size(); ++i) {
--- a/packages/experiment/src/simulation.h
+++ b/packages/experiment/src/simulation.h
@@ -193,6 +193,7 @@
   double mSecondCapacity = 0;
   std::vector<uint64_t> mOfferedBeforeSecond;
   std::vector<RankResult> mResults;
+  std::vector<std::weak_ptr<CallerRequest>> mMeasuredRequests;
   std::vector<uint32_t> mGoodputBuckets; // successful requests per 100 ms
   double mUsefulWork = 0;
   double mWastedWork = 0;
--- a/packages/experiment/tests/experiment_test.cpp
+++ b/packages/experiment/tests/experiment_test.cpp
@@ -64,7 +64,7 @@
     const auto result = RunScenario(kSmallScenario, "small", { 1, policy, {} });
     for (const RankResult& rank : result->mRanks) {
       CHECK(rank.mOffered > 0);
-      CHECK(rank.mGoodput + rank.mRefused + rank.mLate <= rank.mOffered);
+      CHECK_EQUAL(rank.mOffered, rank.mGoodput + rank.mRefused + rank.mLate + rank.mUnfinished);
     }
   }
 }
