--- a/packages/store/include/balsammount/key_value_model.h
+++ b/packages/store/include/balsammount/key_value_model.h
@@ -53,6 +53,7 @@
   // Revokes the leases whose time to live has passed.
   void ExpireLeases();
   void ExpireAllLeases();
+  bool HasLease(LeaseId aLease) const { return mLeases.contains(aLease); }
   size_t LeaseCount() const { return mLeases.size(); }
 
   // Returns the changes from revision aFrom on, or nullopt if revision aFrom was compacted.
--- a/packages/store/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -104,7 +104,6 @@
     OperationKind mKind = OperationKind::Read;
     steady_clock::time_point mDeadline;
     size_t mAttempts = 0;
-    // Parses the body of a response; throws MalformedMessage.
     std::function<void(const std::string&)> mOnBody;
     std::function<void(StoreFailure)> mOnFailure;
   };
@@ -136,10 +135,8 @@
     operation->mBody = std::move(aBody);
     operation->mKind = aKind;
     operation->mDeadline = steady_clock::now() + mSettings.mTimeout;
-    operation->mOnBody = [aCallback, parse = std::move(aParse)](const std::string& aText) {
-      // Parses completely before calling back, so that only the parser can throw MalformedMessage.
-      const StoreResult<T> result = parse(aText);
-      aCallback(result);
+    operation->mOnBody = [aKind, aCallback, parse = std::move(aParse)](const std::string& aText) {
+      aCallback(Parse<T>(aKind, parse, aText));
     };
     operation->mOnFailure = [aCallback](StoreFailure aFailure) {
       aCallback(StoreResult<T>(std::move(aFailure)));
@@ -147,6 +144,21 @@
     StartAttempt(operation);
   }
 
+  // aParse throws MalformedMessage.
+  template <class T>
+  static StoreResult<T> Parse(OperationKind aKind,
+                              const std::function<StoreResult<T>(const std::string&)>& aParse,
+                              const std::string& aBody)
+  {
+    try {
+      return aParse(aBody);
+    } catch (const etcd::MalformedMessage& error) {
+      // A write whose response cannot be parsed has probably taken effect.
+      return StoreFailure(
+        aKind == OperationKind::Write ? StoreError::Unknown : StoreError::Malformed, error.what());
+    }
+  }
+
   void StartAttempt(const std::shared_ptr<Operation>& aOperation)
   {
     const std::chrono::nanoseconds remaining = aOperation->mDeadline - steady_clock::now();
@@ -172,7 +184,7 @@
                      Attempt aAttempt)
   {
     if (!aAttempt.mFailure) {
-      HandleBody(*aOperation, *aAttempt.mBody);
+      aOperation->mOnBody(*aAttempt.mBody);
       return;
     }
     const StoreFailure& failure = *aAttempt.mFailure;
@@ -191,21 +203,6 @@
     aOperation->mOnFailure(failure);
   }
 
-  static void HandleBody(const Operation& aOperation, const std::string& aBody)
-  {
-    std::string reason;
-    try {
-      aOperation.mOnBody(aBody);
-      return;
-    } catch (const etcd::MalformedMessage& error) {
-      reason = error.what();
-    }
-    // A write whose response cannot be parsed has probably taken effect.
-    aOperation.mOnFailure(StoreFailure(
-      aOperation.mKind == OperationKind::Write ? StoreError::Unknown : StoreError::Malformed,
-      reason));
-  }
-
   void Get(const std::string& aKey, StoreCallback<StoreRead> aCallback)
   {
     Start<StoreRead>(OperationKind::Read, "/v3/kv/range", etcd::RangeRequest(aKey),
