Bound endless messages and end only the request of an exception

Causes: the line before a chunk has no limit in Beast, so a server or client that sends it without end filled the memory until the deadline; interim and unrelated responses were read without end; bodies of up to 8 MB added up over all connections. An exception of a handler was lost in a detached coroutine with its request and connection, or passed through nghttp2. Changes: read buffers are bounded, at most 16 responses are skipped, and a budget limits the bytes of all bodies that a process holds; a request beyond it gets 503 not-run. One place logs and counts exceptions; a handler that throws answers 500 "unknown", a filter or callback fails its own call.

--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -1,6 +1,7 @@
 // HTTP/1.1 client for one endpoint, with a bounded pool of idle keep-alive connections.
 #pragma once
 
+#include "balsammount/byte_budget.h"
 #include "balsammount/exchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -17,7 +18,10 @@
   // Must be below the idle timeout of the servers: a request on a connection that the server closes
   // at the same time fails with ConnectionLost.
   std::chrono::milliseconds mMaxIdleTime{ 30'000 };
+  size_t mMaxHeaderBytes = 64 * 1024;
   size_t mMaxBodyBytes = kMaxBodyBytes;
+  // For the bodies that are being read; null: no common limit.
+  std::shared_ptr<ByteBudget> mBudget;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   // Accepts a response without a length, which ends with an orderly close of the connection. If
   // false, such a response fails with ConnectionLost.
@@ -47,7 +51,8 @@
   HttpClient& operator=(const HttpClient&) = delete;
 
   // Sends the request on an idle connection or on a new one. ConnectFailed proves that nothing was
-  // sent. Cancelling closes the connection.
+  // sent. TooLarge means that the response exceeds a limit or that more bytes precede it than those
+  // of a few other responses; the connection is closed. Cancelling closes the connection.
   std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
                              ResponseCallback aCallback, ResponseFilter aFilter = nullptr);
 
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -2,6 +2,7 @@
 // 400 to a request with several Host headers, or with none in HTTP/1.1.
 #pragma once
 
+#include "balsammount/byte_budget.h"
 #include "balsammount/exchange.h"
 #include "balsammount/kernel.h"
 
@@ -17,6 +18,9 @@
 {
   size_t mMaxHeaderBytes = 16 * 1024;
   size_t mMaxBodyBytes = kMaxBodyBytes;
+  // For the bodies of the requests that are being read or answered. A request that does not fit
+  // gets 503 not-run. Null: no common limit.
+  std::shared_ptr<ByteBudget> mBudget;
   size_t mMaxConnections = 2000;                      // more get 503 not-run and are closed
   std::chrono::milliseconds mIdleTimeout{ 60'000 };   // between two requests on a connection
   std::chrono::milliseconds mHeaderTimeout{ 10'000 }; // from first byte to end of header
--- a/packages/transport/src/h2_connection.cpp
+++ b/packages/transport/src/h2_connection.cpp
@@ -1,5 +1,7 @@
 #include "h2_connection.h"
 
+#include "balsammount/unhandled.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -82,9 +84,16 @@
 {
   static H2Connection& Self(void* aUserData) { return *static_cast<H2Connection*>(aUserData); }
 
+  // No exception may pass through nghttp2, which is C code.
+  template <class Function>
+  static bool Run(Function aFunction)
+  {
+    return RunGuarded("peer-connection", aFunction);
+  }
+
   static int OnFrame(nghttp2_session* /*aSession*/, const nghttp2_frame* aFrame, void* aUserData)
   {
-    Self(aUserData).OnFrame(*aFrame);
+    Run([&] { Self(aUserData).OnFrame(*aFrame); });
     return 0;
   }
 
@@ -92,22 +101,25 @@
                       const uint8_t* aName, size_t aNameLength, const uint8_t* aValue,
                       size_t aValueLength, uint8_t /*aFlags*/, void* aUserData)
   {
-    Self(aUserData).OnHeader(aFrame->hd.stream_id, View(aName, aNameLength),
-                             View(aValue, aValueLength));
-    return 0;
+    const bool done = Run([&] {
+      Self(aUserData).OnHeader(aFrame->hd.stream_id, View(aName, aNameLength),
+                               View(aValue, aValueLength));
+    });
+    // The message would lack a header, so the connection is closed.
+    return done ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
   }
 
   static int OnData(nghttp2_session* /*aSession*/, uint8_t /*aFlags*/, int32_t aStreamId,
                     const uint8_t* aData, size_t aLength, void* aUserData)
   {
-    Self(aUserData).OnData(aStreamId, View(aData, aLength));
-    return 0;
+    const bool done = Run([&] { Self(aUserData).OnData(aStreamId, View(aData, aLength)); });
+    return done ? 0 : NGHTTP2_ERR_CALLBACK_FAILURE;
   }
 
   static int OnStreamClosed(nghttp2_session* /*aSession*/, int32_t aStreamId, uint32_t aError,
                             void* aUserData)
   {
-    Self(aUserData).OnStreamClosed(aStreamId, aError);
+    Run([&] { Self(aUserData).OnStreamClosed(aStreamId, aError); });
     return 0;
   }
 };
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,11 +1,11 @@
 #include "balsammount/http_client.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/unhandled.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -30,10 +30,22 @@
 // into a buffer without capacity, so a response of 5 KB would need ten reads.
 constexpr size_t kReadBufferBytes = 4096;
 
+// Interim responses, and responses to other requests, that are skipped before the one that belongs
+// to the request. A server that sends more is faulty, and may go on forever.
+constexpr int kMaxSkippedResponses = 16;
+
+// A body with a stated length up to this size is read in one operation.
+constexpr uint64_t kSmallBodyBytes = 64 * 1024;
+
+// Bytes that are read ahead of the parser, in addition to a head of the longest size. Without a
+// bound the line before a chunk, which has no limit in Beast, would be held whatever its length.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+
 struct Connection
 {
-  explicit Connection(const asio::any_io_executor& aExecutor)
+  Connection(const asio::any_io_executor& aExecutor, size_t aMaxHeaderBytes)
     : mStream(aExecutor)
+    , mBuffer(aMaxHeaderBytes + kMaxReadAheadBytes)
   {
     mBuffer.reserve(kReadBufferBytes);
   }
@@ -140,7 +152,7 @@
     mConnection.reset();
     mFilter = nullptr;
     if (auto callback = std::exchange(mCallback, nullptr)) {
-      callback(std::move(aResult));
+      RunGuarded("http-client", callback, std::move(aResult));
     }
   }
 
@@ -200,8 +212,31 @@
   if (aError == beast::error::timeout) {
     return TransportError::TimedOut;
   }
-  return aError == http::error::body_limit ? TransportError::TooLarge
-                                           : TransportError::ConnectionLost;
+  const bool isTooLarge = aError == http::error::body_limit ||
+                          aError == http::error::header_limit ||
+                          aError == http::error::buffer_overflow;
+  return isTooLarge ? TransportError::TooLarge : TransportError::ConnectionLost;
+}
+
+// Completion handler of a coroutine that runs on its own.
+void ReportEnd(const std::exception_ptr& aException)
+{
+  if (aException) {
+    ReportUnhandled("http-client", aException);
+  }
+}
+
+// Completion handler of a coroutine that performs a call, whose callback must be called in any
+// case.
+template <class CallType>
+auto FinishOnException(std::shared_ptr<CallType> aCall)
+{
+  return [call = std::move(aCall)](const std::exception_ptr& aException) {
+    if (aException) {
+      ReportUnhandled("http-client", aException);
+      call->Finish(Failure{ TransportError::ConnectionLost, "internal error" });
+    }
+  };
 }
 
 } // namespace
@@ -282,7 +317,7 @@
     }
     auto connection = self.TakeIdle();
     if (!connection) {
-      connection = std::make_shared<Connection>(self.mExecutor);
+      connection = std::make_shared<Connection>(self.mExecutor, self.mLimits.mMaxHeaderBytes);
       aCall->SetConnection(connection);
       if (auto error = co_await self.Connect(*connection, aTimeout)) {
         aCall->Finish(self.MakeFailure(TransportError::ConnectFailed, error));
@@ -295,19 +330,26 @@
     }
     auto outgoing = std::make_shared<OutgoingRequest>(ToBeast(std::move(aRequest), self.mHost));
     connection->mStream.expires_at(deadline);
-    asio::co_spawn(self.mExecutor, Write(connection, outgoing), asio::detached);
+    asio::co_spawn(self.mExecutor, Write(connection, outgoing), ReportEnd);
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponse response;
     bool mustClose = false;
     bool isMatch = false;
     bool isSelfDelimited = true;
-    while (!isMatch && isSelfDelimited) {
+    for (int skipped = 0; !isMatch && isSelfDelimited; ++skipped) {
+      if (skipped > kMaxSkippedResponses) {
+        connection->mStream.close();
+        aCall->Finish(
+          Failure{ TransportError::TooLarge, self.mHost + ": too many unrelated responses" });
+        co_return;
+      }
       parser.emplace();
+      parser->header_limit(static_cast<uint32_t>(self.mLimits.mMaxHeaderBytes));
       parser->body_limit(self.mLimits.mMaxBodyBytes);
       parser->skip(outgoing->mMessage.method() == http::verb::head);
-      auto [error, size] =
-        co_await http::async_read(connection->mStream, connection->mBuffer, *parser, kAwait);
+      const auto error = co_await ReadResponse(*connection, *parser, self.mLimits.mBudget);
       if (error) {
+        connection->mStream.close();
         aCall->Finish(self.MakeFailure(ToTransportError(error), error));
         co_return;
       }
@@ -340,6 +382,42 @@
     aCall->Finish(std::move(response));
   }
 
+  using ResponseParser = http::response_parser<http::string_body>;
+
+  // Reads a response whose bytes count against the budget while they arrive. Fails with body_limit
+  // if the budget is used up.
+  static asio::awaitable<beast::error_code> ReadResponse(Connection& aConnection,
+                                                         ResponseParser& aParser,
+                                                         std::shared_ptr<ByteBudget> aBudget)
+  {
+    beast::tcp_stream& stream = aConnection.mStream;
+    auto [headError, headSize] =
+      co_await http::async_read_header(stream, aConnection.mBuffer, aParser, kAwait);
+    if (headError || aParser.is_done()) {
+      co_return headError;
+    }
+    HeldBytes held(std::move(aBudget));
+    const auto length = aParser.content_length();
+    if (length && *length <= kSmallBodyBytes) {
+      if (!held.GrowTo(*length)) {
+        co_return http::error::body_limit;
+      }
+      auto [error, size] = co_await http::async_read(stream, aConnection.mBuffer, aParser, kAwait);
+      co_return error;
+    }
+    while (!aParser.is_done()) {
+      auto [error, size] =
+        co_await http::async_read_some(stream, aConnection.mBuffer, aParser, kAwait);
+      if (error) {
+        co_return error;
+      }
+      if (!held.GrowTo(aParser.get().body().size())) {
+        co_return http::error::body_limit;
+      }
+    }
+    co_return beast::error_code{};
+  }
+
   // A request that is being written. Its response may arrive before the write is complete.
   struct OutgoingRequest
   {
@@ -380,7 +458,7 @@
     if (aCall->IsDone()) {
       co_return;
     }
-    auto connection = std::make_shared<Connection>(self.mExecutor);
+    auto connection = std::make_shared<Connection>(self.mExecutor, self.mLimits.mMaxHeaderBytes);
     aCall->SetConnection(connection);
     if (auto error = co_await self.Connect(*connection, aIdleTimeout)) {
       aCall->Finish(self.MakeFailure(TransportError::ConnectFailed, error));
@@ -442,7 +520,7 @@
 {
   auto call = std::make_shared<HttpCall>(std::move(aCallback), std::move(aFilter));
   asio::co_spawn(mState->mExecutor, State::Run(mState, std::move(aRequest), aTimeout, call),
-                 asio::detached);
+                 FinishOnException(call));
   return call;
 }
 
@@ -452,7 +530,8 @@
 {
   auto call = std::make_shared<StreamCall>(std::move(aCallbacks));
   asio::co_spawn(mState->mExecutor,
-                 State::RunStream(mState, std::move(aRequest), aIdleTimeout, call), asio::detached);
+                 State::RunStream(mState, std::move(aRequest), aIdleTimeout, call),
+                 FinishOnException(call));
   return call;
 }
 
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,11 +1,11 @@
 #include "balsammount/http_server.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/unhandled.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -35,6 +35,10 @@
 // occupy. Further requests stay in the socket buffer.
 constexpr size_t kMaxPipelinedRequests = 16;
 
+// Bytes that are read ahead of the parser, in addition to a head of the longest size. Bounds the
+// line before a chunk, which has no limit in Beast.
+constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+
 // How long a connection is read after its last response, so that a reset does not discard that
 // response.
 constexpr std::chrono::milliseconds kLingerTimeout{ 1000 };
@@ -43,8 +47,9 @@
 {
 public:
   ServerExchange(const asio::any_io_executor& aExecutor, HttpRequest aRequest, std::string aAddress,
-                 size_t aMaxBacklog)
+                 size_t aMaxBacklog, HeldBytes aHeldBytes = HeldBytes(nullptr))
     : mRequest(std::move(aRequest))
+    , mHeldBytes(std::move(aHeldBytes))
     , mAddress(std::move(aAddress))
     , mMaxBacklog(aMaxBacklog)
     , mWake(aExecutor, asio::steady_timer::time_point::max())
@@ -113,7 +118,7 @@
     mClosed = true;
     mWake.cancel();
     if (auto callback = std::exchange(mOnCancel, nullptr)) {
-      callback();
+      RunGuarded("http-server", callback);
     }
   }
 
@@ -141,6 +146,7 @@
 
 private:
   HttpRequest mRequest;
+  HeldBytes mHeldBytes; // of the request
   std::string mAddress;
   size_t mMaxBacklog;
   asio::steady_timer mWake;
@@ -190,12 +196,13 @@
   return message;
 }
 
-HttpResponse MakeErrorResponse(unsigned aStatus, std::string_view aText)
+HttpResponse MakeErrorResponse(unsigned aStatus, std::string_view aText,
+                               std::string_view aOutcome = "not-run")
 {
   HttpResponse response;
   response.mStatus = aStatus;
   response.mHeaders.Set("Content-Type", "text/plain");
-  response.mHeaders.Set("Balsam-Outcome", "not-run");
+  response.mHeaders.Set("Balsam-Outcome", aOutcome);
   response.mBody = std::string(aText) + "\n";
   return response;
 }
@@ -206,12 +213,17 @@
   if (aError == http::error::body_limit) {
     return MakeErrorResponse(413, "request body too large");
   }
-  if (aError == http::error::header_limit) {
+  if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     return MakeErrorResponse(431, "request headers too large");
   }
   if (aError == beast::error::timeout) {
     return MakeErrorResponse(408, "request not received in time");
   }
+  if (aError == asio::error::no_memory) {
+    auto response = MakeErrorResponse(503, "too many bytes of requests are held");
+    response.mHeaders.Set("Retry-After", "1");
+    return response;
+  }
   if (aError.category() == make_error_code(http::error::bad_method).category() &&
       aError != http::error::end_of_stream && aError != http::error::partial_message) {
     return MakeErrorResponse(400, "malformed request: " + aError.message());
@@ -224,7 +236,7 @@
 {
   return aError == http::error::partial_message || aError == http::error::end_of_stream ||
          (aError.category() == asio::error::get_system_category() &&
-          aError != asio::error::operation_aborted);
+          aError != asio::error::operation_aborted && aError != asio::error::no_memory);
 }
 
 } // namespace
@@ -244,9 +256,10 @@
   // responses are written in the order of the requests.
   struct Session
   {
-    Session(tcp::socket aSocket, std::string aAddress)
+    Session(tcp::socket aSocket, std::string aAddress, size_t aMaxHeaderBytes)
       : mStream(std::move(aSocket))
       , mAddress(std::move(aAddress))
+      , mBuffer(aMaxHeaderBytes + kMaxReadAheadBytes)
       , mChanged(mStream.get_executor(), asio::steady_timer::time_point::max())
       , mTimer(mStream.get_executor())
     {
@@ -307,7 +320,7 @@
         co_await retryTimer.async_wait(kAwait);
         continue;
       }
-      StartSession(std::move(socket));
+      RunGuarded("http-server", [&] { StartSession(std::move(socket)); });
     }
   }
 
@@ -317,12 +330,18 @@
     aSocket.set_option(tcp::no_delay(true), ignored);
     EnableTcpKeepAlive(aSocket);
     const auto remote = aSocket.remote_endpoint(ignored);
-    auto session = std::make_shared<Session>(std::move(aSocket), remote.address().to_string());
+    auto session = std::make_shared<Session>(std::move(aSocket), remote.address().to_string(),
+                                             mLimits.mMaxHeaderBytes);
     session->mOverLimit = mSessions.size() >= mLimits.mMaxConnections;
     mSessions.insert(session);
-    asio::co_spawn(mAcceptor.get_executor(), ReadLoop(shared_from_this(), session), asio::detached);
-    asio::co_spawn(mAcceptor.get_executor(), WriteLoop(shared_from_this(), session),
-                   asio::detached);
+    const auto onEnd = [self = shared_from_this(), session](const std::exception_ptr& aException) {
+      if (aException) {
+        ReportUnhandled("http-server", aException);
+        self->AbortSession(session);
+      }
+    };
+    asio::co_spawn(mAcceptor.get_executor(), ReadLoop(shared_from_this(), session), onEnd);
+    asio::co_spawn(mAcceptor.get_executor(), WriteLoop(shared_from_this(), session), onEnd);
   }
 
   static asio::awaitable<void> ReadLoop(std::shared_ptr<State> aState,
@@ -410,7 +429,8 @@
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(mLimits.mMaxHeaderBytes));
     parser.body_limit(mLimits.mMaxBodyBytes);
-    const auto error = co_await ReadRequest(aSession, parser);
+    HeldBytes held(mLimits.mBudget);
+    const auto error = co_await ReadRequest(aSession, parser, held);
     session.mTimer.cancel();
     if (error) {
       session.mDisconnected = IsDisconnect(error);
@@ -430,7 +450,7 @@
       RespondAndClose(aSession, MakeErrorResponse(400, "exactly one Host header is expected"));
       co_return false;
     }
-    const bool more = co_await Dispatch(aSession, parser.release());
+    const bool more = co_await Dispatch(aSession, parser.release(), std::move(held));
     co_return more;
   }
 
@@ -438,7 +458,7 @@
   // connection are unanswered, because a client resends the requests that follow a response that
   // closes the connection.
   asio::awaitable<bool> Dispatch(std::shared_ptr<Session> aSession,
-                                 http::request<http::string_body> aMessage)
+                                 http::request<http::string_body> aMessage, HeldBytes aHeldBytes)
   {
     const bool isHead = aMessage.method() == http::verb::head;
     const bool isSafe = isHead || aMessage.method() == http::verb::get;
@@ -454,12 +474,15 @@
     const unsigned version = aMessage.version();
     auto exchange = std::make_shared<ServerExchange>(
       aSession->mStream.get_executor(), FromBeast(std::move(aMessage)), aSession->mAddress,
-      mLimits.mMaxStreamBacklogBytes);
+      mLimits.mMaxStreamBacklogBytes, std::move(aHeldBytes));
     aSession->mPending.push_back({ exchange, version, keepAlive, isHead });
     aSession->mNoMoreRequests = !keepAlive;
     aSession->mReadingRequest = false;
     aSession->mChanged.cancel();
-    mHandler(exchange);
+    if (!RunGuarded("http-server", mHandler, exchange)) {
+      // The handler may have dispatched the request before it failed.
+      exchange->Respond(MakeErrorResponse(500, "internal error", "unknown"));
+    }
     co_return keepAlive;
   }
 
@@ -473,8 +496,10 @@
     aSession->mPending.push_back({ std::move(exchange), 11, false, false });
   }
 
+  // Fails with no_memory if the body does not fit into the budget.
   asio::awaitable<beast::error_code> ReadRequest(std::shared_ptr<Session> aSession,
-                                                 http::request_parser<http::string_body>& aParser)
+                                                 http::request_parser<http::string_body>& aParser,
+                                                 HeldBytes& aHeldBytes)
   {
     beast::tcp_stream& stream = aSession->mStream;
     StartTimer(aSession, mLimits.mHeaderTimeout);
@@ -484,6 +509,9 @@
     if (error || aParser.is_done()) {
       co_return error;
     }
+    if (!aHeldBytes.GrowTo(aParser.content_length().value_or(0))) {
+      co_return asio::error::no_memory;
+    }
     StartTimer(aSession, mLimits.mReadTimeout);
     if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
       // The client sends the body only after this response.
@@ -494,9 +522,17 @@
         co_return writeError;
       }
     }
-    auto [bodyError, bodySize] =
-      co_await http::async_read(stream, aSession->mBuffer, aParser, kAwait);
-    co_return bodyError;
+    while (!aParser.is_done()) {
+      auto [bodyError, bodySize] =
+        co_await http::async_read_some(stream, aSession->mBuffer, aParser, kAwait);
+      if (bodyError) {
+        co_return bodyError;
+      }
+      if (!aHeldBytes.GrowTo(aParser.get().body().size())) {
+        co_return asio::error::no_memory;
+      }
+    }
+    co_return beast::error_code{};
   }
 
   static asio::awaitable<void> WriteLoop(std::shared_ptr<State> aState,
@@ -525,6 +561,15 @@
     }
   }
 
+  void AbortSession(const std::shared_ptr<Session>& aSession)
+  {
+    aSession->mNoMoreRequests = true;
+    aSession->mReaderDone = true;
+    aSession->mWriterDone = true;
+    aSession->NotifyClosed();
+    EndSession(aSession);
+  }
+
   // Writes the next response. Returns false if the connection has to be closed.
   asio::awaitable<bool> WriteNextResponse(std::shared_ptr<Session> aSession)
   {
@@ -544,8 +589,7 @@
     if (pending.mExchange->IsStreaming()) {
       if (pending.mVersion < 11) {
         pending.mExchange->NotifyClosed();
-        response = MakeErrorResponse(505, "a streamed answer needs HTTP/1.1");
-        response->mHeaders.Set("Balsam-Outcome", "unknown");
+        response = MakeErrorResponse(505, "a streamed answer needs HTTP/1.1", "unknown");
         co_await Write(stream, std::move(*response), pending.mVersion, false, false);
         co_return false;
       }
@@ -650,7 +694,12 @@
   if (auto result = Listen(mState->mAcceptor, mState->mEndpoint); !result) {
     return result;
   }
-  asio::co_spawn(mState->mAcceptor.get_executor(), State::Accept(mState), asio::detached);
+  asio::co_spawn(mState->mAcceptor.get_executor(), State::Accept(mState),
+                 [](const std::exception_ptr& aException) {
+                   if (aException) {
+                     ReportUnhandled("http-server", aException);
+                   }
+                 });
   return {};
 }
 
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -3,6 +3,7 @@
 #include "h2_connection.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/unhandled.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -57,7 +58,7 @@
     mTimer.cancel();
     mConnection.reset();
     if (auto callback = std::exchange(mCallback, nullptr)) {
-      callback(std::move(aResult));
+      RunGuarded("peer-client", callback, std::move(aResult));
     }
   }
 
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -3,6 +3,7 @@
 #include "h2_connection.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/unhandled.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -43,7 +44,7 @@
   {
     mConnection.reset();
     if (auto callback = std::exchange(mOnCancel, nullptr)) {
-      callback();
+      RunGuarded("peer-server", callback);
     }
   }
 
@@ -141,7 +142,12 @@
       exchange->Respond(std::move(response));
       return;
     }
-    mHandler(exchange);
+    if (!RunGuarded("peer-server", mHandler, exchange)) {
+      HttpResponse response;
+      response.mStatus = 500;
+      response.mHeaders.Set("bm-outcome", "unknown");
+      exchange->Respond(std::move(response));
+    }
   }
 
   void OnHeader(int32_t aStreamId, std::string_view aName, std::string_view aValue) override
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -1,6 +1,8 @@
 #include "balsammount/http_client.h"
 #include "balsammount/http_server.h"
 
+#include "balsammount/unhandled.h"
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
@@ -494,3 +496,219 @@
   response.resize(boost::asio::read(socket, boost::asio::buffer(response), error));
   CHECK(response.starts_with("HTTP/1.0 505"));
 }
+
+// Guards against an exception of a handler that stops the process, or that leaves its request and
+// all others on the connection without a response.
+TEST(Http, HandlerExceptionEndsOnlyItsRequest)
+{
+  const uint64_t before = UnhandledExceptions();
+  bool fails = true;
+  HttpServer server(mContext, kAnyHttpPort, {}, [&](const std::shared_ptr<Exchange>& aExchange) {
+    if (std::exchange(fails, false)) {
+      throw std::runtime_error("no such field");
+    }
+    HttpResponse response;
+    response.mBody = "served";
+    aExchange->Respond(std::move(response));
+  });
+  CHECK(server.Start().has_value());
+  const auto client = MakeClient(server.Port());
+  std::vector<unsigned> statuses;
+  const auto send = [&] {
+    return client->Send(Post("a"), 5s, [&](const Result<HttpResponse>& aResult) {
+      statuses.push_back(aResult ? aResult->mStatus : 0);
+      if (aResult && aResult->mStatus == 500) {
+        STRCMP_EQUAL("unknown", std::string(aResult->mHeaders.Find("Balsam-Outcome")).c_str());
+      }
+    });
+  };
+  auto first = send();
+  RunUntil([&] { return statuses.size() == 1; });
+  auto second = send();
+  RunUntil([&] { return statuses.size() == 2; });
+  CHECK_EQUAL(500, statuses[0]);
+  CHECK_EQUAL(200, statuses[1]);
+  CHECK_EQUAL(before + 1, UnhandledExceptions());
+  server.Stop();
+}
+
+// Guards against a call that never ends, or a process that does, because of an exception in the
+// code of the caller.
+TEST(Http, ExceptionOfFilterOrCallbackEndsOnlyItsCall)
+{
+  const uint64_t before = UnhandledExceptions();
+  auto call = mClient->Send(
+    Post("a"), 5s,
+    [this](const Result<HttpResponse>& aResult) {
+      mResponses.push_back(aResult ? "served" : aResult.error().mCode.message());
+      throw std::runtime_error("callback");
+    },
+    [](const HttpResponse&) -> bool { throw std::runtime_error("filter"); });
+  RunUntil([&] { return mExchanges.size() == 1; });
+  mExchanges[0]->Respond({});
+  RunUntil([&] { return mResponses.size() == 1; });
+  CHECK(mResponses[0] != "served");
+  CHECK_EQUAL(before + 2, UnhandledExceptions());
+  Echo("next");
+}
+
+// Guards against memory and processor time that a faulty server takes with bytes that never become
+// a response.
+TEST(Http, EndlessBytesEndTheConnection)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\n";
+  const struct
+  {
+    std::string mStart;
+    std::string mRepeated;
+  } kCases[] = {
+    { "", std::string(1000, 'x') },
+    { head, "X-Filler: " + std::string(1000, 'x') + "\r\n" },
+    { head + "X-Filler: ", std::string(1000, 'x') },
+    { head + "Transfer-Encoding: chunked\r\n\r\n", "400\r\n" + std::string(1024, 'x') + "\r\n" },
+    { head + "Transfer-Encoding: chunked\r\n\r\n1;", std::string(1000, 'x') },
+    { head + "\r\n", std::string(1000, 'x') },
+    { head + "Content-Length: 99999999999999\r\n\r\n", std::string(1000, 'x') },
+    { "", "HTTP/1.1 100 Continue\r\n\r\n" },
+  };
+  for (const auto& one : kCases) {
+    tcp::acceptor acceptor(mContext, kAnyHttpPort);
+    tcp::socket socket(mContext);
+    size_t sent = 0;
+    bool closed = false;
+    const std::string repeated = one.mRepeated;
+    std::function<void()> sendMore = [&] {
+      boost::asio::async_write(socket, boost::asio::buffer(repeated),
+                               [&](const auto& aError, size_t aCount) {
+                                 sent += aCount;
+                                 closed = closed || aError;
+                                 if (!closed) {
+                                   sendMore();
+                                 }
+                               });
+    };
+    acceptor.async_accept(socket, [&](const auto&) {
+      boost::asio::async_write(socket, boost::asio::buffer(one.mStart),
+                               [&](const auto&, size_t) { sendMore(); });
+    });
+    HttpClientLimits limits;
+    limits.mMaxBodyBytes = 1024 * 1024;
+    limits.mAcceptCloseDelimited = true;
+    HttpClient client(mContext, { kAnyHttpPort.address(), acceptor.local_endpoint().port() },
+                      limits);
+    std::error_code error;
+    auto call = client.Send(Post("a"), 30s, [&](const Result<HttpResponse>& aResult) {
+      error = aResult ? std::error_code() : aResult.error().mCode;
+    });
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!(error && closed) && std::chrono::steady_clock::now() < end) {
+      mContext.run_one_for(10ms);
+    }
+    CHECK_TEXT(error && closed, (one.mStart + one.mRepeated.substr(0, 20)).c_str());
+    // The socket buffers of both sides hold some megabytes.
+    CHECK(sent < 64 * 1024 * 1024);
+    CHECK(error == TransportError::TooLarge || error == TransportError::ConnectionLost);
+  }
+}
+
+// Guards against memory that a client takes with bytes that never become a request.
+TEST(Http, EndlessRequestEndsTheConnection)
+{
+  const std::string head = "POST / HTTP/1.1\r\nHost: x\r\n";
+  for (const std::string& start :
+       { head + "X-Filler: ", head + "Transfer-Encoding: chunked\r\n\r\n1;" }) {
+    tcp::socket socket(mContext);
+    socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+    const std::string repeated(1000, 'x');
+    size_t sent = 0;
+    bool closed = false;
+    std::function<void()> sendMore = [&] {
+      boost::asio::async_write(socket, boost::asio::buffer(repeated),
+                               [&](const auto& aError, size_t aCount) {
+                                 sent += aCount;
+                                 closed = closed || aError;
+                                 if (!closed) {
+                                   sendMore();
+                                 }
+                               });
+    };
+    boost::asio::write(socket, boost::asio::buffer(start));
+    std::string status(12, '\0');
+    bool responded = false;
+    boost::asio::async_read(socket, boost::asio::buffer(status),
+                            [&](const auto&, size_t) { responded = true; });
+    sendMore();
+    RunUntil([&] { return responded; });
+    STRCMP_EQUAL("HTTP/1.1 431", status.c_str());
+    CHECK(sent < 64 * 1024 * 1024);
+    socket.close();
+    RunUntil([&] { return closed; });
+  }
+}
+
+// Guards against many large responses that together exceed the memory of the process.
+TEST(Http, ResponsesShareABudget)
+{
+  HttpClientLimits limits;
+  limits.mBudget = std::make_shared<ByteBudget>(3 * 1024 * 1024);
+  HttpClient client(mContext, { kAnyHttpPort.address(), mServer->Port() }, limits);
+  std::vector<std::error_code> errors;
+  std::vector<std::shared_ptr<Call>> calls;
+  const auto send = [&] {
+    calls.push_back(client.Send(Post("a"), 5s, [&](const Result<HttpResponse>& aResult) {
+      errors.push_back(aResult ? std::error_code() : aResult.error().mCode);
+    }));
+  };
+  send();
+  send();
+  RunUntil([&] { return mExchanges.size() == 2; });
+  for (const auto& exchange : mExchanges) {
+    // Streams without an end hold what has arrived.
+    exchange->StartStream({});
+    exchange->WriteData(std::string(1000 * 1024, 'x'));
+  }
+  RunUntil([&] { return limits.mBudget->Used() == 2 * 1000 * 1024; });
+  send();
+  RunUntil([&] { return mExchanges.size() == 3; });
+  HttpResponse large;
+  large.mBody = std::string(2 * 1024 * 1024, 'x');
+  mExchanges[2]->Respond(std::move(large));
+  RunUntil([&] { return errors.size() == 1; });
+  CHECK(errors[0] == TransportError::TooLarge);
+  for (size_t i = 0; i < 2; ++i) {
+    mExchanges[i]->EndStream();
+  }
+  RunUntil([&] { return errors.size() == 3; });
+  CHECK_FALSE(errors[1] || errors[2]);
+  CHECK_EQUAL(0, limits.mBudget->Used());
+}
+
+// Guards against many large requests that together exceed the memory of the process. Those beyond
+// the budget have not run.
+TEST(Http, RequestsShareABudget)
+{
+  HttpServerLimits limits;
+  limits.mBudget = std::make_shared<ByteBudget>(3 * 1024 * 1024);
+  mServer->SetLimits(limits);
+  std::vector<unsigned> statuses;
+  std::vector<std::shared_ptr<Call>> calls;
+  const auto send = [&] {
+    calls.push_back(mClient->Send(Post(std::string(2 * 1024 * 1024, 'x')), 5s,
+                                  [&](const Result<HttpResponse>& aResult) {
+                                    statuses.push_back(aResult ? aResult->mStatus : 0);
+                                  }));
+  };
+  send();
+  RunUntil([&] { return mExchanges.size() == 1; });
+  send();
+  RunUntil([&] { return statuses.size() == 1; });
+  CHECK_EQUAL(503, statuses[0]);
+  mExchanges[0]->Respond({});
+  mExchanges.clear();
+  RunUntil([&] { return statuses.size() == 2 && limits.mBudget->Used() == 0; });
+  send();
+  RunUntil([&] { return mExchanges.size() == 1; });
+  mExchanges[0]->Respond({});
+  RunUntil([&] { return statuses.size() == 3; });
+  CHECK_EQUAL(200, statuses[2]);
+}
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -1,11 +1,13 @@
 #include "balsammount/peer_client.h"
 #include "balsammount/peer_server.h"
+#include "balsammount/unhandled.h"
 
 #include <CppUTest/TestHarness.h>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <optional>
 #include <vector>
 
@@ -182,3 +184,33 @@
   STRCMP_EQUAL("not-run", std::string(result->value().mHeaders.Find("bm-outcome")).c_str());
   CHECK_FALSE(handled);
 }
+
+// Guards against an exception that passes through nghttp2 and ends the process, or that takes the
+// other requests of the connection with it.
+TEST(Peer, ExceptionsEndOnlyTheirRequest)
+{
+  const uint64_t before = UnhandledExceptions();
+  const auto server = MakeServer([](const std::shared_ptr<Exchange>& aExchange) {
+    if (aExchange->Request().mBody == "bad") {
+      throw std::runtime_error("no such field");
+    }
+    Echo(aExchange);
+  });
+  PeerClient client(mContext, EndpointOf(*server));
+  std::vector<std::string> results;
+  const auto send = [&](const std::string& aBody, bool aThrows) {
+    return client.Send(Post(aBody), 20s, [&results, aThrows](const Result<HttpResponse>& aResult) {
+      results.push_back(aResult ? std::to_string(aResult->mStatus) + aResult->mBody : "failed");
+      if (aThrows) {
+        throw std::runtime_error("callback");
+      }
+    });
+  };
+  const auto calls = { send("bad", false), send("a", true), send("b", false) };
+  RunUntil([&] { return results.size() == 3; });
+  std::sort(results.begin(), results.end());
+  STRCMP_EQUAL("200a", results[0].c_str());
+  STRCMP_EQUAL("200b", results[1].c_str());
+  STRCMP_EQUAL("500", results[2].c_str());
+  CHECK_EQUAL(before + 2, UnhandledExceptions());
+}
