Keep odd entries and announcements from stopping a node

Causes: the id of a server is sent on as it stands, and text that is not UTF-8 made the encoder of records throw, after which the record was never written again. Numbers up to 2^64 were taken for times, so one entry or announcement could make all later ones look old; port 0 was taken; one item that cannot be read failed its whole page, so the list was not followed any more.

--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -22,6 +22,7 @@
   Malformed = 1,
   MissingField,
   WrongType,
+  BadValue,
 };
 
 std::error_code make_error_code(DirectoryError aError);
--- a/packages/directory/src/node_record.cpp
+++ b/packages/directory/src/node_record.cpp
@@ -2,7 +2,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
+#include <limits>
 #include <variant>
 
 namespace balsammount {
@@ -53,10 +55,14 @@
   return true;
 }
 
+// Numbers are times and counters. A larger one would make a record newer than all that follow.
+constexpr uint64_t kMaxNumber = 9'000'000'000'000; // in ms, the year 2255
+
 template <class T>
 bool Read(const Json& aValue, T& aTarget)
 {
-  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() > std::numeric_limits<T>::max()) {
+  constexpr uint64_t kMax = std::min<uint64_t>(std::numeric_limits<T>::max(), kMaxNumber);
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() > kMax) {
     return false;
   }
   aTarget = aValue.get<T>();
@@ -72,6 +78,12 @@
   return json;
 }
 
+// Replaces bytes that are not valid UTF-8.
+std::string ToText(const Json& aJson)
+{
+  return aJson.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
 Result<NodeRecord> FromJson(const Json& aJson)
 {
   if (!aJson.is_object()) {
@@ -90,6 +102,9 @@
   if (record.mNodeId.empty() || record.mAddress.empty()) {
     return Failure{ DirectoryError::MissingField, "node and address must not be empty" };
   }
+  if (record.mPort == 0) {
+    return Failure{ DirectoryError::BadValue, "port must not be 0" };
+  }
   return record;
 }
 
@@ -97,15 +112,16 @@
 
 std::error_code make_error_code(DirectoryError aError)
 {
-  static constexpr std::array<const char*, 4> kMessages = { "success", "malformed record",
-                                                            "missing field", "wrong type" };
+  static constexpr std::array<const char*, 5> kMessages = { "success", "malformed record",
+                                                            "missing field", "wrong type",
+                                                            "invalid value" };
   static const EnumCategory sCategory("balsammount.directory", kMessages);
   return { static_cast<int>(aError), sCategory };
 }
 
 std::string EncodeNodeRecord(const NodeRecord& aRecord)
 {
-  return ToJson(aRecord).dump();
+  return ToText(ToJson(aRecord));
 }
 
 Result<NodeRecord> DecodeNodeRecord(std::string_view aText)
@@ -119,7 +135,7 @@
   for (const NodeRecord& record : aRecords) {
     list.push_back(ToJson(record));
   }
-  return list.dump();
+  return ToText(list);
 }
 
 Result<std::vector<NodeRecord>> DecodeNodeRecords(std::string_view aText, size_t& aSkipped)
