Renew the lease after a failed publication, and check foreign entries

Causes: the retry of a failed publication and the renewal of the lease shared one timer, and a renewal that ended during a publication was not followed by another, so that the entry of a live node lapsed. Entries were not compared with their key, and a foreign entry under the node's own key with a later start hid all further records of the node.

--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -38,7 +38,7 @@
 // Maximum number of nodes to which a change is pushed directly while the store is unreachable.
 constexpr size_t kMaxPushTargets = 64;
 // Limits the effect of a wrong wall clock on the end of a warm-up.
-constexpr Duration kMaxWarmUp = 30s;
+constexpr std::chrono::milliseconds kMaxWarmUp = 30s;
 
 } // namespace
 
@@ -53,7 +53,8 @@
   , mDependencies(std::move(aDependencies))
   , mDirectory(aClock, aSettings.mNodeId)
   , mListTimer(aContext)
-  , mLeaseTimer(aContext)
+  , mPublishTimer(aContext)
+  , mRenewTimer(aContext)
   , mTickTimer(aContext)
   , mPublishWaiterTimer(aContext)
   , mBackoff(kMinBackoff, kMaxBackoff)
@@ -78,7 +79,8 @@
   mStopped = true;
   mWatch.reset();
   mListTimer.cancel();
-  mLeaseTimer.cancel();
+  mPublishTimer.cancel();
+  mRenewTimer.cancel();
   mTickTimer.cancel();
   RunWaiters();
 }
@@ -116,15 +118,13 @@
   std::vector<NodeRecord> records;
   mOwnRevision = kAbsent;
   for (const StoreItem& item : aResult->mItems) {
-    auto record = DecodeNodeRecord(item.mEntry.mValue);
-    if (!record) {
-      Event("directory", "bad-entry").Add("key", item.mKey).Add("error", Describe(record.error()));
-      continue;
-    }
-    if (record->mNodeId == mOwnRecord.mNodeId) {
+    // A write depends on the revision of this node's key, whatever its value is.
+    if (item.mKey == OwnKey()) {
       mOwnRevision = item.mEntry.mModRevision;
     }
-    records.push_back(std::move(*record));
+    if (auto record = DecodeEntry(item.mKey, item.mEntry.mValue)) {
+      records.push_back(std::move(*record));
+    }
   }
   mDirectory.OnList(records);
   const bool isFirst = !std::exchange(mHasNodeList, true);
@@ -146,36 +146,57 @@
     Publish();
     return;
   }
-  mLeaseTimer.expires_after(kFirstAnnouncementWait);
-  mLeaseTimer.async_wait([this](const auto& aError) {
-    if (!aError) {
-      Publish();
-    }
-  });
+  PublishLater(kFirstAnnouncementWait);
 }
 
 void DirectoryService::OnEvent(const WatchEvent& aEvent)
 {
-  const std::string id = aEvent.mKey.substr(std::min(mPrefix.size(), aEvent.mKey.size()));
-  if (id == mOwnRecord.mNodeId) {
+  if (aEvent.mKey == OwnKey()) {
     mOwnRevision = aEvent.mValue ? aEvent.mModRevision : kAbsent;
     const bool isCurrent = aEvent.mValue && *aEvent.mValue == EncodeNodeRecord(mOwnRecord);
     if (!isCurrent && !mPublishing && !mLeaving) {
       Event("directory", "own-entry-lost").Add("deleted", !aEvent.mValue.has_value());
+      if (aEvent.mValue) {
+        Supersede(*aEvent.mValue);
+      }
       Publish();
     }
     return;
   }
   if (!aEvent.mValue) {
-    mDirectory.OnUnlisted(id);
-  } else if (auto record = DecodeNodeRecord(*aEvent.mValue); record && record->mNodeId == id) {
+    mDirectory.OnUnlisted(aEvent.mKey.substr(std::min(mPrefix.size(), aEvent.mKey.size())));
+  } else if (const auto record = DecodeEntry(aEvent.mKey, *aEvent.mValue)) {
     mDirectory.OnListed(*record);
-  } else {
-    Event("directory", "bad-entry").Add("key", aEvent.mKey);
   }
   ApplyChanges();
 }
 
+// Another writer may leave anything under the prefix. Only a valid record under the key of its node
+// names a node.
+std::optional<NodeRecord> DirectoryService::DecodeEntry(const std::string& aKey,
+                                                        std::string_view aValue)
+{
+  auto record = DecodeNodeRecord(aValue);
+  if (record && aKey == mPrefix + record->mNodeId) {
+    return std::move(*record);
+  }
+  Event("directory", "bad-entry")
+    .Add("key", aKey)
+    .Add("error", record ? "record of another node" : Describe(record.error()));
+  return std::nullopt;
+}
+
+// Another writer has replaced the entry of this node. Other nodes ignore the next record of this
+// node unless it is newer than the foreign one.
+void DirectoryService::Supersede(std::string_view aForeignEntry)
+{
+  const auto record = DecodeNodeRecord(aForeignEntry);
+  if (record && record->mStarted > mOwnRecord.mStarted) {
+    mOwnRecord.mStarted = record->mStarted + 1;
+    ++mOwnRecord.mSequence;
+  }
+}
+
 void DirectoryService::ApplyChanges()
 {
   for (const DirectoryChange& change : mDirectory.TakeChanges()) {
@@ -218,8 +239,7 @@
   }
   const auto warmUpMs =
     static_cast<int64_t>(record.mServerWarmUntil - MillisecondsSinceEpoch(mClock.WallNow()));
-  const Duration warmUp =
-    std::clamp<Duration>(std::chrono::milliseconds(warmUpMs), 0ms, kMaxWarmUp);
+  const Duration warmUp = std::clamp(std::chrono::milliseconds(warmUpMs), 0ms, kMaxWarmUp);
   mDependencies.mUpstreams.Upsert(
     { record.mNodeId, record.mService, record.mDataCentre, incarnation.mNumber, false, warmUp });
 }
@@ -265,7 +285,8 @@
 void DirectoryService::Withdraw()
 {
   mLeaving = true;
-  mLeaseTimer.cancel();
+  mPublishTimer.cancel();
+  mRenewTimer.cancel();
   // If the server has departed, the record must stay for the next process of this node; it expires
   // with its lease.
   if (mLease != kNoLease && !mOwnRecord.mServerLeft) {
@@ -332,8 +353,13 @@
     return;
   }
   SetStoreReachable(false, "publish", Describe(failure));
-  mLeaseTimer.expires_after(Jittered(kMaxBackoff, mRandom));
-  mLeaseTimer.async_wait([this](const auto& aError) {
+  PublishLater(Jittered(kMaxBackoff, mRandom));
+}
+
+void DirectoryService::PublishLater(Duration aDelay)
+{
+  mPublishTimer.expires_after(aDelay);
+  mPublishTimer.async_wait([this](const auto& aError) {
     if (!aError) {
       Publish();
     }
@@ -378,41 +404,50 @@
     }
     mLease = aResult->mId;
     Publish();
-    RenewLease();
+    RenewLeaseLater();
   });
 }
 
-void DirectoryService::RenewLease()
+void DirectoryService::RenewLeaseLater()
 {
-  mLeaseTimer.expires_after(
+  mRenewTimer.expires_after(
     std::chrono::duration_cast<Duration>(kRenewInterval * (0.9 + 0.2 * mRandom.Uniform())));
-  mLeaseTimer.async_wait([this](const auto& aTimerError) {
-    if (aTimerError || mLease == kNoLease) {
-      return;
-    }
-    mStore.KeepAlive(mLease, [this](const StoreResult<std::chrono::seconds>& aResult) {
-      if (mStopped || mPublishing) {
-        return;
-      }
-      if (aResult) {
-        SetStoreReachable(true, "renew", {});
-        RenewLease();
-        return;
-      }
-      if (aResult.error().mCode == StoreError::LeaseNotFound) {
-        Event("directory", "lease-lost").Add("lease", mLease);
-        mLease = kNoLease;
-        if (!mLeaving) {
-          Publish();
-        }
-        return;
-      }
-      SetStoreReachable(false, "renew", Describe(aResult.error()));
+  mRenewTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
       RenewLease();
-    });
+    }
   });
 }
 
+void DirectoryService::RenewLease()
+{
+  if (mLease == kNoLease) {
+    return;
+  }
+  mStore.KeepAlive(mLease,
+                   [this, lease = mLease](const StoreResult<std::chrono::seconds>& aResult) {
+                     // The lease may have been replaced or given up in the meantime.
+                     if (!mStopped && lease == mLease) {
+                       OnLeaseRenewed(lease, aResult);
+                     }
+                   });
+}
+
+void DirectoryService::OnLeaseRenewed(LeaseId aLease,
+                                      const StoreResult<std::chrono::seconds>& aResult)
+{
+  if (!aResult && aResult.error().mCode == StoreError::LeaseNotFound) {
+    Event("directory", "lease-lost").Add("lease", aLease);
+    mLease = kNoLease;
+    if (!mLeaving) {
+      Publish();
+    }
+    return;
+  }
+  SetStoreReachable(aResult.has_value(), "renew", aResult ? "" : Describe(aResult.error()));
+  RenewLeaseLater();
+}
+
 void DirectoryService::SetStoreReachable(bool aReachable, const char* aCall,
                                          const std::string& aDetail)
 {
@@ -534,7 +569,14 @@
     }
     mDirectory.OnConfirmed(pushed->front());
     if (const NodeRecord& last = pushed->back(); last.mNodeId == mOwnRecord.mNodeId) {
+      if (last.mStarted > mOwnRecord.mStarted) {
+        // The sender ignores records that are older than the one of an earlier process of this
+        // node, which had a clock that was ahead.
+        mOwnRecord.mStarted = last.mStarted + 1;
+        OnOwnRecordChanged();
+      }
       mOnPreviousRecord(last);
+      records.front() = mOwnRecord;
     }
     ApplyChanges();
   } else {
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -68,6 +68,8 @@
   void ReadList(Freshness aFreshness);
   void OnList(const StoreResult<StoreRange>& aResult);
   void OnEvent(const WatchEvent& aEvent);
+  std::optional<NodeRecord> DecodeEntry(const std::string& aKey, std::string_view aValue);
+  void Supersede(std::string_view aForeignEntry);
   void ApplyChanges();
   void ApplyChange(const DirectoryChange& aChange);
   void OnOwnRecordChanged();
@@ -77,7 +79,10 @@
   bool IsPublished() const { return mHasNodeList && mPublishedSequence == mOwnRecord.mSequence; }
   void RunWaiters();
   void GrantLease();
+  void RenewLeaseLater();
   void RenewLease();
+  void OnLeaseRenewed(LeaseId aLease, const StoreResult<std::chrono::seconds>& aResult);
+  void PublishLater(Duration aDelay);
   void SetStoreReachable(bool aReachable, const char* aCall, const std::string& aDetail);
 
   void ScheduleTick();
@@ -100,7 +105,8 @@
   std::function<void(const NodeRecord&)> mOnPreviousRecord = [](const NodeRecord&) {};
 
   boost::asio::steady_timer mListTimer;
-  boost::asio::steady_timer mLeaseTimer;
+  boost::asio::steady_timer mPublishTimer; // the first publication, and retries of a failed one
+  boost::asio::steady_timer mRenewTimer;
   boost::asio::steady_timer mTickTimer;
   boost::asio::steady_timer mPublishWaiterTimer;
   std::vector<std::function<void()>> mPublishWaiters;
--- a/packages/node/src/membership_service.cpp
+++ b/packages/node/src/membership_service.cpp
@@ -1,7 +1,5 @@
 #include "membership_service.h"
 
-#include "store_keys.h"
-
 #include "balsammount/endpoint.h"
 #include "balsammount/log.h"
 
@@ -15,26 +13,17 @@
 
 namespace {
 
-// Contact entries in the store, which starting nodes use to join. Their number does not grow with
-// the fleet.
-constexpr size_t kContactSlots = 8;
 // Nodes per data centre that hold contact entries, and that watch the store for configuration.
 constexpr size_t kContactsPerDataCentre = 2;
 constexpr size_t kWatchersPerDataCentre = 3;
 // Nodes that read the ownership table from the store.
 constexpr size_t kTableReadersPerService = 2;
 
-constexpr std::chrono::seconds kContactLeaseDuration{ 30 };
 constexpr auto kContactRenewalInterval = 10s;
 constexpr auto kContactRetryInterval = 1s;
 constexpr auto kConfigCheckInterval = 250ms;
 constexpr auto kConfigFetchTimeout = 2s;
 
-std::string ContactKey(size_t aSlot)
-{
-  return kContactsPrefix + std::to_string(aSlot);
-}
-
 Endpoint ToCore(const asio::ip::tcp::endpoint& aEndpoint)
 {
   return { aEndpoint.address().to_string(), aEndpoint.port() };
@@ -57,7 +46,6 @@
                                      Random& aRandom, Store& aStore, const NodeSettings& aSettings,
                                      uint64_t aStarted, MembershipDependencies aDependencies)
   : mClock(aClock)
-  , mStore(aStore)
   , mSettings(aSettings)
   , mDependencies(aDependencies)
   , mCore(aClock, aRandom, {}, SelfRecord(aSettings, aStarted))
@@ -65,6 +53,8 @@
   , mTimer(aContext)
   , mConfigTimer(aContext)
   , mContactTimer(aContext)
+  , mContactSlot(aStore, ToText(aSettings.AdvertisedPeer()),
+                 [this](const std::string& aValue) { OnContact(aValue); })
 {
   for (const auto& contact : aSettings.mContacts) {
     if (contact != aSettings.AdvertisedPeer()) {
@@ -89,7 +79,7 @@
   mCore.Join(mContacts);
   Receive();
   SendAndApply(mCore.Tick());
-  ReadContacts();
+  mContactSlot.ReadContacts();
   MaintainContact();
   FollowConfig();
   ApplyOwnershipMembers();
@@ -312,18 +302,6 @@
   }
 }
 
-// Reads the contact entries at the start, and again while no other member is known.
-void MembershipService::ReadContacts()
-{
-  for (size_t slot = 0; slot < kContactSlots; ++slot) {
-    mStore.Get(ContactKey(slot), [this](const StoreResult<StoreRead>& aResult) {
-      if (aResult && aResult->mEntry) {
-        OnContact(aResult->mEntry->mValue);
-      }
-    });
-  }
-}
-
 void MembershipService::OnContact(const std::string& aValue)
 {
   const auto endpoint = ParseEndpoint(aValue);
@@ -338,22 +316,13 @@
   }
 }
 
-// Acquires a contact entry if this node should hold one, and renews the one that it holds.
+// The contacts are read again while no other member is known.
 void MembershipService::MaintainContact()
 {
-  const bool wanted = mCore.IsContactCandidate(kContactsPerDataCentre);
   if (mCore.Count() == 1) {
-    ReadContacts();
-  }
-  if (mContactLease != kNoLease) {
-    RenewContact();
-  } else if (wanted) {
-    mStore.GrantLease(kContactLeaseDuration, [this](const StoreResult<StoreLease>& aLease) {
-      if (aLease) {
-        TakeContactSlot(0, aLease->mId);
-      }
-    });
+    mContactSlot.ReadContacts();
   }
+  mContactSlot.Maintain(mCore.IsContactCandidate(kContactsPerDataCentre));
   mContactTimer.expires_after(mCore.Count() == 1
                                 ? std::chrono::milliseconds(kContactRetryInterval)
                                 : std::chrono::milliseconds(kContactRenewalInterval));
@@ -364,32 +333,4 @@
   });
 }
 
-// Tries the slots in order and acquires the first free one with the lease.
-void MembershipService::TakeContactSlot(size_t aSlot, LeaseId aLease)
-{
-  if (aSlot == kContactSlots || mContactLease != kNoLease) {
-    return;
-  }
-  mStore.CompareAndSwap(ContactKey(aSlot), kAbsent, ToText(mSettings.AdvertisedPeer()), aLease,
-                        [this, aSlot, aLease](const StoreResult<Revision>& aResult) {
-                          if (aResult) {
-                            mContactLease = aLease;
-                          } else if (aResult.error().mCode == StoreError::Conflict) {
-                            if (aResult.error().mCurrent) {
-                              OnContact(aResult.error().mCurrent->mValue);
-                            }
-                            TakeContactSlot(aSlot + 1, aLease);
-                          }
-                        });
-}
-
-void MembershipService::RenewContact()
-{
-  mStore.KeepAlive(mContactLease, [this](const StoreResult<std::chrono::seconds>& aResult) {
-    if (!aResult && aResult.error().mCode == StoreError::LeaseNotFound) {
-      mContactLease = kNoLease;
-    }
-  });
-}
-
 } // namespace balsammount
--- a/packages/node/src/membership_service.h
+++ b/packages/node/src/membership_service.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "config_service.h"
+#include "contact_slot.h"
 #include "ownership_service.h"
 #include "peers.h"
 #include "upstreams.h"
@@ -57,14 +58,10 @@
   void ArmTimer();
   void FollowConfig();
   void FetchConfig(const std::string& aNodeId);
-  void ReadContacts();
   void OnContact(const std::string& aValue);
   void MaintainContact();
-  void TakeContactSlot(size_t aSlot, LeaseId aLease);
-  void RenewContact();
 
   const Clock& mClock;
-  Store& mStore;
   NodeSettings mSettings;
   MembershipDependencies mDependencies;
   Membership mCore;
@@ -75,8 +72,8 @@
   boost::asio::ip::udp::endpoint mSender;
   std::array<uint8_t, 2048> mBuffer{};
   std::vector<Endpoint> mContacts;
-  LeaseId mContactLease = kNoLease; // of the contact entry that this node holds
-  std::shared_ptr<Call> mFetch;     // fetch of the configuration from a peer
+  ContactSlot mContactSlot;
+  std::shared_ptr<Call> mFetch; // fetch of the configuration from a peer
   bool mReportedSuperseded = false;
   bool mStopped = false;
 };
--- /dev/null
+++ b/packages/node/tests/directory_service_test.cpp
@@ -0,0 +1,259 @@
+#include "directory_service.h"
+
+#include "balsammount/fake_store.h"
+#include "balsammount/log.h"
+
+#include <CppUTest/TestHarness.h>
+// Must follow TestHarness.h.
+#include <CppUTest/MemoryLeakWarningPlugin.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Created before the tests, which would report its shared state as a leak.
+const std::shared_ptr<Call> kFinished = FinishedCall();
+const bool kLoggersExist = (Log("config"), true);
+
+const std::string kPrefix = "nodes/";
+
+NodeSettings Settings()
+{
+  NodeSettings settings;
+  settings.mNodeId = "self";
+  settings.mService = "orders";
+  settings.mDataCentre = "dc1";
+  settings.mPeerListen = { boost::asio::ip::address_v4::loopback(), 7620 };
+  return settings;
+}
+
+NodeRecord Record(const std::string& aId, uint64_t aStarted, uint64_t aSequence = 1)
+{
+  NodeRecord record;
+  record.mNodeId = aId;
+  record.mStarted = aStarted;
+  record.mSequence = aSequence;
+  record.mAddress = "127.0.0.1";
+  record.mPort = 7621;
+  record.mService = "orders";
+  record.mDataCentre = "dc1";
+  record.mServing = true;
+  return record;
+}
+
+// A directory service with its dependencies.
+struct Fixture
+{
+  ManualClock mClock;
+  Random mRandom{ 1 };
+  boost::asio::io_context mContext{ 1 };
+  FakeStore mStore{ mClock };
+  NodeSettings mSettings = Settings();
+  DeploymentOptions mDeployment;
+  Upstreams mUpstreams{ mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre };
+  Peers mPeers{ mContext };
+  ConfigService mConfig{ mContext, mClock, mStore, mDeployment };
+  std::unique_ptr<DirectoryService> mService;
+
+  static constexpr uint64_t kStarted = 1000; // of this process, in ms
+
+  void Start()
+  {
+    mService = std::make_unique<DirectoryService>(
+      mContext, mClock, mRandom, mStore, mSettings, kPrefix, kStarted,
+      DirectoryDependencies{ mUpstreams, mPeers, mConfig, [](size_t) {} });
+    CHECK(mService->Start().has_value());
+    AnnounceServer("server-1");
+    Run(10ms);
+  }
+
+  ~Fixture() { mService->Stop(); }
+
+  void AnnounceServer(const std::string& aId)
+  {
+    ServerLifecycle lifecycle(mSettings.mService, "127.0.0.1:80");
+    ServerAnnouncement announcement;
+    announcement.mServerId = aId;
+    announcement.mStarted = 1;
+    announcement.mService = mSettings.mService;
+    announcement.mAddress = "127.0.0.1:80";
+    lifecycle.OnAnnouncement(announcement);
+    mService->SetServer(lifecycle, true);
+  }
+
+  // The timers of the service run in real time. The clock of the store and of the records does not
+  // advance, so that no lease expires by itself.
+  template <class Condition>
+  bool RunUntil(Duration aLimit, Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + aLimit;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      mStore.Poll();
+      mContext.restart();
+      mContext.run_for(5ms);
+    }
+    return aCondition();
+  }
+
+  void Run(Duration aTime)
+  {
+    RunUntil(aTime, [] { return false; });
+  }
+
+  NodeRecord StoredRecord()
+  {
+    const ModelEntry* entry = mStore.Model().Find(kPrefix + "self");
+    CHECK(entry != nullptr);
+    return DecodeNodeRecord(entry->mValue).value();
+  }
+
+  void Put(const std::string& aKey, const std::string& aValue)
+  {
+    CHECK(mStore.Model().Put(kPrefix + aKey, aValue, kNoLease));
+    Run(20ms);
+  }
+
+  std::string KnownNodes()
+  {
+    std::string text;
+    for (const NodeRecord& record : mService->Nodes()) {
+      text += record.mNodeId + " ";
+    }
+    return text;
+  }
+};
+
+} // namespace
+
+// CppUTest's leak detector is off: it searches a list on every deletion, which takes minutes with
+// deeply nested JSON. The sanitizers detect leaks instead.
+TEST_GROUP(DirectoryService)
+{
+  std::unique_ptr<Fixture> mFixture;
+
+  void setup() override
+  {
+    MemoryLeakWarningPlugin::turnOffNewDeleteOverloads();
+    mFixture = std::make_unique<Fixture>();
+  }
+  void teardown() override
+  {
+    mFixture.reset();
+    MemoryLeakWarningPlugin::turnOnDefaultNotThreadSafeNewDeleteOverloads();
+  }
+};
+
+// Guards against a lease that is no longer renewed after a failed publication, so that the entry of
+// a live node lapses.
+TEST(DirectoryService, RenewsLeaseAfterAFailedPublication)
+{
+  mFixture->Start();
+  STRCMP_EQUAL("server-1", mFixture->StoredRecord().mServerId.c_str());
+  mFixture->mStore.mFaults.mDown = true;
+  mFixture->AnnounceServer("server-2");
+  mFixture->Run(50ms);
+  mFixture->mStore.mFaults.mDown = false;
+  CHECK(mFixture->RunUntil(10s, [&] { return mFixture->StoredRecord().mServerId == "server-2"; }));
+  const size_t calls = mFixture->mStore.mCalls;
+  CHECK(mFixture->RunUntil(10s, [&] { return mFixture->mStore.mCalls > calls; }));
+}
+
+// Guards against a lease that is no longer renewed because a record was being written when the last
+// renewal ended.
+TEST(DirectoryService, RenewsLeaseAfterARenewalDuringAPublication)
+{
+  mFixture->Start();
+  mFixture->mStore.mFaults.mDelay = 100ms; // on the clock that does not advance: calls stay open
+  const size_t calls = mFixture->mStore.mCalls;
+  CHECK(mFixture->RunUntil(
+    10s, [&] { return mFixture->mStore.mCalls > calls; })); // the renewal is under way
+  mFixture->AnnounceServer("server-2");
+  mFixture->mStore.mFaults.mDelay = 0ms;
+  mFixture->mClock.Advance(200ms);
+  mFixture->Run(50ms);
+  const size_t after = mFixture->mStore.mCalls;
+  CHECK(mFixture->RunUntil(10s, [&] { return mFixture->mStore.mCalls > after; }));
+}
+
+// Guards against odd entries of another writer, which must neither stop the node nor hide or
+// replace the entries of nodes.
+TEST(DirectoryService, OddEntriesLeaveTheOthersInUse)
+{
+  mFixture->Start();
+  const std::string valid = EncodeNodeRecord(Record("a", 1));
+  const auto with = [&](const std::string& aFrom, const std::string& aTo) {
+    std::string text = valid;
+    const size_t at = text.find(aFrom);
+    CHECK(at != std::string::npos);
+    return text.replace(at, aFrom.size(), aTo);
+  };
+  mFixture->Put("a", valid);
+  STRCMP_EQUAL("a ", mFixture->KnownNodes().c_str());
+  size_t number = 0;
+  for (const std::string& odd :
+       { std::string(100'000, '['), std::string(100'000, '[') + std::string(100'000, ']'),
+         with("\"address\"",
+              "\"x\":" + std::string(100'000, '[') + std::string(100'000, ']') + ",\"address\""),
+         with("7621", "0"), with("7621", "65536"), with("7621", "-1"), with("7621", "1e999"),
+         with("7621", "-0.0"), with("\"started\":1", "\"started\":18446744073709551615"),
+         with("\"started\":1", "\"started\":99999999999999999999999"),
+         with("\"server_warm_until\":0", "\"server_warm_until\":9223372036854775807"),
+         with("127.0.0.1", "nowhere"), with("127.0.0.1", "\xff\xfe"), std::string("\xff\x00", 2),
+         std::string(1024 * 1024, 'x'), std::string(), std::string("null"), valid }) {
+    mFixture->Put("odd-" + std::to_string(number++), odd);
+    STRCMP_EQUAL("a ", mFixture->KnownNodes().c_str());
+  }
+  mFixture->Put("", valid);
+  mFixture->Put("b", EncodeNodeRecord(Record("b", 1)));
+  STRCMP_EQUAL("a b ", mFixture->KnownNodes().c_str());
+  // A node that starts reads all of them at once.
+  mFixture->mService->Stop();
+  mFixture->mService.reset();
+  mFixture->Start();
+  STRCMP_EQUAL("a b ", mFixture->KnownNodes().c_str());
+  STRCMP_EQUAL("server-1", mFixture->StoredRecord().mServerId.c_str());
+}
+
+// Guards against a node that cannot be told from its replaced entry: other nodes ignore records
+// that are older than a foreign one under its key.
+TEST(DirectoryService, ReplacesAForeignEntryUnderItsKey)
+{
+  mFixture->Start();
+  NodeRecord foreign = Record("self", 5000, 9);
+  foreign.mLeaving = true;
+  mFixture->Put("self", EncodeNodeRecord(foreign));
+  CHECK(mFixture->RunUntil(10s, [&] { return !mFixture->StoredRecord().mLeaving; }));
+  CHECK(mFixture->StoredRecord().IsNewerThan(foreign));
+  mFixture->Put("self", std::string(100'000, '['));
+  CHECK(mFixture->RunUntil(10s, [&] {
+    return DecodeNodeRecord(mFixture->mStore.Model().Find(kPrefix + "self")->mValue).has_value();
+  }));
+}
+
+// Guards against a record that is never written again: text from outside that is not UTF-8 must not
+// end a publication with an exception.
+TEST(DirectoryService, PublishesAServerIdThatIsNotUtf8)
+{
+  mFixture->Start();
+  mFixture->AnnounceServer("server-\xff\xfe");
+  mFixture->Run(50ms);
+  mFixture->AnnounceServer("server-3");
+  CHECK(mFixture->RunUntil(10s, [&] { return mFixture->StoredRecord().mServerId == "server-3"; }));
+}
+
+// Guards against a node whose clock has been set back over a restart: other nodes ignore its
+// records until they are newer than those of the process before.
+TEST(DirectoryService, RecordIsNewerThanThatOfAnEarlierProcess)
+{
+  mFixture->Start();
+  HttpRequest push;
+  push.mMethod = "POST";
+  push.mBody = EncodeNodeRecords({ Record("a", 1), Record("self", Fixture::kStarted + 500, 7) });
+  const HttpResponse response = mFixture->mService->HandlePeer(push);
+  size_t skipped = 0;
+  const auto records = DecodeNodeRecords(response.mBody, skipped);
+  CHECK(records->front().IsNewerThan(Record("self", Fixture::kStarted + 500, 7)));
+  mFixture->Run(50ms);
+  CHECK(mFixture->StoredRecord() == records->front());
+}
