--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -53,6 +53,9 @@
   // ten seconds. Ratio 0: the limits in the configuration of the services apply instead.
   double mFleetRetryRatio = 0;
   uint32_t mFleetRetrySlack = 0;
+  // Limit on the bytes of request and response bodies that are held at a time. The process copies a
+  // body up to three times on its way.
+  uint64_t mMaxHeldBytes = 64 * 1024 * 1024;
 
   bool operator==(const NodeSettings&) const = default;
   // Address that this node publishes to other nodes.
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -33,9 +33,10 @@
   }
 }
 
-HttpClientLimits BackendLimits()
+HttpClientLimits BackendLimits(std::shared_ptr<ByteBudget> aHeldBytes)
 {
   HttpClientLimits limits;
+  limits.mBudget = std::move(aHeldBytes);
   // A backend server may end a response by closing the connection.
   limits.mAcceptCloseDelimited = true;
   return limits;
@@ -87,14 +88,14 @@
 
 Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
                    RecentOverload& aOverload, const HeaderNames& aNames,
-                   ServerPresence aServerPresence)
+                   ServerPresence aServerPresence, std::shared_ptr<ByteBudget> aHeldBytes)
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(aSettings)
   , mOverload(aOverload)
   , mNames(aNames)
   , mServerPresence(aServerPresence)
-  , mBackend(aContext, aSettings.mBackend, BackendLimits())
+  , mBackend(aContext, aSettings.mBackend, BackendLimits(std::move(aHeldBytes)))
   , mAdmission(aClock, {})
   , mAdmissionTimer(aContext)
   , mProbeTimer(aContext)
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -44,7 +44,8 @@
 {
 public:
   Executor(boost::asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
-           RecentOverload& aOverload, const HeaderNames& aNames, ServerPresence aServerPresence);
+           RecentOverload& aOverload, const HeaderNames& aNames, ServerPresence aServerPresence,
+           std::shared_ptr<ByteBudget> aHeldBytes);
   ~Executor() override;
 
   Result<void> Start() override;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -22,6 +22,7 @@
 #include "balsammount/http_server.h"
 #include "balsammount/log.h"
 #include "balsammount/peer_server.h"
+#include "balsammount/unhandled.h"
 
 #include <optional>
 #include <random>
@@ -41,9 +42,10 @@
 // that requests already on their way are served and the last responses are written.
 constexpr auto kQuietPeriod = 100ms;
 
-HttpServerLimits ListenerLimits(const CallerLimits& aLimits)
+HttpServerLimits ListenerLimits(const CallerLimits& aLimits, std::shared_ptr<ByteBudget> aBudget)
 {
   HttpServerLimits limits;
+  limits.mBudget = std::move(aBudget);
   limits.mMaxHeaderBytes = aLimits.mMaxHeaderBytes;
   limits.mMaxBodyBytes = std::min<uint64_t>(aLimits.mMaxBodyBytes, kMaxBodyBytes);
   limits.mHeaderTimeout = aLimits.mHeaderTimeout;
@@ -81,7 +83,8 @@
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mDeployment))
     , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mOverload,
-                                           mDeployment.mHeaderNames, mDeployment.mServerPresence))
+                                           mDeployment.mHeaderNames, mDeployment.mServerPresence,
+                                           mHeldBytes))
     , mOwnership(MakeOwnership())
     , mQuarantine(std::make_shared<QuarantineService>(aContext, mClock, mRandom, mPeers, mSettings))
     , mLocal(mSettings, *mExecutor, mOwnership.get(), *mQuarantine)
@@ -122,6 +125,7 @@
   uint64_t mStarted = MillisecondsSinceEpoch(mClock.WallNow());
   Random mRandom;
   Metrics mMetrics;
+  std::shared_ptr<ByteBudget> mHeldBytes = std::make_shared<ByteBudget>(mSettings.mMaxHeldBytes);
   RecentOverload mOverload{ mClock };
   std::unique_ptr<Store> mStore;
   Peers mPeers;
@@ -189,8 +193,9 @@
                        [this] { mOnDrainRequest(); }, [this] { return IsReady(); } });
   const auto listener = [this](const boost::asio::ip::tcp::endpoint& aEndpoint,
                                ExchangeHandler aHandler) {
-    return std::make_shared<HttpServer>(mContext, aEndpoint, HttpServerLimits{},
-                                        std::move(aHandler));
+    HttpServerLimits limits;
+    limits.mBudget = mHeldBytes;
+    return std::make_shared<HttpServer>(mContext, aEndpoint, limits, std::move(aHandler));
   };
   mCallerListener =
     listener(mSettings.mCallerListen, [gateway](const std::shared_ptr<Exchange>& aExchange) {
@@ -243,7 +248,7 @@
     mExecutor->ApplyConfig(aConfig);
     mGateway->ApplyConfig(aConfig, mConfig->Holder().Revision());
     if (!aConfig->Routes().empty()) {
-      mCallerListener->SetLimits(ListenerLimits(aConfig->Limits()));
+      mCallerListener->SetLimits(ListenerLimits(aConfig->Limits(), mHeldBytes));
     }
     if (mMembership) {
       mMembership->SetRevision(mConfig->Holder().Revision());
@@ -319,6 +324,10 @@
       [this] { return mExecutor->Admission().QueueLength(); });
   add("shed_level", "Position on the scale of ranks and cohorts below which entries refuse.",
       [this] { return mExecutor->Admission().ShedLevel(); });
+  add("held_bytes", "Bytes of request and response bodies that are held.",
+      [this] { return static_cast<double>(mHeldBytes->Used()); });
+  add("unhandled_exceptions", "Exceptions that ended the work of a handler since the start.",
+      [] { return static_cast<double>(UnhandledExceptions()); });
   add("members", "Nodes that are not dead, this one included.", [this] {
     return static_cast<double>(mMembership ? mMembership->Core().Count()
                                            : mDirectory->Nodes().size() + 1);
--- a/packages/node/src/node_program.cpp
+++ b/packages/node/src/node_program.cpp
@@ -2,6 +2,7 @@
 
 #include "balsammount/event.h"
 #include "balsammount/log.h"
+#include "balsammount/unhandled.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -45,6 +46,25 @@
   });
 }
 
+// An exception ends the handler that threw it, not the event loop.
+void RunEventLoop(asio::io_context& aContext)
+{
+  while (!RunGuarded("node", [&] { aContext.run(); })) {
+  }
+}
+
+// Leaves further stop signals pending until the process has ended. Without handlers they would end
+// it with their default action instead, which looks like a crash.
+void BlockStopSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  for (const int signal : { SIGTERM, SIGINT, SIGHUP }) {
+    sigaddset(&signals, signal);
+  }
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
 int Run(const NodeProgram& aProgram, const std::string& aPath, const NodeSettings& aSettings)
 {
   SetLogFormat(aSettings.mLogFormat);
@@ -93,7 +113,8 @@
       }
     });
   });
-  context.run();
+  RunEventLoop(context);
+  BlockStopSignals();
   return kExitSuccess;
 }
 
@@ -121,7 +142,7 @@
     return kExitSuccess;
   }
   if (!values.contains("settings")) {
-    std::cerr << "balsammountd: --settings FILE is required; see --help\n";
+    std::cerr << aProgram.mName << ": --settings FILE is required; see --help\n";
     return kExitUsage;
   }
   const std::string path = values["settings"].as<std::string>();
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -23,7 +23,7 @@
   const char* mName;
   std::variant<std::string NodeSettings::*, Endpoint NodeSettings::*,
                std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*,
-               double NodeSettings::*>
+               uint64_t NodeSettings::*, double NodeSettings::*>
     mMember;
   bool mRequired;
 };
@@ -47,6 +47,7 @@
   Setting{ "ready_listen", &NodeSettings::mReadyListen, false },
   Setting{ "fleet_retry_ratio", &NodeSettings::mFleetRetryRatio, false },
   Setting{ "fleet_retry_slack", &NodeSettings::mFleetRetrySlack, false },
+  Setting{ "max_held_bytes", &NodeSettings::mMaxHeldBytes, false },
 };
 
 Failure Fail(SettingsError aError, const std::string& aName, const std::string& aDetail)
@@ -73,6 +74,18 @@
   return {};
 }
 
+Result<void> Assign(uint64_t& aTarget, const std::string& aName, const Json& aValue)
+{
+  constexpr uint64_t kMin = 1024 * 1024;
+  constexpr uint64_t kMax = uint64_t{ 1 } << 40;
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() < kMin ||
+      aValue.get<uint64_t>() > kMax) {
+    return Fail(SettingsError::WrongType, aName, "expected a number of bytes from 2^20 to 2^40");
+  }
+  aTarget = aValue.get<uint64_t>();
+  return {};
+}
+
 Result<void> Assign(double& aTarget, const std::string& aName, const Json& aValue)
 {
   if (!aValue.is_number() || aValue.get<double>() < 0 || aValue.get<double>() > 1) {
--- a/packages/node/tests/node_settings_test.cpp
+++ b/packages/node/tests/node_settings_test.cpp
@@ -62,4 +62,6 @@
   CheckFails(Replace(kValid, "127.0.0.1:6", "127.0.0.1:99999"), SettingsError::BadAddress,
              "store[0]");
   CheckFails(Replace(kValid, "\"n1\"", "7"), SettingsError::WrongType, "node_id");
+  CheckFails(Replace(kValid, "\"node_id\"", "\"max_held_bytes\": 1000, \"node_id\""),
+             SettingsError::WrongType, "max_held_bytes");
 }
