Leave slots free that slow a backend server down

Change: SlotLimit tries shares of the slots while the limit is reached and keeps the one with the highest throughput. Result: SlotLimit tests, throughput at three times the capacity at least 1.12 times that with all slots if the server slows down, at least 0.96 times if it does not.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -10,6 +10,7 @@
 #include "balsammount/clock.h"
 #include "balsammount/concurrency_limit.h"
 #include "balsammount/shed_level.h"
+#include "balsammount/slot_limit.h"
 
 #include <array>
 #include <cstdint>
@@ -32,6 +33,8 @@
   std::array<AdmissionRank, kMaxRanks> mRanks{};
   size_t mRankCount = 1;
   uint32_t mSlots = 50; // upper bound of the concurrency limit
+  // Without the adaptive limit: leaves some slots free if that raises the throughput.
+  bool mSearchSlots = false;
   uint32_t mMinConcurrency = 2;
   uint32_t mMaxQueue = 100;
   // Standing queue delay above which the shed level rises.
@@ -285,6 +288,7 @@
   std::array<Rank, kMaxRanks> mRanks{};
   std::array<uint8_t, kMaxRanks> mByWorth{}; // rank indices in descending order of worth
   ConcurrencyLimit mLimit;
+  SlotLimit mSlotLimit;
   uint32_t mInFlight = 0;
   uint32_t mQueued = 0;
   double mMeanServiceTime = 0; // seconds, moving average over all ranks
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -75,6 +75,7 @@
   : mClock(aClock)
   , mPolicy(aPolicy)
   , mLimit(aPolicy.mMinConcurrency, aPolicy.mSlots, aClock.Now())
+  , mSlotLimit(aPolicy.mSlots)
   , mIntervalStart(aClock.Now())
 {
   ApplyPolicy(aClock.Now());
@@ -84,6 +85,7 @@
 {
   mPolicy = aPolicy;
   mLimit.SetBounds(aPolicy.mMinConcurrency, aPolicy.mSlots);
+  mSlotLimit.SetSlots(aPolicy.mSlots);
   ApplyPolicy(mClock.Now());
 }
 
@@ -166,7 +168,10 @@
 
 uint32_t AdmissionController::Limit() const
 {
-  return mPolicy.mAdaptiveLimit ? mLimit.Limit() : std::max(1U, mPolicy.mSlots);
+  if (mPolicy.mAdaptiveLimit) {
+    return mLimit.Limit();
+  }
+  return std::max(1U, mPolicy.mSearchSlots ? mSlotLimit.Limit() : mPolicy.mSlots);
 }
 
 uint32_t AdmissionController::RanksBelow(size_t aRank) const
@@ -535,6 +540,7 @@
   ++mInFlight;
   ++mIntervalDispatched;
   mLimit.OnDispatch(mInFlight);
+  mSlotLimit.OnDispatch(mInFlight, aNow);
   Rank& own = mRanks[entry.mRank];
   own.mLastDispatch = aNow;
   ++own.mStats.mDispatched;
@@ -659,6 +665,7 @@
       (std::abs(difference) - rank.mServiceTimeDeviation) * kSampleWeight;
     mMeanServiceTime += (Seconds(service) - mMeanServiceTime) * kSampleWeight;
     mLimit.OnSample(entry.mRank, entry.mDispatched, service, now);
+    mSlotLimit.OnSample(entry.mRank, entry.mDispatched, service, now);
   } else if (aOutcome == Outcome::Overloaded) {
     mLimit.OnOverload(now);
   }
--- a/packages/admission/tests/simulated_server.h
+++ b/packages/admission/tests/simulated_server.h
@@ -80,6 +80,9 @@
   Random mRandom;
   double mMeanServiceTime = 0.02; // seconds; samples are uniform from 0.5 to 1.5 times this
   uint32_t mParallelism; // requests that run at the same time; the others wait in the server
+  // A request that starts while more than this share of mParallelism runs takes longer.
+  double mKnee = 1;
+  double mSlowdownAboveKnee = 1;
   Duration mDeadline = milliseconds(1000);
   std::array<RankCounts, kMaxRanks> mCounts{};
   std::map<uint64_t, uint32_t> mByCaller; // served
@@ -159,7 +162,9 @@
 
   void RunNow(AdmissionId aId, uint64_t aContext)
   {
-    const double service = mMeanServiceTime * (0.5 + mRandom.Uniform());
+    const bool isAboveKnee = static_cast<double>(mRunning.size()) + 1 > mKnee * mParallelism;
+    const double service =
+      mMeanServiceTime * (0.5 + mRandom.Uniform()) * (isAboveKnee ? mSlowdownAboveKnee : 1);
     mRunning.push({ mClock.Now() + Duration(static_cast<int64_t>(service * 1e9)), aId, aContext });
   }
 
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -370,6 +370,7 @@
   }
   policy.mSlots = mServerSlots > 0 ? mServerSlots : service->mSlots;
   policy.mAdaptiveLimit = mServerPresence == ServerPresence::Probed;
+  policy.mSearchSlots = !policy.mAdaptiveLimit;
   policy.mMinConcurrency = service->mLimits.mMinConcurrency;
   policy.mMaxQueue = service->mLimits.mMaxQueue;
   policy.mQueueTarget = service->mLimits.mQueueTarget;
