Give calls of backend servers the rank of their chain

Cause: on a platform whose calls do not name their parent, all calls of a service had the rank of their own route. Change: a call expires with its parent, so ParentFinder finds the running request by the deadline; the call takes its rank. Calls that name their parent now obey the same limits on deadline, key and body as requests of callers.

--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -63,6 +63,7 @@
   std::function<bool()> mBeforeDispatch;
   std::shared_ptr<Call> mBackendCall;
   SteadyTime mDispatched{};
+  ParentFinder::Entry mParentEntry{};
   bool mRunning = false;
 };
 
@@ -174,6 +175,8 @@
   aJob->mRunning = true;
   aJob->mDispatched = mClock.Now();
   mRunning.emplace(aJob->mRequest->mContext.mRequestId, aJob);
+  aJob->mParentEntry =
+    mParents.Add(aJob->mRequest->mContext.mDeadline, aJob->mRequest->mContext.mRank);
   if (mObserver) {
     mObserver->OnDispatch(aJob->mNumber, aJob->mRequest->mContext.mFingerprint);
   }
@@ -277,8 +280,9 @@
 void Executor::Finish(const std::shared_ptr<Job>& aJob, CallResult aCallResult)
 {
   mJobs.erase(aJob->mNumber);
-  if (aJob->mRunning) {
+  if (std::exchange(aJob->mRunning, false)) {
     mRunning.erase(aJob->mRequest->mContext.mRequestId);
+    mParents.Remove(aJob->mParentEntry);
   }
   if (auto callback = std::exchange(aJob->mCallback, nullptr)) {
     callback(std::move(aCallResult));
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "call_context.h"
+#include "parent_finder.h"
 
 #include "balsammount/admission.h"
 #include "balsammount/config.h"
@@ -61,6 +62,9 @@
   // Returns the parent request of a sub-call, or null when it is no longer in flight.
   std::shared_ptr<InFlightRequest> FindInFlight(const std::string& aRequestId);
 
+  // The requests that are in flight, for calls that do not name their parent.
+  const ParentFinder& Parents() const { return mParents; }
+
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
   // Applies the announced state of the backend server, with ServerPresence::Announced.
@@ -120,6 +124,7 @@
   std::shared_ptr<const Config> mConfig;
   std::unordered_map<uint64_t, std::shared_ptr<Job>> mJobs;       // by job number
   std::unordered_map<std::string, std::shared_ptr<Job>> mRunning; // dispatched, by request id
+  ParentFinder mParents;
   DispatchObserver* mObserver = nullptr;
   // Jobs whose connection was lost. The next probe shows whether the server has crashed.
   std::vector<uint64_t> mLostJobs;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -50,6 +50,7 @@
   : mClock(aClock)
   , mRandom(aRandom)
   , mSettings(aSettings)
+  , mBackendAddress(aSettings.mBackend.address().to_string())
   , mOverload(aOverload)
   , mNames(aNames)
   , mExecutor(aExecutor)
@@ -135,6 +136,20 @@
   return *deadline > 0ms ? std::min(*deadline, aMaxTimeout) : aMaxTimeout;
 }
 
+bool Gateway::IsWithinLimits(Exchange& aExchange, const ServicePolicy& aService)
+{
+  const HttpRequest& request = aExchange.Request();
+  if (request.mHeaders.Find("Idempotency-Key").size() > kMaxKeyBytes) {
+    Reject(aExchange, 400, "Idempotency-Key: at most 255 bytes are allowed");
+    return false;
+  }
+  if (request.mBody.size() > aService.mMaxBodyBytes) {
+    aExchange.Respond(CallerResponse(Refused(CallReason::TooLarge, {}), mNames));
+    return false;
+  }
+  return true;
+}
+
 std::optional<CallContext> Gateway::EntryContext(Exchange& aExchange, std::string_view aCaller)
 {
   const HttpRequest& request = aExchange.Request();
@@ -152,13 +167,7 @@
   if (!timeout) {
     return std::nullopt;
   }
-  const std::string_view key = request.mHeaders.Find("Idempotency-Key");
-  if (key.size() > kMaxKeyBytes) {
-    Reject(aExchange, 400, "Idempotency-Key: at most 255 bytes are allowed");
-    return std::nullopt;
-  }
-  if (request.mBody.size() > found->mService->mMaxBodyBytes) {
-    aExchange.Respond(CallerResponse(Refused(CallReason::TooLarge, {}), mNames));
+  if (!IsWithinLimits(aExchange, *found->mService)) {
     return std::nullopt;
   }
   CallContext context;
@@ -167,7 +176,7 @@
   context.mService = found->mService->mName;
   context.mRank = found->mRank->mName;
   context.mIdempotent = found->mIdempotent;
-  context.mKey = key;
+  context.mKey = request.mHeaders.Find("Idempotency-Key");
   context.mCallerHash = Hash64(aCaller);
   context.mDeadline = mClock.Now() + *timeout;
   context.mExpires = mClock.WallNow() + *timeout;
@@ -225,6 +234,9 @@
     aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
     return;
   }
+  if (const std::string* rank = RankOfParent(*aExchange, *route)) {
+    context->mRank = *rank;
+  }
   if (!AdmitByThrottle(*aExchange, *context, route->mTarget)) {
     return;
   }
@@ -245,6 +257,19 @@
           });
 }
 
+const std::string* Gateway::RankOfParent(const Exchange& aExchange, const RoutePolicy& aRoute)
+{
+  // Callers use this listener too, but not from the address of the backend server or on the routes
+  // of its calls.
+  const auto deadline = ReadDeadline(aExchange.Request().mHeaders, mNames);
+  if (!deadline || *deadline == 0ms || mThrottles.Find(aRoute.mName) ||
+      aExchange.RemoteAddress() != mBackendAddress) {
+    return nullptr;
+  }
+  const std::string* rank = mExecutor.Parents().FindRank(mClock.Now() + *deadline);
+  return rank && mConfig->FindRank(*rank) ? rank : nullptr;
+}
+
 bool Gateway::AdmitByThrottle(Exchange& aExchange, const CallContext& aContext,
                               std::chrono::milliseconds aTargetLatency)
 {
@@ -363,7 +388,12 @@
     Reject(*aExchange, unknown ? 404 : 400, Describe(found.error()));
     return;
   }
-  const auto deadline = ReadDeadline(request.mHeaders, mNames);
+  const auto remaining = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aParent->mContext.mDeadline - mClock.Now());
+  const auto timeout = CallerTimeout(*aExchange, remaining);
+  if (!timeout || !IsWithinLimits(*aExchange, *found->mService)) {
+    return;
+  }
   CallContext context = aParent->mContext;
   context.mIsRoot = false;
   context.mRequestId = NewRequestId();
@@ -371,9 +401,7 @@
   context.mIdempotent = found->mIdempotent;
   context.mKey = request.mHeaders.Find("Idempotency-Key");
   context.mFingerprint = FingerprintOf(context.mService, context.mKey, request);
-  if (deadline && *deadline > 0ms) {
-    context.mDeadline = std::min(context.mDeadline, mClock.Now() + *deadline);
-  }
+  context.mDeadline = std::min<SteadyTime>(context.mDeadline, mClock.Now() + *timeout);
   // The number of concurrent sub-calls is unknown, so each one gets half of the remaining budget.
   RequestBudget budget = aParent->mBudget.Split((aParent->mBudget.Left() + 1) / 2);
   Forward(aExchange, std::move(context), std::move(budget),
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -36,6 +36,8 @@
   size_t Pending() const { return mPending; }
 
 private:
+  // Rejects a request whose key or body is too long. Returns false if it has responded.
+  bool IsWithinLimits(Exchange& aExchange, const ServicePolicy& aService);
   // Returns the context of a request that starts a call chain, or nullopt if the request has been
   // rejected.
   std::optional<CallContext> EntryContext(Exchange& aExchange, std::string_view aCaller);
@@ -49,6 +51,8 @@
   void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
                                            std::chrono::milliseconds aTimeout);
+  // Returns the rank of the running request that the exchange is a call of, or null.
+  const std::string* RankOfParent(const Exchange& aExchange, const RoutePolicy& aRoute);
   // Returns false if the request has been refused because too many call chains of its route fail.
   bool AdmitByThrottle(Exchange& aExchange, const CallContext& aContext,
                        std::chrono::milliseconds aTargetLatency);
@@ -68,6 +72,7 @@
   const Clock& mClock;
   Random& mRandom;
   NodeSettings mSettings;
+  std::string mBackendAddress;
   RecentOverload& mOverload;
   const HeaderNames& mNames;
   Executor& mExecutor;
--- /dev/null
+++ b/packages/node/tests/gateway_test.cpp
@@ -0,0 +1,206 @@
+#include "gateway.h"
+
+#include "balsammount/http_server.h"
+#include "balsammount/log.h"
+
+#include <CppUTest/TestHarness.h>
+
+#include <optional>
+#include <vector>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// Created before the tests, which would report their shared state as a leak.
+const std::shared_ptr<Call> kFinished = FinishedCall();
+const bool kLoggersExist = (Log("backend"), Log("admission"), true);
+
+const tcp::endpoint kAnyPort(boost::asio::ip::address_v4::loopback(), 0);
+
+class FakeExchange final : public Exchange
+{
+public:
+  const HttpRequest& Request() const override { return mRequest; }
+  const std::string& RemoteAddress() const override { return mAddress; }
+  void Respond(HttpResponse aResponse) override { mStatus = aResponse.mStatus; }
+  void OnCancel(std::function<void()>) override {}
+
+  HttpRequest mRequest;
+  std::string mAddress = "127.0.0.1";
+  unsigned mStatus = 0; // 0 before the response
+};
+
+// Records the contexts of the calls and leaves them pending.
+class RecordingCallHandler final : public CallHandler
+{
+public:
+  std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest, RequestBudget,
+                               CallResultCallback) override
+  {
+    mContexts.push_back(std::move(aContext));
+    return kFinished;
+  }
+  std::vector<CallContext> mContexts;
+};
+
+std::shared_ptr<const Config> MakeConfig(bool aWithRoutes)
+{
+  ConfigValues values;
+  ServicePolicy service;
+  service.mName = "orders";
+  service.mPaths = { "/orders" };
+  service.mSlots = 4;
+  service.mMaxBodyBytes = 1000;
+  service.mDefaultDeadline = 10s;
+  service.mLimits = { 1, 10, 10ms };
+  values.mServices = { service };
+  values.mRanks = { { "urgent", {}, 10, 0 }, { "usual", {}, 5, 0 }, { "least", {}, 1, 0 } };
+  if (aWithRoutes) {
+    RoutePolicy route;
+    route.mName = "stock";
+    route.mHost = "stock.example";
+    route.mPrefix = "/";
+    route.mTargets = { { "orders", 1 } };
+    route.mRank = "least";
+    route.mIdempotent = true;
+    route.mTimeout = 10s;
+    values.mRoutes = { route };
+  }
+  return std::make_shared<const Config>(std::move(values));
+}
+
+} // namespace
+
+// A gateway beside a backend server that never answers.
+TEST_GROUP(Gateway)
+{
+  ManualClock mClock;
+  Random mRandom{ 1 };
+  boost::asio::io_context mContext{ 1 };
+  std::vector<std::shared_ptr<Exchange>> mAtServer;
+  HttpServer mServer{ mContext, kAnyPort, {}, [this](std::shared_ptr<Exchange> aExchange) {
+                       mAtServer.push_back(std::move(aExchange));
+                     } };
+  NodeSettings mSettings;
+  HeaderNames mNames;
+  RecentOverload mOverload{ mClock };
+  Metrics mMetrics;
+  RecordingCallHandler mCalls;
+  std::unique_ptr<Executor> mExecutor;
+  std::unique_ptr<Gateway> mGateway;
+  std::shared_ptr<Call> mParent;
+
+  void Start(bool aWithRoutes)
+  {
+    CHECK(mServer.Start().has_value());
+    mSettings.mService = "orders";
+    mSettings.mBackend = { kAnyPort.address(), mServer.Port() };
+    mExecutor = std::make_unique<Executor>(mContext, mClock, mSettings, mOverload, mNames,
+                                           ServerPresence::Announced, nullptr);
+    mGateway = std::make_unique<Gateway>(mClock, mRandom, mSettings, mOverload, mNames, *mExecutor,
+                                         mCalls, mMetrics);
+    const auto config = MakeConfig(aWithRoutes);
+    mExecutor->ApplyConfig(config);
+    mGateway->ApplyConfig(config, 1);
+    ServerLifecycle lifecycle("orders", "127.0.0.1:80");
+    ServerAnnouncement announcement;
+    announcement.mServerId = "server-1";
+    announcement.mService = "orders";
+    announcement.mAddress = "127.0.0.1:80";
+    announcement.mSlots = 4;
+    lifecycle.OnAnnouncement(announcement);
+    mExecutor->SetServer(lifecycle);
+  }
+
+  // Dispatches a request to the backend server that is never answered.
+  void StartParent(const std::string& aRank, Duration aTimeLeft)
+  {
+    CallContext context;
+    context.mRequestId = "parent";
+    context.mService = "orders";
+    context.mRank = aRank;
+    context.mDeadline = mClock.Now() + aTimeLeft;
+    mParent = mExecutor->Execute(context, {}, RequestBudget::ForAttempts(3), [](CallResult) {});
+    CHECK(mExecutor->FindInFlight("parent") != nullptr);
+  }
+
+  std::shared_ptr<FakeExchange> SubCall()
+  {
+    auto exchange = std::make_shared<FakeExchange>();
+    exchange->mRequest.mMethod = "GET";
+    exchange->mRequest.mTarget = "/orders/stock";
+    exchange->mRequest.mHeaders.Set("Balsam-Request-Id", "parent");
+    return exchange;
+  }
+
+  void teardown() override
+  {
+    if (mParent) {
+      mParent->Cancel();
+    }
+    mParent.reset();
+    mGateway.reset();
+    mExecutor->Stop();
+    mExecutor.reset();
+    mAtServer.clear();
+    mServer.Stop();
+    mContext.run_for(20ms);
+  }
+};
+
+// Guards against calls of backend servers that are accepted although a caller's request with the
+// same fault is rejected.
+TEST(Gateway, SubCallsObeyTheLimitsOfRequests)
+{
+  Start(false);
+  StartParent("usual", 5s);
+  const auto status = [&](const std::shared_ptr<FakeExchange>& aExchange) {
+    mGateway->HandleEgress(aExchange);
+    return aExchange->mStatus;
+  };
+  for (const char* deadline : { "soon", "-1", "0", "1.5", "99999999999999999999" }) {
+    auto exchange = SubCall();
+    exchange->mRequest.mHeaders.Set("Balsam-Deadline-Ms", deadline);
+    CHECK_EQUAL(400, status(exchange));
+  }
+  auto longKey = SubCall();
+  longKey->mRequest.mHeaders.Set("Idempotency-Key", std::string(256, 'k'));
+  CHECK_EQUAL(400, status(longKey));
+  auto largeBody = SubCall();
+  largeBody->mRequest.mBody = std::string(1001, 'x');
+  CHECK_EQUAL(413, status(largeBody));
+  CHECK(mCalls.mContexts.empty());
+  auto valid = SubCall();
+  valid->mRequest.mHeaders.Set("Balsam-Deadline-Ms", "700");
+  CHECK_EQUAL(0, status(valid));
+  CHECK_EQUAL(1, mCalls.mContexts.size());
+  CHECK(mCalls.mContexts[0].mDeadline == mClock.Now() + 700ms);
+  auto longer = SubCall();
+  longer->mRequest.mHeaders.Set("Balsam-Deadline-Ms", "60000");
+  CHECK_EQUAL(0, status(longer));
+  CHECK(mCalls.mContexts[1].mDeadline == mClock.Now() + 5s);
+}
+
+// Guards against an overloaded last service that refuses the calls of urgent chains as often as
+// those of others.
+TEST(Gateway, RoutedCallHasTheRankOfItsParent)
+{
+  Start(true);
+  StartParent("urgent", 3s);
+  const auto call = [&](const std::string& aAddress, const char* aDeadline) {
+    auto exchange = SubCall();
+    exchange->mAddress = aAddress;
+    exchange->mRequest.mHeaders.Set("Host", "stock.example");
+    exchange->mRequest.mHeaders.Set("Balsam-Deadline-Ms", aDeadline);
+    mGateway->HandleCaller(exchange);
+    return mCalls.mContexts.back().mRank;
+  };
+  STRCMP_EQUAL("urgent", call("127.0.0.1", "2999").c_str());
+  STRCMP_EQUAL("least", call("127.0.0.1", "2000").c_str()); // of no running request
+  STRCMP_EQUAL("least", call("10.0.0.7", "2999").c_str());  // from a caller
+  mParent->Cancel();
+  STRCMP_EQUAL("least", call("127.0.0.1", "2999").c_str());
+}
