Tell other nodes of changes directly, and read the list less often

Cause: every node watches the list of nodes in the store, so each change costs one call of each node. Change: a node tells up to 128 others when they would use it differently, and the list is read at most once per 60 ms and node of the fleet instead of 12 ms. The test of the interval now asks for less than 17 calls a second up to 117 nodes instead of less than 100. Result: DirectoryService.TellsOtherNodesOfChangesDirectly passes.

--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -60,8 +60,9 @@
 Result<std::vector<NodeRecord>> DecodeNodeRecords(std::string_view aText, size_t& aSkipped);
 
 // The minimum time between two updates of the list on one node. Each update is a call to the store
-// by every node, so the interval grows with the fleet to keep the calls of all nodes below 100 per
-// second under constant restarts. The first change after an idle period is reported immediately.
+// by every node, so the interval grows with the fleet to keep the calls of all nodes below 17 per
+// second under constant restarts, up to 117 nodes. Nodes tell each other of most changes directly;
+// the list covers those that cannot. The first change after an idle period is reported immediately.
 std::chrono::milliseconds MinListUpdateInterval(size_t aNodes);
 
 struct DirectoryPolicy
--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -7,7 +7,7 @@
 
 std::chrono::milliseconds MinListUpdateInterval(size_t aNodes)
 {
-  constexpr std::chrono::milliseconds kIntervalPerNode{ 12 };
+  constexpr std::chrono::milliseconds kIntervalPerNode{ 60 };
   constexpr std::chrono::milliseconds kMin{ 100 };
   // A change has to reach all nodes of the largest fleet in 14 s; the interval may take half.
   constexpr std::chrono::milliseconds kMax{ 7000 };
--- a/packages/directory/tests/directory_test.cpp
+++ b/packages/directory/tests/directory_test.cpp
@@ -189,12 +189,17 @@
 // restart: each change causes a call by each node.
 TEST(Directory, ListUpdateIntervalGrowsWithFleet)
 {
-  CHECK(MinListUpdateInterval(17) == 204ms);
+  CHECK(MinListUpdateInterval(17) == 1020ms);
   CHECK(MinListUpdateInterval(1) == 100ms);
-  for (const size_t nodes : { 30U, 85U, 300U, 500U }) {
-    const double calls = static_cast<double>(nodes) * 1000.0 /
-                         static_cast<double>(MinListUpdateInterval(nodes).count());
-    CHECK(calls < 100);
+  const auto callsPerSecond = [](size_t aNodes) {
+    return static_cast<double>(aNodes) * 1000.0 /
+           static_cast<double>(MinListUpdateInterval(aNodes).count());
+  };
+  for (const size_t nodes : { 30U, 85U, 117U }) {
+    CHECK(callsPerSecond(nodes) < 17);
+  }
+  for (const size_t nodes : { 300U, 500U }) {
+    CHECK(callsPerSecond(nodes) < 100);
   }
   // A change has to reach all nodes of the largest fleet in 14 s.
   CHECK(MinListUpdateInterval(1400) <= 7s);
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -35,11 +35,24 @@
 constexpr auto kPullInterval = 500ms;
 constexpr auto kExchangeTimeout = 1000ms;
 constexpr auto kConfigFetchTimeout = 1000ms;
-// Maximum number of nodes to which a change is pushed directly while the store is unreachable.
-constexpr size_t kMaxPushTargets = 64;
+// Maximum number of nodes to which a change is pushed directly. In a larger fleet the others learn
+// of it from the store.
+constexpr size_t kMaxPushTargets = 128;
 // Limits the effect of a wrong wall clock on the end of a warm-up.
 constexpr std::chrono::milliseconds kMaxWarmUp = 30s;
 
+// Whether other nodes treat the node differently with the second record.
+bool IsUsedDifferently(const NodeRecord& aBefore, const NodeRecord& aNow)
+{
+  const auto isUsed = [](const NodeRecord& aRecord) {
+    return aRecord.mServing && !aRecord.mLeaving;
+  };
+  return isUsed(aBefore) != isUsed(aNow) || aBefore.mAddress != aNow.mAddress ||
+         aBefore.mPort != aNow.mPort || aBefore.mService != aNow.mService ||
+         (isUsed(aNow) &&
+          (aBefore.mServerId != aNow.mServerId || aBefore.mServerStarted != aNow.mServerStarted));
+}
+
 } // namespace
 
 DirectoryService::DirectoryService(asio::io_context& aContext, const Clock& aClock, Random& aRandom,
@@ -133,8 +146,10 @@
     // Newer than the records of earlier processes, even if the clock has been set back since.
     mOwnRecord.mStarted = std::max(mOwnRecord.mStarted, own->mStarted + 1);
     mOnPreviousRecord(*own);
+    mPushedRecord = *own;
   }
   ApplyChanges();
+  PushIfUsedDifferently();
   mWatch = mStore.WatchPrefix(
     mPrefix, aResult->mRevision + 1, [this](const WatchEvent& aEvent) { OnEvent(aEvent); },
     [this] {
@@ -300,10 +315,20 @@
   ApplyChange({ mOwnRecord, false });
   if (mHasNodeList) {
     Publish();
+    PushIfUsedDifferently();
   }
-  if (!mStoreReachable) {
-    PushToNodes();
+}
+
+// Tells the other nodes at once. One message to a node costs far less than one call of every node
+// to the store, so the list in the store is read at longer intervals. While the store is
+// unreachable this is also how they learn of a restart.
+void DirectoryService::PushIfUsedDifferently()
+{
+  if (mStoreReachable && !IsUsedDifferently(mPushedRecord, mOwnRecord)) {
+    return;
   }
+  mPushedRecord = mOwnRecord;
+  PushToNodes();
 }
 
 void DirectoryService::Publish()
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -89,6 +89,7 @@
   void Tick();
   void ConfirmNode(const NodeRecord& aRecord);
   void PullFromRandomNode();
+  void PushIfUsedDifferently();
   void PushToNodes();
   void ExchangeRecords(const std::string& aNodeId, bool aPush);
   void OnRecordsExchanged(const std::string& aNodeId, const Result<HttpResponse>& aResult);
@@ -102,6 +103,7 @@
   DirectoryDependencies mDependencies;
   Directory mDirectory;
   NodeRecord mOwnRecord;
+  NodeRecord mPushedRecord; // the last one that other nodes know from this node or from the list
   std::function<void(const NodeRecord&)> mOnPreviousRecord = [](const NodeRecord&) {};
 
   boost::asio::steady_timer mListTimer;
--- a/packages/node/tests/directory_service_test.cpp
+++ b/packages/node/tests/directory_service_test.cpp
@@ -2,6 +2,7 @@
 
 #include "balsammount/fake_store.h"
 #include "balsammount/log.h"
+#include "balsammount/peer_server.h"
 
 #include <CppUTest/TestHarness.h>
 // Must follow TestHarness.h.
@@ -257,3 +258,49 @@
   mFixture->Run(50ms);
   CHECK(mFixture->StoredRecord() == records->front());
 }
+
+// Guards against changes that reach the other nodes only through the list in the store, which they
+// read at intervals of seconds, and against messages without news.
+TEST(DirectoryService, TellsOtherNodesOfChangesDirectly)
+{
+  std::vector<NodeRecord> pushed;
+  NodeRecord other = Record("a", 1);
+  PeerServer peer(mFixture->mContext, { boost::asio::ip::address_v4::loopback(), 0 }, {},
+                  [&](const std::shared_ptr<Exchange>& aExchange) {
+                    size_t skipped = 0;
+                    pushed.push_back(
+                      DecodeNodeRecords(aExchange->Request().mBody, skipped)->front());
+                    HttpResponse response;
+                    response.mBody = EncodeNodeRecords({ other });
+                    aExchange->Respond(std::move(response));
+                  });
+  CHECK(peer.Start().has_value());
+  other.mPort = peer.Port();
+  mFixture->Put("a", EncodeNodeRecord(other));
+  mFixture->Start();
+  const auto isPushed = [&](size_t aCount) {
+    return mFixture->RunUntil(10s, [&] { return pushed.size() >= aCount; });
+  };
+  CHECK(isPushed(1));
+  STRCMP_EQUAL("server-1", pushed[0].mServerId.c_str());
+  CHECK(pushed[0].mServing);
+  mFixture->AnnounceServer("server-1");
+  mFixture->Run(100ms);
+  CHECK_EQUAL(1, pushed.size());
+  mFixture->AnnounceServer("server-2");
+  CHECK(isPushed(2));
+  mFixture->mService->SetLeaving();
+  CHECK(isPushed(3));
+  CHECK(pushed[2].mLeaving);
+  // The next process of the node finds itself listed as it is, and has nothing to tell.
+  mFixture->mService->Stop();
+  mFixture->mService.reset();
+  NodeRecord listed = pushed[0];
+  listed.mStarted = 500;
+  mFixture->Put("self", EncodeNodeRecord(listed));
+  pushed.clear();
+  mFixture->Start();
+  mFixture->Run(100ms);
+  CHECK_EQUAL(0, pushed.size());
+  peer.Stop();
+}
