Read the load that backend servers state, and free the slots of lost requests

Cause: a server that never answers a part of its requests left each of them in one of its slots at the node beside it until the deadline, so that the node refused what the server could run. Nothing read the servers' statements of their load. Change: the adapter decodes the statement into ServerLoad; malformed ones are counted. The stated slowdown is decoded, but not used.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -163,6 +163,9 @@
   // server becomes available again.
   void SetAvailable(bool aAvailable);
 
+  // Sets the number of requests in flight that the server does not hold. They take no slot.
+  void SetLost(uint32_t aLost) { mLost = aLost; }
+
   // Sets the shed level of a downstream service that most requests depend on. ShedLevel() is at
   // least this level for 1 s.
   void ReportDownstreamLevel(uint32_t aLevel);
@@ -257,6 +260,9 @@
   void SiftDown(size_t aPosition);
   void HeapSet(size_t aPosition, uint32_t aIndex);
 
+  // Requests in flight that take a slot of the server.
+  uint32_t InSlots() const { return mInFlight > mLost ? mInFlight - mLost : 0; }
+
   // Estimates, in seconds.
   bool CanFinish(const Rank& aRank, SteadyTime aNow, double aRequired, SteadyTime aDeadline) const;
   static double RequiredTime(const Rank& aRank, double aInitialTimeLeft);
@@ -290,6 +296,7 @@
   ConcurrencyLimit mLimit;
   SlotLimit mSlotLimit;
   uint32_t mInFlight = 0;
+  uint32_t mLost = 0;
   uint32_t mQueued = 0;
   double mMeanServiceTime = 0; // seconds, moving average over all ranks
   bool mDraining = false;
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -95,7 +95,8 @@
   const size_t count = mPolicy.mRankCount;
   const auto ranks = std::span(mPolicy.mRanks).first(count);
 
-  const size_t wantedEntries = mPolicy.mSlots + mPolicy.mMaxQueue + kSpareEntries;
+  // Requests that the server does not hold take an entry, but no slot.
+  const size_t wantedEntries = 2 * size_t{ mPolicy.mSlots } + mPolicy.mMaxQueue + kSpareEntries;
   const size_t old = mEntries.size();
   if (wantedEntries > old) {
     mEntries.resize(wantedEntries);
@@ -445,7 +446,7 @@
 
 double AdmissionController::QueueWait(size_t aRank) const
 {
-  if (mQueued == 0 && mInFlight < Limit()) {
+  if (mQueued == 0 && InSlots() < Limit()) {
     return 0;
   }
   const Rank& own = mRanks[aRank];
@@ -500,7 +501,7 @@
   if (!mAvailable) {
     return Refuse(rankIndex, RefusalReason::Unavailable);
   }
-  const bool direct = mInFlight < Limit() && mQueued == 0;
+  const bool direct = InSlots() < Limit() && mQueued == 0;
   const bool bounded = aOffer.mDeadline != SteadyTime::max();
   const double required = direct || !bounded ? rank.mMeanServiceTime
                                              : RequiredTime(rank, Seconds(aOffer.mDeadline - now));
@@ -540,7 +541,7 @@
   ++mInFlight;
   ++mIntervalDispatched;
   mLimit.OnDispatch(mInFlight);
-  mSlotLimit.OnDispatch(mInFlight, aNow);
+  mSlotLimit.OnDispatch(InSlots(), aNow);
   Rank& own = mRanks[entry.mRank];
   own.mLastDispatch = aNow;
   ++own.mStats.mDispatched;
@@ -605,7 +606,7 @@
       Release(index);
       continue;
     }
-    if (mQueued == 0 || mInFlight >= Limit()) {
+    if (mQueued == 0 || InSlots() >= Limit()) {
       break;
     }
     Rank& rank = mRanks[NextRank()];
@@ -631,7 +632,7 @@
 
 SteadyTime AdmissionController::NextDeadline() const
 {
-  if (mRefusing.mHead != kNone || (mQueued > 0 && mInFlight < Limit())) {
+  if (mRefusing.mHead != kNone || (mQueued > 0 && InSlots() < Limit())) {
     return mClock.Now();
   }
   SteadyTime next = SteadyTime::max();
--- a/packages/node/include/balsammount/deployment_options.h
+++ b/packages/node/include/balsammount/deployment_options.h
@@ -4,6 +4,7 @@
 #include "balsammount/config_revision.h"
 #include "balsammount/header_names.h"
 #include "balsammount/random.h"
+#include "balsammount/server_load.h"
 #include "balsammount/store.h"
 
 #include <boost/asio/io_context.hpp>
@@ -37,6 +38,9 @@
   std::string mNodesPrefix = "/balsammount/nodes/";
   Discovery mDiscovery = Discovery::Gossip;
   ServerPresence mServerPresence = ServerPresence::Probed;
+  // The header of responses in which backend servers state their load; empty: none.
+  std::string mServerLoadHeader;
+  ServerLoadDecoder mDecodeServerLoad;
   // A draining node keeps serving for this long, so that callers and other nodes learn of the drain
   // before its ports close.
   std::chrono::milliseconds mDrainDelay{ 1000 };
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -213,6 +213,9 @@
 {
   const Duration service = mClock.Now() - aJob->mDispatched;
   mAdmission.Complete(aJob->mAdmissionId, AdmissionOutcome(aResult), service);
+  if (aResult) {
+    OnServerLoad(*aResult);
+  }
   const bool connectionLost = !aResult && aResult.error().mCode == TransportError::ConnectionLost;
   if (connectionLost) {
     mLostJobs.push_back(aJob->mNumber);
@@ -229,6 +232,29 @@
   PollAdmission();
 }
 
+void Executor::SetServerLoadHeader(std::string aName, ServerLoadDecoder aDecode)
+{
+  mServerLoadHeader = std::move(aName);
+  mDecodeServerLoad = std::move(aDecode);
+}
+
+void Executor::OnServerLoad(const HttpResponse& aResponse)
+{
+  const std::string_view text =
+    mDecodeServerLoad ? aResponse.mHeaders.Find(mServerLoadHeader) : std::string_view();
+  if (text.empty()) {
+    return;
+  }
+  const auto load = mDecodeServerLoad(text);
+  if (!load) {
+    ++mMalformedServerLoads;
+    return;
+  }
+  const SteadyTime now = mClock.Now();
+  mLost.OnReport(load->mRunning + load->mWaiting, mAdmission.InFlight(), now);
+  mAdmission.SetLost(mLost.Count(mAdmission.Policy().mSlots, now));
+}
+
 CallResult Executor::ToCallResult(const Job& aJob, Result<HttpResponse> aResult)
 {
   RequestBudget budget = std::move(aJob.mRequest->mBudget);
@@ -404,6 +430,10 @@
   }
   const bool isNewServer = server->mServerId != mServerId;
   mServerId = server->mServerId;
+  if (isNewServer) {
+    mLost.Reset();
+    mAdmission.SetLost(0);
+  }
   if (server->mSlots != mServerSlots) {
     mServerSlots = server->mSlots;
     ApplyPolicy();
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -9,9 +9,11 @@
 #include "balsammount/deployment_options.h"
 #include "balsammount/http_client.h"
 #include "balsammount/kernel.h"
+#include "balsammount/lost_requests.h"
 #include "balsammount/node_settings.h"
 #include "balsammount/recent_overload.h"
 #include "balsammount/server_lifecycle.h"
+#include "balsammount/server_load.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -71,11 +73,15 @@
   void SetServer(const ServerLifecycle& aLifecycle);
   // Reports in every result from now on that this node is leaving.
   void SetLeaving() { mLeaving = true; }
+  // The header of responses in which the backend server states its load.
+  void SetServerLoadHeader(std::string aName, ServerLoadDecoder aDecode);
   void SetObserver(DispatchObserver* aObserver) { mObserver = aObserver; }
   // The callback is called whenever the backend server becomes available or unavailable.
   void SetAvailabilityCallback(std::function<void(bool)> aCallback);
 
   bool Available() const { return mAvailable; }
+  // Statements of the backend server about its load that could not be read.
+  uint64_t MalformedServerLoads() const { return mMalformedServerLoads; }
   bool Draining() const { return mAdmission.Draining(); }
   // Requests queued or in flight.
   size_t Pending() const { return mJobs.size(); }
@@ -89,6 +95,7 @@
 
   void Dispatch(const std::shared_ptr<Job>& aJob);
   void OnResult(const std::shared_ptr<Job>& aJob, Result<HttpResponse> aResult);
+  void OnServerLoad(const HttpResponse& aResponse);
   void Finish(const std::shared_ptr<Job>& aJob, CallResult aCallResult);
   void CancelJob(const std::shared_ptr<Job>& aJob);
   void PollAdmission();
@@ -125,6 +132,10 @@
   std::unordered_map<uint64_t, std::shared_ptr<Job>> mJobs;       // by job number
   std::unordered_map<std::string, std::shared_ptr<Job>> mRunning; // dispatched, by request id
   ParentFinder mParents;
+  std::string mServerLoadHeader;
+  ServerLoadDecoder mDecodeServerLoad; // null: the server does not state its load
+  uint64_t mMalformedServerLoads = 0;
+  LostRequests mLost;
   DispatchObserver* mObserver = nullptr;
   // Jobs whose connection was lost. The next probe shows whether the server has crashed.
   std::vector<uint64_t> mLostJobs;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -255,6 +255,7 @@
     }
   });
   mExecutor->SetAvailabilityCallback([this](bool) { PublishAvailability(); });
+  mExecutor->SetServerLoadHeader(mDeployment.mServerLoadHeader, mDeployment.mDecodeServerLoad);
   mExecutor->SetObserver(mQuarantine.get());
   if (mDirectory) {
     mQuarantine->SetFleet([this] { return mDirectory->Fleet(); });
@@ -324,6 +325,9 @@
       [this] { return mExecutor->Admission().QueueLength(); });
   add("shed_level", "Position on the scale of ranks and cohorts below which entries refuse.",
       [this] { return mExecutor->Admission().ShedLevel(); });
+  add("malformed_server_loads",
+      "Statements of the backend server about its load that are malformed.",
+      [this] { return static_cast<double>(mExecutor->MalformedServerLoads()); });
   add("held_bytes", "Bytes of request and response bodies that are held.",
       [this] { return static_cast<double>(mHeldBytes->Used()); });
   add("unhandled_exceptions", "Exceptions that ended the work of a handler since the start.",
