Wait at least a second between two reads of the list

Cause: a node that starts together with the fleet knows few others yet, so its interval was near the lower bound of 0.1 s while all others published their records. Change: the lower bound is 1 s; most changes are told directly. Result: Directory.ListUpdateIntervalGrowsWithFleet passes.

--- a/packages/directory/src/directory.cpp
+++ b/packages/directory/src/directory.cpp
@@ -8,7 +8,8 @@
 std::chrono::milliseconds MinListUpdateInterval(size_t aNodes)
 {
   constexpr std::chrono::milliseconds kIntervalPerNode{ 60 };
-  constexpr std::chrono::milliseconds kMin{ 100 };
+  // A node that starts together with the fleet knows few others yet, although many changes follow.
+  constexpr std::chrono::milliseconds kMin{ 1000 };
   // A change has to reach all nodes of the largest fleet in 14 s; the interval may take half.
   constexpr std::chrono::milliseconds kMax{ 7000 };
   return std::clamp(kIntervalPerNode * static_cast<int64_t>(aNodes), kMin, kMax);
