Do not count failed calls of a backend server against it

Cause: in an overload of the last service of a chain, the services before it answer with 500 because their own calls failed. Callers took them for failing, avoided them for a second and sent their load to other data centres, where it was not served either. Change: the node beside a server remembers calls of a running request that fail or are still open when the server answers 500 or 504, and states it with the result; the router then counts neither a failure nor a success.

--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -42,6 +42,7 @@
 constexpr std::string_view kStartsChains = "bm-starts-chains";
 constexpr std::string_view kOverloadAge = "bm-overload-ms";
 constexpr std::string_view kReachedServer = "bm-reached-server";
+constexpr std::string_view kCallFailed = "bm-call-failed";
 constexpr std::string_view kLoad = "bm-load";
 constexpr std::string_view kConfigRevision = "bm-config";
 // Sent in place of a request id that equals the one in the context.
@@ -317,6 +318,9 @@
   if (aResult.mReachedServer) {
     response.mHeaders.Add(kReachedServer, "1");
   }
+  if (aResult.mCallFailed) {
+    response.mHeaders.Add(kCallFailed, "1");
+  }
   WriteConfigRevision(aResult.mConfigRevision, response.mHeaders);
   if (aResult.mLoadPercent > 0) {
     response.mHeaders.Add(kLoad, std::to_string(aResult.mLoadPercent));
@@ -349,6 +353,7 @@
   }
   // A peer that sent no outcome may have sent the request to its backend server.
   result.mReachedServer = !outcome || headers.Has(kReachedServer);
+  result.mCallFailed = headers.Has(kCallFailed);
   result.mConfigRevision = ReadConfigRevision(headers);
   result.mLoadPercent = static_cast<uint32_t>(
     std::min<uint64_t>(ParseNumber(headers.Find(kLoad)).value_or(0), UINT32_MAX));
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -74,6 +74,7 @@
   std::optional<Duration> mOverloadAge; // since the last lack of capacity, here or downstream
   bool mStartsChains = false;           // the route is used by callers, not only by backend servers
   bool mReachedServer = false;  // the request was sent to a backend server, even if it did not run
+  bool mCallFailed = false;     // the backend server failed it because of one of its own calls
   uint64_t mConfigRevision = 0; // in force at the executing node; 0: unknown
   uint32_t mLoadPercent = 0;    // requests at the executing node in percent of its server's slots
 };
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -63,7 +63,7 @@
   std::function<bool()> mBeforeDispatch;
   std::shared_ptr<Call> mBackendCall;
   SteadyTime mDispatched{};
-  ParentFinder::Entry mParentEntry{};
+  ParentFinder<InFlightRequest>::Entry mParentEntry{};
   bool mRunning = false;
 };
 
@@ -175,8 +175,7 @@
   aJob->mRunning = true;
   aJob->mDispatched = mClock.Now();
   mRunning.emplace(aJob->mRequest->mContext.mRequestId, aJob);
-  aJob->mParentEntry =
-    mParents.Add(aJob->mRequest->mContext.mDeadline, aJob->mRequest->mContext.mRank);
+  aJob->mParentEntry = mParents.Add(aJob->mRequest->mContext.mDeadline, aJob->mRequest);
   if (mObserver) {
     mObserver->OnDispatch(aJob->mNumber, aJob->mRequest->mContext.mFingerprint);
   }
@@ -278,6 +277,7 @@
     CallResult callResult;
     callResult.mOutcome = AttemptOutcome::Complete;
     callResult.mReachedServer = true;
+    callResult.mCallFailed = aResult->mStatus >= 500 && aJob.mRequest->IsFailureOfCalls();
     callResult.mResponse = std::move(*aResult);
     callResult.mBudget = std::move(budget);
     return callResult;
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -27,8 +27,13 @@
 // A dispatched request, as seen by its sub-calls.
 struct InFlightRequest
 {
+  // Whether the backend server may have failed the request because of one of its calls.
+  bool IsFailureOfCalls() const { return mCallFailed || mOpenCalls > 0; }
+
   CallContext mContext;
   RequestBudget mBudget;
+  uint32_t mOpenCalls = 0; // calls that the backend server waits for
+  bool mCallFailed = false;
 };
 
 // Observes dispatched requests and the backend server, to recognise requests that crash it. Job
@@ -65,7 +70,7 @@
   std::shared_ptr<InFlightRequest> FindInFlight(const std::string& aRequestId);
 
   // The requests that are in flight, for calls that do not name their parent.
-  const ParentFinder& Parents() const { return mParents; }
+  const ParentFinder<InFlightRequest>& Parents() const { return mParents; }
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
@@ -131,7 +136,7 @@
   std::shared_ptr<const Config> mConfig;
   std::unordered_map<uint64_t, std::shared_ptr<Job>> mJobs;       // by job number
   std::unordered_map<std::string, std::shared_ptr<Job>> mRunning; // dispatched, by request id
-  ParentFinder mParents;
+  ParentFinder<InFlightRequest> mParents;
   std::string mServerLoadHeader;
   ServerLoadDecoder mDecodeServerLoad; // null: the server does not state its load
   uint64_t mMalformedServerLoads = 0;
--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -37,6 +37,11 @@
   return std::chrono::milliseconds(value);
 }
 
+bool IsSuccess(const CallResult& aResult)
+{
+  return aResult.mOutcome == AttemptOutcome::Complete && aResult.mResponse.mStatus < 500;
+}
+
 uint64_t IdentityHash(const CallContext& aContext)
 {
   return HashCombine(aContext.mCallerHash, aContext.mFingerprint);
@@ -234,14 +239,22 @@
     aExchange->Respond(CallerResponse(Refused(CallReason::Unavailable, {}, 1s), mNames));
     return;
   }
-  if (const std::string* rank = RankOfParent(*aExchange, *route)) {
-    context->mRank = *rank;
+  const auto parent = FindParent(*aExchange, *route);
+  if (parent && mConfig->FindRank(parent->mContext.mRank)) {
+    context->mRank = parent->mContext.mRank;
   }
   if (!AdmitByThrottle(*aExchange, *context, route->mTarget)) {
     return;
   }
+  if (parent) {
+    ++parent->mOpenCalls;
+  }
   Forward(aExchange, std::move(*context), RequestBudget::ForAttempts(route->mAttempts),
-          [this, start = mClock.Now()](const CallContext& aContext, CallResult& aResult) {
+          [this, parent, start = mClock.Now()](const CallContext& aContext, CallResult& aResult) {
+            if (parent) {
+              --parent->mOpenCalls;
+              parent->mCallFailed = parent->mCallFailed || !IsSuccess(aResult);
+            }
             UpdateThrottle(aContext, aResult, mClock.Now() - start);
             if (aResult.mOutcome != AttemptOutcome::NotRun) {
               return;
@@ -257,7 +270,8 @@
           });
 }
 
-const std::string* Gateway::RankOfParent(const Exchange& aExchange, const RoutePolicy& aRoute)
+std::shared_ptr<InFlightRequest> Gateway::FindParent(const Exchange& aExchange,
+                                                     const RoutePolicy& aRoute)
 {
   // Callers use this listener too, but not from the address of the backend server or on the routes
   // of its calls.
@@ -266,8 +280,7 @@
       aExchange.RemoteAddress() != mBackendAddress) {
     return nullptr;
   }
-  const std::string* rank = mExecutor.Parents().FindRank(mClock.Now() + *deadline);
-  return rank && mConfig->FindRank(*rank) ? rank : nullptr;
+  return mExecutor.Parents().Find(mClock.Now() + *deadline);
 }
 
 bool Gateway::AdmitByThrottle(Exchange& aExchange, const CallContext& aContext,
@@ -303,8 +316,7 @@
   }
   // A lost connection, a leaving node or a failure while every service has capacity does not show
   // that too many requests are admitted.
-  const bool isGood =
-    aResult.mOutcome == AttemptOutcome::Complete && aResult.mResponse.mStatus < 500;
+  const bool isGood = IsSuccess(aResult);
   const bool mayBeOverload = aResult.mOutcome == AttemptOutcome::Complete ||
                              aResult.mReason == CallReason::Overload ||
                              aResult.mReason == CallReason::Deadline;
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -51,8 +51,8 @@
   void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
                                            std::chrono::milliseconds aTimeout);
-  // Returns the rank of the running request that the exchange is a call of, or null.
-  const std::string* RankOfParent(const Exchange& aExchange, const RoutePolicy& aRoute);
+  // Returns the running request that the exchange is a call of, or null.
+  std::shared_ptr<InFlightRequest> FindParent(const Exchange& aExchange, const RoutePolicy& aRoute);
   // Returns false if the request has been refused because too many call chains of its route fail.
   bool AdmitByThrottle(Exchange& aExchange, const CallContext& aContext,
                        std::chrono::milliseconds aTargetLatency);
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -38,12 +38,14 @@
 {
 public:
   std::shared_ptr<Call> Handle(CallContext aContext, HttpRequest, RequestBudget,
-                               CallResultCallback) override
+                               CallResultCallback aCallback) override
   {
     mContexts.push_back(std::move(aContext));
+    mCallbacks.push_back(std::move(aCallback));
     return kFinished;
   }
   std::vector<CallContext> mContexts;
+  std::vector<CallResultCallback> mCallbacks;
 };
 
 std::shared_ptr<const Config> MakeConfig(bool aWithRoutes)
@@ -204,3 +206,28 @@
   mParent->Cancel();
   STRCMP_EQUAL("least", call("127.0.0.1", "2999").c_str());
 }
+
+// Guards against a server that is taken to fail although one of its calls failed.
+TEST(Gateway, FailedCallIsRememberedWithItsParent)
+{
+  Start(true);
+  StartParent("urgent", 3s);
+  const auto call = [&] {
+    auto exchange = SubCall();
+    exchange->mRequest.mHeaders.Set("Host", "stock.example");
+    exchange->mRequest.mHeaders.Set("Balsam-Deadline-Ms", "2999");
+    mGateway->HandleCaller(exchange);
+  };
+  const auto end = [&](CallResult aResult) { mCalls.mCallbacks.back()(std::move(aResult)); };
+  const auto parent = mExecutor->FindInFlight("parent");
+  CHECK_FALSE(parent->IsFailureOfCalls());
+  call();
+  CHECK(parent->IsFailureOfCalls()); // the server may give up while it waits
+  CallResult success;
+  success.mOutcome = AttemptOutcome::Complete;
+  end(std::move(success));
+  CHECK_FALSE(parent->IsFailureOfCalls());
+  call();
+  end(Refused(CallReason::Overload, {}));
+  CHECK(parent->IsFailureOfCalls());
+}
--- a/packages/node/tests/parent_finder_test.cpp
+++ b/packages/node/tests/parent_finder_test.cpp
@@ -2,17 +2,24 @@
 
 #include <CppUTest/TestHarness.h>
 
+#include <string>
+
 using namespace balsammount;
 using namespace std::chrono_literals;
 
 TEST_GROUP(ParentFinder)
 {
   ManualClock mClock;
-  ParentFinder mFinder;
+  ParentFinder<std::string> mFinder;
+
+  auto Add(Duration aTimeLeft, const std::string& aRank)
+  {
+    return mFinder.Add(mClock.Now() + aTimeLeft, std::make_shared<std::string>(aRank));
+  }
 
   std::string RankAt(Duration aTimeLeft)
   {
-    const std::string* rank = mFinder.FindRank(mClock.Now() + aTimeLeft);
+    const auto rank = mFinder.Find(mClock.Now() + aTimeLeft);
     return rank ? *rank : "";
   }
 };
@@ -20,9 +27,9 @@
 // Guards against calls of urgent chains that have the rank of other chains or none.
 TEST(ParentFinder, CallHasTheRankOfTheRequestWithItsDeadline)
 {
-  mFinder.Add(mClock.Now() + 800ms, "urgent");
-  mFinder.Add(mClock.Now() + 1200ms, "usual");
-  mFinder.Add(mClock.Now() + 5000ms, "least");
+  Add(800ms, "urgent");
+  Add(1200ms, "usual");
+  Add(5000ms, "least");
   STRCMP_EQUAL("urgent", RankAt(800ms).c_str());
   STRCMP_EQUAL("usual", RankAt(1200ms).c_str());
   STRCMP_EQUAL("least", RankAt(5000ms).c_str());
@@ -37,8 +44,8 @@
 // the same deadline.
 TEST(ParentFinder, EndedRequestHasNoCalls)
 {
-  const auto first = mFinder.Add(mClock.Now() + 800ms, "first");
-  const auto second = mFinder.Add(mClock.Now() + 800ms, "second");
+  const auto first = Add(800ms, "first");
+  const auto second = Add(800ms, "second");
   mFinder.Remove(second);
   STRCMP_EQUAL("first", RankAt(800ms).c_str());
   mFinder.Remove(first);
--- a/packages/routing/include/balsammount/routing.h
+++ b/packages/routing/include/balsammount/routing.h
@@ -108,6 +108,9 @@
   Duration mLatency{};
   std::optional<float> mLoad; // reported by the upstream's node; 1 is its limit
   bool mServerError = false;  // the backend server returned a 5xx status
+  // The server error follows from a failed call of the backend server to another service. Another
+  // upstream would fail as well, so it does not count against this one.
+  bool mCallFailed = false;
 };
 
 enum class UpstreamState
--- a/packages/routing/src/routing.cpp
+++ b/packages/routing/src/routing.cpp
@@ -600,7 +600,9 @@
     upstream->mLoad = *aResponse.mLoad;
     upstream->mLoadAt = now;
   }
-  if (aResponse.mServerError) {
+  if (aResponse.mServerError && aResponse.mCallFailed) {
+    // Avoiding the upstream would send its load to other data centres, where it fails as well.
+  } else if (aResponse.mServerError) {
     // The latency is ignored, because a server that fails immediately must not look fast.
     CountFailure(*upstream, now);
   } else {
