--- a/packages/node/src/upstreams.cpp
+++ b/packages/node/src/upstreams.cpp
@@ -85,9 +85,8 @@
 {
   switch (aResult.mOutcome) {
     case AttemptOutcome::Complete:
-      mRouter.OnResponse(aUpstream,
-                         { aElapsed, LoadOf(aResult), aResult.mResponse.mStatus >= 500,
-                           aResult.mCallFailed });
+      mRouter.OnResponse(aUpstream, { aElapsed, LoadOf(aResult), aResult.mResponse.mStatus >= 500,
+                                      aResult.mCallFailed });
       break;
     case AttemptOutcome::Unknown:
       if (aResult.mReason == CallReason::Deadline) {
