Forget lost requests when they end

Cause: the estimate of lost requests was corrected only by the next statement of the server, so after their deadline a node could dispatch more than the server's slots for a moment. Change: a request that ends without a response reduces the estimate. Result: LostRequests.EndedRequestsAreNoLongerCounted passes.

--- a/packages/admission/include/balsammount/entry_throttle.h
+++ b/packages/admission/include/balsammount/entry_throttle.h
@@ -1,9 +1,9 @@
 // Throttles requests at the entry of the call graph by the results of their call chains.
 //
 // A chain that fails at a downstream service has already used capacity at every service before it.
-// The call graph is not declared, and a downstream service cannot tell which chain a call belongs
-// to. The entry node therefore uses the results of the requests that it admits: if too many fail
-// for lack of capacity, it admits fewer and refuses the rest before any work is done.
+// The call graph is not declared, and a downstream service knows at most the rank of the chain that
+// a call belongs to. The entry node therefore uses the results of the requests that it admits: if
+// too many fail for lack of capacity, it admits fewer and refuses the rest before any work is done.
 #pragma once
 
 #include "balsammount/clock.h"
--- a/packages/admission/include/balsammount/lost_requests.h
+++ b/packages/admission/include/balsammount/lost_requests.h
@@ -35,6 +35,9 @@
     }
   }
 
+  // Reports a request that ended without a response. It may be one of those counted.
+  void OnUnanswered() { mCount -= mCount > 0 ? 1 : 0; }
+
   // Forgets the estimate, after a restart of the server.
   void Reset() { *this = {}; }
 
--- a/packages/admission/tests/lost_requests_test.cpp
+++ b/packages/admission/tests/lost_requests_test.cpp
@@ -58,6 +58,17 @@
   CHECK_EQUAL(0, Count());
 }
 
+// Guards against more requests than the server can run, once the lost ones have ended.
+TEST(LostRequests, EndedRequestsAreNoLongerCounted)
+{
+  Report(12, 20, 20);
+  CHECK_EQUAL(7, Count());
+  for (int i = 0; i < 8; ++i) {
+    mLost.OnUnanswered();
+  }
+  CHECK_EQUAL(0, Count());
+}
+
 // Guards against a node that refuses requests for a server with free slots, because requests that
 // the server will never answer take the slots here.
 TEST(LostRequests, LostRequestsLeaveRoomForOthers)
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -214,6 +214,8 @@
   mAdmission.Complete(aJob->mAdmissionId, AdmissionOutcome(aResult), service);
   if (aResult) {
     OnServerLoad(*aResult);
+  } else {
+    OnUnanswered();
   }
   const bool connectionLost = !aResult && aResult.error().mCode == TransportError::ConnectionLost;
   if (connectionLost) {
@@ -249,9 +251,19 @@
     ++mMalformedServerLoads;
     return;
   }
-  const SteadyTime now = mClock.Now();
-  mLost.OnReport(load->mRunning + load->mWaiting, mAdmission.InFlight(), now);
-  mAdmission.SetLost(mLost.Count(mAdmission.Policy().mSlots, now));
+  mLost.OnReport(load->mRunning + load->mWaiting, mAdmission.InFlight(), mClock.Now());
+  ApplyLost();
+}
+
+void Executor::OnUnanswered()
+{
+  mLost.OnUnanswered();
+  ApplyLost();
+}
+
+void Executor::ApplyLost()
+{
+  mAdmission.SetLost(mLost.Count(mAdmission.Policy().mSlots, mClock.Now()));
 }
 
 CallResult Executor::ToCallResult(const Job& aJob, Result<HttpResponse> aResult)
@@ -322,8 +334,11 @@
   }
   aJob->mCallback = nullptr;
   mAdmission.Cancel(aJob->mAdmissionId);
-  if (aJob->mRunning && mObserver) {
-    mObserver->OnEnd(aJob->mNumber, false);
+  if (aJob->mRunning) {
+    OnUnanswered();
+    if (mObserver) {
+      mObserver->OnEnd(aJob->mNumber, false);
+    }
   }
   if (aJob->mBackendCall) {
     aJob->mBackendCall->Cancel();
@@ -432,7 +447,7 @@
   mServerId = server->mServerId;
   if (isNewServer) {
     mLost.Reset();
-    mAdmission.SetLost(0);
+    ApplyLost();
   }
   if (server->mSlots != mServerSlots) {
     mServerSlots = server->mSlots;
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -101,6 +101,8 @@
   void Dispatch(const std::shared_ptr<Job>& aJob);
   void OnResult(const std::shared_ptr<Job>& aJob, Result<HttpResponse> aResult);
   void OnServerLoad(const HttpResponse& aResponse);
+  void OnUnanswered();
+  void ApplyLost();
   void Finish(const std::shared_ptr<Job>& aJob, CallResult aCallResult);
   void CancelJob(const std::shared_ptr<Job>& aJob);
   void PollAdmission();
