Check connections between nodes only when something may be due

Change: the timer is set to the time at which a PING, its timeout or the end of an unused connection is due; a connection that is not used for 15 s is closed. Result: Peer.UnusedConnectionIsClosedAndOpenedAgain passes.

--- a/packages/transport/include/balsammount/peer_client.h
+++ b/packages/transport/include/balsammount/peer_client.h
@@ -18,6 +18,7 @@
   std::chrono::milliseconds mConnectTimeout{ 500 };
   std::chrono::milliseconds mPingAfter{ 200 };
   std::chrono::milliseconds mPingTimeout{ 500 };
+  std::chrono::milliseconds mMaxIdleTime{ 15'000 }; // then the connection is closed
   size_t mMaxBodyBytes = kMaxBodyBytes;
 };
 
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -19,9 +19,6 @@
 
 namespace {
 
-// Interval of the checks whether the peer has stopped responding.
-constexpr std::chrono::milliseconds kIdleCheckInterval{ 50 };
-
 class ClientConnection;
 
 class StreamCall final
@@ -89,6 +86,8 @@
 
 class ClientConnection final : public detail::H2Connection
 {
+  using TimePoint = std::chrono::steady_clock::time_point;
+
 public:
   ClientConnection(const asio::any_io_executor& aExecutor, PeerClientLimits aLimits)
     : H2Connection(tcp::socket(aExecutor))
@@ -157,7 +156,7 @@
     }
     Flush();
     Read();
-    ScheduleIdleCheck();
+    ScheduleCheck();
   }
 
   void Submit(const std::shared_ptr<StreamCall>& aCall)
@@ -180,10 +179,14 @@
       return;
     }
     aCall->mStreamId = streamId;
-    if (mCalls.empty()) {
+    const bool wasIdle = mCalls.empty();
+    mCalls.emplace(streamId, aCall);
+    if (wasIdle) {
       mWaitingSince = std::chrono::steady_clock::now();
+      if (mTimer.expiry() > NextCheck()) {
+        ScheduleCheck();
+      }
     }
-    mCalls.emplace(streamId, aCall);
   }
 
   void FlushSoon()
@@ -198,50 +201,65 @@
     });
   }
 
-  // Calls PingIfIdle periodically until the connection is closed.
-  void ScheduleIdleCheck()
+  // Returns when Check may have something to do. A node has a connection to every other node, so an
+  // unused connection must not cost any processor time.
+  TimePoint NextCheck() const
   {
-    mTimer.expires_after(kIdleCheckInterval);
+    if (mPingSent) {
+      return *mPingSent + mLimits.mPingTimeout;
+    }
+    const auto lastActivity = std::max(LastReceived(), mWaitingSince);
+    return lastActivity + (mCalls.empty() ? mLimits.mMaxIdleTime : mLimits.mPingAfter);
+  }
+
+  void ScheduleCheck()
+  {
+    mTimer.expires_at(NextCheck());
     mTimer.async_wait([self = SharedSelf()](const auto& aError) {
-      if (aError || self->IsClosed()) {
-        return;
-      }
-      self->PingIfIdle();
-      if (!self->IsClosed()) {
-        self->ScheduleIdleCheck();
+      if (!aError && !self->IsClosed()) {
+        self->Check();
       }
     });
   }
 
   // Sends a PING if nothing has arrived while requests are in flight. Closes the connection if the
-  // PING is not answered, or if the peer has sent GOAWAY and no request is in flight.
-  void PingIfIdle()
+  // PING is not answered, if it has not been used for long, or if the peer has sent GOAWAY and no
+  // request is in flight.
+  void Check()
   {
-    if (mGoingAway && mCalls.empty()) {
-      Close();
-      return;
-    }
     const auto now = std::chrono::steady_clock::now();
     if (mPingSent && LastReceived() >= *mPingSent) {
       mPingSent.reset();
     }
-    if (mPingSent) {
-      if (now - *mPingSent >= mLimits.mPingTimeout) {
+    if (now >= NextCheck()) {
+      if (mPingSent || mCalls.empty()) {
         Close();
+        return;
       }
-      return;
-    }
-    if (!mCalls.empty() && now - std::max(LastReceived(), mWaitingSince) >= mLimits.mPingAfter) {
       mPingSent = now;
       nghttp2_submit_ping(Session(), NGHTTP2_FLAG_NONE, nullptr);
       Flush();
     }
+    if (!CloseIfGone() && !IsClosed()) {
+      ScheduleCheck();
+    }
+  }
+
+  bool CloseIfGone()
+  {
+    const bool isGone = mGoingAway && mCalls.empty();
+    if (isGone) {
+      Close();
+    }
+    return isGone;
   }
 
   void OnFrame(const nghttp2_frame& aFrame) override
   {
     if (aFrame.hd.type == NGHTTP2_GOAWAY) {
       mGoingAway = true;
+      // The connection must not be closed from within a callback of nghttp2.
+      asio::post(Socket().get_executor(), [self = SharedSelf()] { self->CloseIfGone(); });
       return;
     }
     if ((aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0 ||
@@ -320,8 +338,8 @@
   asio::steady_timer mTimer;
   std::vector<std::shared_ptr<StreamCall>> mPendingCalls;
   std::map<int32_t, std::shared_ptr<StreamCall>> mCalls;
-  std::optional<std::chrono::steady_clock::time_point> mPingSent;
-  std::chrono::steady_clock::time_point mWaitingSince;
+  std::optional<TimePoint> mPingSent;
+  TimePoint mWaitingSince; // when the last call was sent while none was in flight
   bool mConnected = false;
   bool mGoingAway = false;
   bool mFlushPosted = false;
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -214,3 +214,39 @@
   STRCMP_EQUAL("500", results[2].c_str());
   CHECK_EQUAL(before + 2, UnhandledExceptions());
 }
+
+// Guards against processor time and memory for connections to nodes that are rarely called: a node
+// tells every other node of its changes.
+TEST(Peer, UnusedConnectionIsClosedAndOpenedAgain)
+{
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  const auto server =
+    MakeServer([&](const std::shared_ptr<Exchange>& aExchange) { exchanges.push_back(aExchange); });
+  PeerClientLimits limits;
+  limits.mMaxIdleTime = 100ms;
+  limits.mPingAfter = 20ms;
+  PeerClient client(mContext, EndpointOf(*server), limits);
+  size_t served = 0;
+  const auto send = [&] {
+    return client.Send(Post("a"), 20s, [&](const Result<HttpResponse>& aResult) {
+      served += aResult.has_value() ? 1 : 0;
+    });
+  };
+  auto first = send();
+  RunUntil([&] { return exchanges.size() == 1; });
+  // A request in flight keeps the connection open; the server answers pings meanwhile.
+  mContext.run_for(300ms);
+  exchanges[0]->Respond({});
+  RunUntil([&] { return served == 1; });
+  // Without a request, the timers of the connection end with it.
+  size_t handlers = 0;
+  const auto end = std::chrono::steady_clock::now() + 1s;
+  while (std::chrono::steady_clock::now() < end) {
+    handlers += mContext.run_one_for(20ms);
+  }
+  CHECK(handlers < 20);
+  auto second = send();
+  RunUntil([&] { return exchanges.size() == 2; });
+  exchanges[1]->Respond({});
+  RunUntil([&] { return served == 2; });
+}
