Fix what the linter reports in transport

Cause: limits that hold a shared pointer were copied, a structured binding was captured by reference, and a test had an unused variable. Change: moves, a named capture, a vector.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -246,7 +246,7 @@
   State(asio::io_context& aContext, tcp::endpoint aEndpoint, HttpClientLimits aLimits)
     : mExecutor(aContext.get_executor())
     , mEndpoint(std::move(aEndpoint))
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
     , mHost(mEndpoint.address().to_string() + ":" + std::to_string(mEndpoint.port()))
   {
   }
@@ -509,7 +509,7 @@
 
 HttpClient::HttpClient(asio::io_context& aContext, tcp::endpoint aEndpoint,
                        HttpClientLimits aLimits)
-  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits))
+  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), std::move(aLimits)))
 {
 }
 
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -294,7 +294,7 @@
         ExchangeHandler aHandler)
     : mAcceptor(aContext)
     , mEndpoint(std::move(aEndpoint))
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
     , mHandler(std::move(aHandler))
   {
   }
@@ -320,7 +320,7 @@
         co_await retryTimer.async_wait(kAwait);
         continue;
       }
-      RunGuarded("http-server", [&] { StartSession(std::move(socket)); });
+      RunGuarded("http-server", [this, &accepted = socket] { StartSession(std::move(accepted)); });
     }
   }
 
@@ -680,7 +680,8 @@
 
 HttpServer::HttpServer(asio::io_context& aContext, tcp::endpoint aEndpoint,
                        HttpServerLimits aLimits, ExchangeHandler aHandler)
-  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits, std::move(aHandler)))
+  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), std::move(aLimits),
+                                   std::move(aHandler)))
 {
 }
 
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -206,7 +206,8 @@
       }
     });
   };
-  const auto calls = { send("bad", false), send("a", true), send("b", false) };
+  const std::vector<std::shared_ptr<Call>> calls = { send("bad", false), send("a", true),
+                                                     send("b", false) };
   RunUntil([&] { return results.size() == 3; });
   std::sort(results.begin(), results.end());
   STRCMP_EQUAL("200a", results[0].c_str());
