Drop an unused counter of the slot limit

Cause: the counter of dispatches was written but not read, and a comment spoke of a mean of windows. Change: removed; the bound of a window is a number of requests.

--- a/packages/admission/include/balsammount/slot_limit.h
+++ b/packages/admission/include/balsammount/slot_limit.h
@@ -37,7 +37,7 @@
 private:
   static constexpr size_t kShares = 4;
 
-  // Service times of one window or, for the chosen share, the mean of recent windows.
+  // Service times of one window.
   struct Samples
   {
     std::array<double, kMaxRanks> mSums{}; // seconds
@@ -62,8 +62,7 @@
   uint32_t mWindows = 0; // with the chosen share since the last trial
   Samples mReference;    // of the last window with the chosen share
   Samples mWindow;
-  uint32_t mDispatches = 0;
-  uint32_t mDispatchesBelowLimit = 0;
+  uint32_t mDispatchesBelowLimit = 0; // in this window
   SteadyTime mWindowStart{};
 };
 
--- a/packages/admission/src/slot_limit.cpp
+++ b/packages/admission/src/slot_limit.cpp
@@ -19,8 +19,8 @@
 constexpr uint32_t kWindowsBetweenTrials = 16;
 // Before the first comparison a trial follows at once.
 constexpr uint32_t kWindowsBeforeFirstTrial = 1;
-// A window counts if at most this share of its requests was dispatched below the limit.
-constexpr double kMaxBelowLimit = 0.1;
+// A window is given up when more of its requests than this were dispatched below the limit.
+constexpr uint32_t kMaxBelowLimit = 20;
 // Throughput relative to the chosen share above which another one replaces it.
 constexpr double kMinGain = 1.04;
 constexpr double kTrialWeight = 0.5;
@@ -53,16 +53,14 @@
 {
   mTrial = aShare;
   mWindow = {};
-  mDispatches = 0;
   mDispatchesBelowLimit = 0;
   mWindowStart = aNow;
 }
 
 void SlotLimit::OnDispatch(uint32_t aInFlight, SteadyTime aNow)
 {
-  ++mDispatches;
   mDispatchesBelowLimit += aInFlight < Limit() ? 1 : 0;
-  if (mDispatchesBelowLimit > kMaxBelowLimit * kWindowSamples) {
+  if (mDispatchesBelowLimit > kMaxBelowLimit) {
     // Without enough demand, the limit does not affect the service time.
     StartWindow(mChosen, aNow);
   }
