Let the list report new nodes

Cause: at the start of a fleet every node told every other of itself. Change: the first record of a node that the list does not know is not told directly.

--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -324,7 +324,13 @@
 // unreachable this is also how they learn of a restart.
 void DirectoryService::PushIfUsedDifferently()
 {
-  if (mStoreReachable && !IsUsedDifferently(mPushedRecord, mOwnRecord)) {
+  // A new node is reported by the list. When a whole fleet starts, every node would tell every
+  // other.
+  const bool isNew = mPushedRecord.mNodeId.empty();
+  if (mStoreReachable && (isNew || !IsUsedDifferently(mPushedRecord, mOwnRecord))) {
+    if (isNew && mOwnRecord.mServing) {
+      mPushedRecord = mOwnRecord;
+    }
     return;
   }
   mPushedRecord = mOwnRecord;
