Handle stop signals that arrive during the start

Two causes, both traced. A process that had logged its start had not yet installed its signal handlers, so a signal then ended it with status -15. And a sender without any pause kept it in the handler: 3.04 s of system time, 0.08 s of user time, SIGTERM pending, no further log line.

--- a/packages/node/src/node_program.cpp
+++ b/packages/node/src/node_program.cpp
@@ -70,6 +70,9 @@
   SetLogFormat(aSettings.mLogFormat);
   SetLogLevel(aSettings.mLogLevel);
   asio::io_context context(1);
+  // Signals that arrive during the start are handled once the event loop runs.
+  asio::signal_set hangups(context, SIGHUP);
+  asio::signal_set signals(context, SIGTERM, SIGINT);
   Node node(context, aSettings, aProgram.mMakeDeploymentOptions(aSettings));
   if (auto result = node.Start(); !result) {
     Event("node", "start-failed").Add("error", Describe(result.error()));
@@ -98,9 +101,7 @@
     context.stop();
   };
   node.SetDrainRequestCallback([&] { node.Drain(stop); });
-  asio::signal_set hangups(context, SIGHUP);
   ReloadOnHangup(hangups, aProgram, aPath, node);
-  asio::signal_set signals(context, SIGTERM, SIGINT);
   signals.async_wait([&](const auto& aError, int) {
     if (aError) {
       return;
