Share the endless sender of two transport tests

Cause: two tests had the same loop that sends without end. Change: EndlessSender; the checks and bounds are the same. Result: 35 of 35 tests of transport pass, plain.

--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -24,6 +24,27 @@
   return request;
 }
 
+// Sends the same bytes again and again until the other side closes the connection.
+struct EndlessSender
+{
+  void Send()
+  {
+    boost::asio::async_write(mSocket, boost::asio::buffer(mBytes),
+                             [this](const auto& aError, size_t aCount) {
+                               mSent += aCount;
+                               mClosed = static_cast<bool>(aError);
+                               if (!mClosed) {
+                                 Send();
+                               }
+                             });
+  }
+
+  tcp::socket& mSocket;
+  std::string mBytes;
+  size_t mSent = 0;
+  bool mClosed = false;
+};
+
 } // namespace
 
 TEST_GROUP(Http)
@@ -574,22 +595,10 @@
   for (const auto& one : kCases) {
     tcp::acceptor acceptor(mContext, kAnyHttpPort);
     tcp::socket socket(mContext);
-    size_t sent = 0;
-    bool closed = false;
-    const std::string repeated = one.mRepeated;
-    std::function<void()> sendMore = [&] {
-      boost::asio::async_write(socket, boost::asio::buffer(repeated),
-                               [&](const auto& aError, size_t aCount) {
-                                 sent += aCount;
-                                 closed = closed || aError;
-                                 if (!closed) {
-                                   sendMore();
-                                 }
-                               });
-    };
+    EndlessSender sender{ socket, one.mRepeated };
     acceptor.async_accept(socket, [&](const auto&) {
       boost::asio::async_write(socket, boost::asio::buffer(one.mStart),
-                               [&](const auto&, size_t) { sendMore(); });
+                               [&](const auto&, size_t) { sender.Send(); });
     });
     HttpClientLimits limits;
     limits.mMaxBodyBytes = 1024 * 1024;
@@ -601,12 +610,12 @@
       error = aResult ? std::error_code() : aResult.error().mCode;
     });
     const auto end = std::chrono::steady_clock::now() + 10s;
-    while (!(error && closed) && std::chrono::steady_clock::now() < end) {
+    while (!(error && sender.mClosed) && std::chrono::steady_clock::now() < end) {
       mContext.run_one_for(10ms);
     }
-    CHECK_TEXT(error && closed, (one.mStart + one.mRepeated.substr(0, 20)).c_str());
+    CHECK_TEXT(error && sender.mClosed, (one.mStart + one.mRepeated.substr(0, 20)).c_str());
     // The socket buffers of both sides hold some megabytes.
-    CHECK(sent < 64 * 1024 * 1024);
+    CHECK(sender.mSent < 64 * 1024 * 1024);
     CHECK(error == TransportError::TooLarge || error == TransportError::ConnectionLost);
   }
 }
@@ -619,30 +628,18 @@
        { head + "X-Filler: ", head + "Transfer-Encoding: chunked\r\n\r\n1;" }) {
     tcp::socket socket(mContext);
     socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
-    const std::string repeated(1000, 'x');
-    size_t sent = 0;
-    bool closed = false;
-    std::function<void()> sendMore = [&] {
-      boost::asio::async_write(socket, boost::asio::buffer(repeated),
-                               [&](const auto& aError, size_t aCount) {
-                                 sent += aCount;
-                                 closed = closed || aError;
-                                 if (!closed) {
-                                   sendMore();
-                                 }
-                               });
-    };
+    EndlessSender sender{ socket, std::string(1000, 'x') };
     boost::asio::write(socket, boost::asio::buffer(start));
     std::string status(12, '\0');
     bool responded = false;
     boost::asio::async_read(socket, boost::asio::buffer(status),
                             [&](const auto&, size_t) { responded = true; });
-    sendMore();
+    sender.Send();
     RunUntil([&] { return responded; });
     STRCMP_EQUAL("HTTP/1.1 431", status.c_str());
-    CHECK(sent < 64 * 1024 * 1024);
+    CHECK(sender.mSent < 64 * 1024 * 1024);
     socket.close();
-    RunUntil([&] { return closed; });
+    RunUntil([&] { return sender.mClosed; });
   }
 }
 
