--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -31,6 +31,8 @@
 std::set<pid_t> sChildren;
 
 constexpr double kLongestCase = 110;
+// Segments as on an Ethernet. With those of the loopback device the kernel buffers megabytes.
+constexpr int kSegmentBytes = 1400;
 
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
@@ -238,6 +240,7 @@
   if (aReceiveBuffer > 0) {
     setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof(aReceiveBuffer));
   }
+  setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
   sockaddr_in address = AddressOf(aPort);
   if (connect(fd, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0) {
     close(fd);
@@ -371,6 +374,7 @@
     // Accepted connections inherit it.
     setsockopt(mSocket, SOL_SOCKET, SO_RCVBUF, &aReceiveBuffer, sizeof(aReceiveBuffer));
   }
+  setsockopt(mSocket, IPPROTO_TCP, TCP_MAXSEG, &kSegmentBytes, sizeof(kSegmentBytes));
   sockaddr_in address = AddressOf(aPort);
   if (bind(mSocket, reinterpret_cast<sockaddr*>(&address), sizeof(address)) != 0 ||
       listen(mSocket, 1024) != 0) {
@@ -871,6 +875,15 @@
   }
 }
 
+uint64_t Node::ResidentBytes() const
+{
+  std::ifstream file("/proc/" + std::to_string(mPid) + "/statm");
+  uint64_t total = 0;
+  uint64_t resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
+}
+
 // Backend servers.
 
 namespace {
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -224,6 +224,8 @@
   bool IsReady() const;
   // Returns whether the process has ended, and how.
   bool HasEnded(std::string* aHow = nullptr);
+  // Resident memory in bytes, as the platform counts it.
+  uint64_t ResidentBytes() const;
 
   const std::string& Name() const { return mName; }
   const std::string& Service() const { return mService; }
@@ -231,6 +233,7 @@
   uint16_t OutboundPort() const { return mOutbound; }
   uint16_t ControlPort() const { return mControl; }
   uint16_t AppPort() const { return mApp; }
+  pid_t Pid() const { return mPid; }
 
 private:
   std::string mName;
