Compare the request id of refusals of the backend server

Cause: Executor::IsResponseTo took every response with Not-Executed or status 421 as the response to the request that was waiting, whatever its request id was. The late second copy of an earlier refusal so "proved" that a running request had not run.

Change: MatchResponse compares the id of every response. A response to another request is dropped. A refusal without an id is ambiguous: the connection is closed and the outcome is unknown. Both are logged and counted.

--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -1,5 +1,7 @@
 #include "executor.h"
 
+#include "response_match.h"
+
 #include "balsammount/event.h"
 #include "balsammount/log.h"
 
@@ -184,28 +186,23 @@
   aJob->mBackendCall = mBackend.Send(
     BackendRequest(*aJob), remaining,
     [this, aJob](Result<HttpResponse> aResult) { OnResult(aJob, std::move(aResult)); },
-    [this, aJob](const HttpResponse& aResponse) { return IsResponseTo(*aJob, aResponse); });
+    [this, aJob](const HttpResponse& aResponse) { return Match(*aJob, aResponse); });
 }
 
-// The response to an earlier request may arrive late on a kept-alive connection, and a faulty
-// backend server may send anything.
-bool Executor::IsResponseTo(const Job& aJob, const HttpResponse& aResponse) const
+ResponseMatch Executor::Match(const Job& aJob, const HttpResponse& aResponse)
 {
-  if (!mNames.mKeepRequestId || DidNotRun(aResponse)) {
-    return true;
-  }
-  const std::string_view id = aResponse.mHeaders.Find(mNames.mRequestId);
-  const bool isSuccess = aResponse.mStatus / 100 == 2;
-  if (isSuccess && !mNames.mServerStamp.empty() && !aResponse.mHeaders.Has(mNames.mServerStamp)) {
-    return false;
+  const std::string& requestId = aJob.mRequest->mContext.mRequestId;
+  const ResponseMatch match = MatchResponse(mNames, requestId, aResponse);
+  if (match != ResponseMatch::Own) {
+    ++mForeignResponses;
+    Event("backend", "foreign-response")
+      .Add("request", requestId)
+      .Add("response_id", aResponse.mHeaders.Find(mNames.mRequestId))
+      .Add("status", aResponse.mStatus)
+      .Add("states_not_run", StatesNotRun(mNames, aResponse))
+      .Add("server", mServerId);
   }
-  return id.empty() ? !isSuccess : id == aJob.mRequest->mContext.mRequestId;
-}
-
-bool Executor::DidNotRun(const HttpResponse& aResponse) const
-{
-  return (!mNames.mNotExecuted.empty() && aResponse.mHeaders.Has(mNames.mNotExecuted)) ||
-         (!mNames.mExpectedServer.empty() && aResponse.mStatus == 421);
+  return match;
 }
 
 void Executor::OnResult(const std::shared_ptr<Job>& aJob, Result<HttpResponse> aResult)
@@ -269,7 +266,7 @@
 CallResult Executor::ToCallResult(const Job& aJob, Result<HttpResponse> aResult)
 {
   RequestBudget budget = std::move(aJob.mRequest->mBudget);
-  if (aResult && DidNotRun(*aResult)) {
+  if (aResult && StatesNotRun(mNames, *aResult)) {
     const bool isWrongServer = aResult->mStatus == 421;
     Event("backend", isWrongServer ? "other-server" : "server-refused")
       .Add("request", aJob.mRequest->mContext.mRequestId)
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -87,6 +87,8 @@
   bool Available() const { return mAvailable; }
   // Statements of the backend server about its load that could not be read.
   uint64_t MalformedServerLoads() const { return mMalformedServerLoads; }
+  // Responses that arrived in place of the response to another request.
+  uint64_t ForeignResponses() const { return mForeignResponses; }
   bool Draining() const { return mAdmission.Draining(); }
   // Requests queued or in flight.
   size_t Pending() const { return mJobs.size(); }
@@ -109,8 +111,8 @@
   void ArmTimer();
   void SetAvailable(bool aAvailable);
   CallResult ToCallResult(const Job& aJob, Result<HttpResponse> aResult);
-  bool IsResponseTo(const Job& aJob, const HttpResponse& aResponse) const;
-  bool DidNotRun(const HttpResponse& aResponse) const;
+  // Logs and counts a response that does not belong to the job.
+  ResponseMatch Match(const Job& aJob, const HttpResponse& aResponse);
   void ApplyPolicy();
   void ApplyDraining();
   uint32_t LoadPercent() const;
@@ -142,6 +144,7 @@
   std::string mServerLoadHeader;
   ServerLoadDecoder mDecodeServerLoad; // null: the server does not state its load
   uint64_t mMalformedServerLoads = 0;
+  uint64_t mForeignResponses = 0;
   LostRequests mLost;
   DispatchObserver* mObserver = nullptr;
   // Jobs whose connection was lost. The next probe shows whether the server has crashed.
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -328,6 +328,9 @@
   add("malformed_server_loads",
       "Statements of the backend server about its load that are malformed.",
       [this] { return static_cast<double>(mExecutor->MalformedServerLoads()); });
+  add("foreign_responses",
+      "Responses of the backend server in place of the response to another request.",
+      [this] { return static_cast<double>(mExecutor->ForeignResponses()); });
   add("held_bytes", "Bytes of request and response bodies that are held.",
       [this] { return static_cast<double>(mHeldBytes->Used()); });
   add("unhandled_exceptions", "Exceptions that ended the work of a handler since the start.",
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -28,9 +28,15 @@
   bool mAcceptCloseDelimited = false;
 };
 
-// Returns false for a response that does not belong to the request, such as a second response to an
-// earlier request. The client drops it and reads the next response on the connection.
-using ResponseFilter = std::function<bool(const HttpResponse&)>;
+// Whether a response that arrives on the connection of a request belongs to that request. A faulty
+// server may repeat its response to an earlier request.
+enum class ResponseMatch
+{
+  Own,       // delivered
+  Other,     // dropped; the client reads the next response
+  Ambiguous, // the call fails with ConnectionLost and the connection is closed
+};
+using ResponseFilter = std::function<ResponseMatch(const HttpResponse&)>;
 
 // Callbacks for a response that is delivered as it arrives.
 struct StreamCallbacks
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -122,6 +122,19 @@
   return aMessage.result_int() / 100 == 1 && aMessage.result_int() != 101;
 }
 
+// Returns why a whole response is not delivered.
+const char* DescribeRejection(ResponseMatch aMatch)
+{
+  switch (aMatch) {
+    case ResponseMatch::Other:
+      return ": response to another request";
+    case ResponseMatch::Ambiguous:
+      return ": response without the id of its request";
+    default:
+      return ": response without a length";
+  }
+}
+
 class HttpCall final : public Call
 {
 public:
@@ -334,9 +347,9 @@
     std::optional<http::response_parser<http::string_body>> parser;
     HttpResponse response;
     bool mustClose = false;
-    bool isMatch = false;
+    auto match = ResponseMatch::Other;
     bool isSelfDelimited = true;
-    for (int skipped = 0; !isMatch && isSelfDelimited; ++skipped) {
+    for (int skipped = 0; match == ResponseMatch::Other && isSelfDelimited; ++skipped) {
       if (skipped > kMaxSkippedResponses) {
         connection->mStream.close();
         aCall->Finish(
@@ -360,8 +373,8 @@
       mustClose = mustClose || !parser->keep_alive();
       UpdateServerIdleTimeout(*connection, parser->get());
       response = FromBeast(parser->release());
-      isMatch = !aCall->Filter() || aCall->Filter()(response);
-      mustClose = mustClose || !isMatch;
+      match = aCall->Filter() ? aCall->Filter()(response) : ResponseMatch::Own;
+      mustClose = mustClose || match != ResponseMatch::Own;
     }
     // Bytes that follow the response would be read as the response to the next request. If the
     // response came before the request was fully sent, the rest of the request is still to be
@@ -373,10 +386,9 @@
     } else {
       connection->mStream.close();
     }
-    if (!isMatch || (!isSelfDelimited && !self.mLimits.mAcceptCloseDelimited)) {
-      aCall->Finish(Failure{
-        TransportError::ConnectionLost,
-        self.mHost + (isMatch ? ": answer without a length" : ": answer to another request") });
+    if (match != ResponseMatch::Own || (!isSelfDelimited && !self.mLimits.mAcceptCloseDelimited)) {
+      aCall->Finish(
+        Failure{ TransportError::ConnectionLost, self.mHost + DescribeRejection(match) });
       co_return;
     }
     aCall->Finish(std::move(response));
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -175,7 +175,7 @@
   const auto send = [&] {
     return mClient->Send(
       Post("a"), 5000ms, [this](const auto&) { mResponses.emplace_back(); },
-      [state](const HttpResponse&) { return true; });
+      [state](const HttpResponse&) { return ResponseMatch::Own; });
   };
   const auto finished = send();
   RunUntil([&] { return mExchanges.size() == 1; });
@@ -346,7 +346,9 @@
   std::string response;
   client->Send(
     Post("a"), 5s, [&](auto aResult) { response = aResult ? aResult->mBody : "failed"; },
-    [](const HttpResponse& aResponse) { return aResponse.mHeaders.Find("Id") == "mine"; });
+    [](const HttpResponse& aResponse) {
+      return aResponse.mHeaders.Find("Id") == "mine" ? ResponseMatch::Own : ResponseMatch::Other;
+    });
   tcp::socket socket(mContext);
   bool accepted = false;
   acceptor.async_accept(socket, [&](const auto&) { accepted = true; });
@@ -564,7 +566,7 @@
       mResponses.push_back(aResult ? "served" : aResult.error().mCode.message());
       throw std::runtime_error("callback");
     },
-    [](const HttpResponse&) -> bool { throw std::runtime_error("filter"); });
+    [](const HttpResponse&) -> ResponseMatch { throw std::runtime_error("filter"); });
   RunUntil([&] { return mExchanges.size() == 1; });
   mExchanges[0]->Respond({});
   RunUntil([&] { return mResponses.size() == 1; });
