--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -16,7 +16,7 @@
 // A record survives a frozen or restarted process for this long. Each renewal costs a call to the
 // store, and failed connections reveal a stopped node long before its lease expires.
 constexpr auto kLeaseDuration = 10s;
-constexpr auto kRenewInterval = 2500ms;
+constexpr Duration kRenewInterval = 2500ms;
 
 // Delay before a failed call is retried; doubles up to the maximum, with jitter. With this maximum,
 // records are back in the store within two seconds of its recovery.
@@ -435,14 +435,14 @@
     }
     mLease = aResult->mId;
     Publish();
-    RenewLeaseLater();
+    RenewLeaseLater(kRenewInterval);
   });
 }
 
-void DirectoryService::RenewLeaseLater()
+void DirectoryService::RenewLeaseLater(Duration aInterval)
 {
   mRenewTimer.expires_after(
-    std::chrono::duration_cast<Duration>(kRenewInterval * (0.9 + 0.2 * mRandom.Uniform())));
+    std::chrono::duration_cast<Duration>(aInterval * (0.9 + 0.2 * mRandom.Uniform())));
   mRenewTimer.async_wait([this](const auto& aError) {
     if (!aError) {
       RenewLease();
@@ -476,7 +476,7 @@
     return;
   }
   SetStoreReachable(aResult.has_value(), "renew", aResult ? "" : Describe(aResult.error()));
-  RenewLeaseLater();
+  RenewLeaseLater(aResult ? kRenewInterval : kMaxBackoff);
 }
 
 void DirectoryService::SetStoreReachable(bool aReachable, const char* aCall,
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -79,7 +79,7 @@
   bool IsPublished() const { return mHasNodeList && mPublishedSequence == mOwnRecord.mSequence; }
   void RunWaiters();
   void GrantLease();
-  void RenewLeaseLater();
+  void RenewLeaseLater(Duration aInterval);
   void RenewLease();
   void OnLeaseRenewed(LeaseId aLease, const StoreResult<std::chrono::seconds>& aResult);
   void PublishLater(Duration aDelay);
--- a/packages/node/tests/directory_service_test.cpp
+++ b/packages/node/tests/directory_service_test.cpp
@@ -160,6 +160,19 @@
   CHECK(mFixture->RunUntil(10s, [&] { return mFixture->mStore.mCalls > calls; }));
 }
 
+// Guards against a node that notices the end of an outage of the store too late: the next renewal
+// shows it, and watch requests that were lost in the outage are sent again then.
+TEST(DirectoryService, RetriesAFailedRenewalSoon)
+{
+  mFixture->Start();
+  mFixture->mStore.mFaults.mDown = true;
+  const auto renewed = [&, calls = mFixture->mStore.mCalls](size_t aCount) {
+    return [&, limit = calls + aCount] { return mFixture->mStore.mCalls >= limit; };
+  };
+  CHECK(mFixture->RunUntil(5s, renewed(1)));
+  CHECK(mFixture->RunUntil(1500ms, renewed(2)));
+}
+
 // Guards against a lease that is no longer renewed because a record was being written when the last
 // renewal ended.
 TEST(DirectoryService, RenewsLeaseAfterARenewalDuringAPublication)
