Test refusals while an overloaded server repeats its responses

Under overload the retry budget is spent, so most false refusals reach the caller.

Not shown: that the users' servers repeated refusals; their record names none.

--- a/packages/node/tests/executor_test.cpp
+++ b/packages/node/tests/executor_test.cpp
@@ -1,12 +1,14 @@
 #include "executor.h"
 
 #include "balsammount/log.h"
+#include "balsammount/random.h"
 
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 
 #include <CppUTest/TestHarness.h>
 
+#include <map>
 #include <optional>
 
 using namespace balsammount;
@@ -52,6 +54,91 @@
   return std::make_shared<const Config>(std::move(values));
 }
 
+// A backend server that refuses half of its requests and repeats some of its responses when the
+// next request has arrived on the same connection.
+class RepeatingServer
+{
+public:
+  RepeatingServer(boost::asio::io_context& aContext, tcp::acceptor& aAcceptor)
+    : mContext(aContext)
+    , mAcceptor(aAcceptor)
+  {
+    Accept();
+  }
+
+  size_t Runs(const std::string& aId) const { return mRuns.contains(aId) ? mRuns.at(aId) : 0; }
+  size_t Copies() const { return mCopies; }
+  void Close()
+  {
+    for (const auto& connection : mConnections) {
+      connection->mSocket.close();
+    }
+  }
+
+private:
+  struct Connection
+  {
+    explicit Connection(boost::asio::io_context& aContext)
+      : mSocket(aContext)
+    {
+    }
+    tcp::socket mSocket;
+    std::string mReceived;
+    std::string mCopy; // of an earlier response, still to be sent
+  };
+
+  void Accept()
+  {
+    auto connection = std::make_shared<Connection>(mContext);
+    mAcceptor.async_accept(connection->mSocket, [this, connection](const auto& aError) {
+      if (!aError) {
+        mConnections.push_back(connection);
+        Read(connection);
+        Accept();
+      }
+    });
+  }
+
+  void Read(const std::shared_ptr<Connection>& aConnection)
+  {
+    boost::asio::async_read_until(aConnection->mSocket,
+                                  boost::asio::dynamic_buffer(aConnection->mReceived), "\r\n\r\n",
+                                  [this, aConnection](const auto& aError, size_t) {
+                                    if (!aError) {
+                                      Handle(*aConnection);
+                                      Read(aConnection);
+                                    }
+                                  });
+  }
+
+  void Handle(Connection& aConnection)
+  {
+    const std::string head = std::exchange(aConnection.mReceived, {});
+    const size_t start = head.find("\r\nId: ") + 6;
+    const std::string id = head.substr(start, head.find("\r\n", start) - start);
+    const bool refuses = mRandom.Uniform() < 0.5;
+    if (!refuses) {
+      ++mRuns[id];
+    }
+    const std::string response = refuses ? Refusal(id) : Answer(id);
+    std::string bytes = std::exchange(aConnection.mCopy, {});
+    mCopies += bytes.empty() ? 0 : 1;
+    if (mRandom.Uniform() < 0.3) {
+      aConnection.mCopy = response;
+    }
+    bytes += response;
+    boost::system::error_code ignored;
+    boost::asio::write(aConnection.mSocket, boost::asio::buffer(bytes), ignored);
+  }
+
+  boost::asio::io_context& mContext;
+  tcp::acceptor& mAcceptor;
+  Random mRandom{ 1 };
+  std::vector<std::shared_ptr<Connection>> mConnections;
+  std::map<std::string, size_t> mRuns; // by request id
+  size_t mCopies = 0;
+};
+
 } // namespace
 
 // An executor beside a backend server whose bytes the test writes.
@@ -204,3 +291,22 @@
   Write(Refusal(""));
   CHECK(Outcome() == AttemptOutcome::Unknown);
 }
+
+// Guards against refusals of requests that have run, at the rate at which an overloaded server
+// refuses. With the retry budget used up, most of them reached the callers.
+TEST(Executor, RefusalsAreTrueWhileTheServerRepeatsResponses)
+{
+  RepeatingServer server(mContext, mAcceptor);
+  constexpr int kRequests = 500;
+  int refused = 0;
+  for (int i = 0; i < kRequests; ++i) {
+    const std::string id = "request-" + std::to_string(i);
+    Start(id);
+    const AttemptOutcome outcome = Outcome();
+    refused += outcome == AttemptOutcome::NotRun ? 1 : 0;
+    CHECK_EQUAL(outcome == AttemptOutcome::NotRun ? 0 : 1, server.Runs(id));
+  }
+  CHECK(refused > kRequests / 4);
+  CHECK(server.Copies() > kRequests / 20);
+  server.Close();
+}
