Refuse requests that are read late in a planned stop

Reported by operators of similar systems: requests that came late in a planned stop were taken, passed on and cut off at its end without an answer.

Change: after the listener has stopped, the gateway refuses requests of callers with 503 before they run. Calls of requests that are running are served.

Result: Gateway.RefusesLateRequestsOfAPlannedStop passes. It was not run on the old code, which has no such state. Also tested: a response that ends or is reset after each of its bytes is never complete (Executor, two tests); these pass on the old code's client as well, so that report cannot happen here.

--- a/packages/node/src/gateway.cpp
+++ b/packages/node/src/gateway.cpp
@@ -193,7 +193,7 @@
 void Gateway::HandleEntry(const std::shared_ptr<Exchange>& aExchange, std::string_view aCaller)
 {
   auto context = EntryContext(*aExchange, aCaller);
-  if (!context) {
+  if (!context || RefuseIfStopping(*aExchange, *context)) {
     return;
   }
   const uint64_t identity = context->mRequestHash;
@@ -240,6 +240,9 @@
     return;
   }
   const auto parent = FindParent(*aExchange, *route);
+  if (!parent && RefuseIfStopping(*aExchange, *context)) {
+    return;
+  }
   if (parent && mConfig->FindRank(parent->mContext.mRank)) {
     context->mRank = parent->mContext.mRank;
   }
@@ -270,6 +273,22 @@
           });
 }
 
+// A request may be read after the listener has stopped: one whose body was still arriving, or one
+// that waited for the response to an earlier request on its connection. Its response might not be
+// ready before the process has to end.
+bool Gateway::RefuseIfStopping(Exchange& aExchange, const CallContext& aContext)
+{
+  if (!mRefusesNew) {
+    return false;
+  }
+  mMetrics.OnOffered(aContext.mService, aContext.mRank);
+  CallResult refusal = Refused(CallReason::Draining, {}, kMinRetryAfter);
+  mMetrics.OnRefused(aContext.mService, aContext.mRank, refusal.mReason);
+  LogFailure(aContext, refusal, Duration::zero());
+  aExchange.Respond(CallerResponse(std::move(refusal), mNames));
+  return true;
+}
+
 std::shared_ptr<InFlightRequest> Gateway::FindParent(const Exchange& aExchange,
                                                      const RoutePolicy& aRoute)
 {
--- a/packages/node/src/gateway.h
+++ b/packages/node/src/gateway.h
@@ -32,6 +32,10 @@
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig, uint64_t aRevision);
 
+  // Refuses requests of callers from now on. The calls of requests that are running are still
+  // served.
+  void RefuseNewRequests() { mRefusesNew = true; }
+
   // Requests received by this node that have not been answered yet.
   size_t Pending() const { return mPending; }
 
@@ -51,6 +55,8 @@
   void HandleRouted(const std::shared_ptr<Exchange>& aExchange);
   std::optional<CallContext> RoutedContext(const HttpRequest& aRequest, const RoutePolicy& aRoute,
                                            std::chrono::milliseconds aTimeout);
+  // Returns true if the request has been refused because this node is about to stop.
+  bool RefuseIfStopping(Exchange& aExchange, const CallContext& aContext);
   // Returns the running request that the exchange is a call of, or null.
   std::shared_ptr<InFlightRequest> FindParent(const Exchange& aExchange, const RoutePolicy& aRoute);
   // Returns false if the request has been refused because too many call chains of its route fail.
@@ -88,6 +94,7 @@
   uint64_t mNextId = 1;
   uint64_t mRevision = 0;
   size_t mPending = 0;
+  bool mRefusesNew = false;
 };
 
 } // namespace balsammount
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -394,6 +394,7 @@
   if (drainDelayOver && !mListenerStopped) {
     // Connections of callers close after their next response, before the process exits.
     mCallerListener->Stop();
+    mGateway->RefuseNewRequests();
     mListenerStopped = mClock.Now();
     if (mDirectory) {
       mDirectory->Withdraw();
--- a/packages/node/tests/executor_test.cpp
+++ b/packages/node/tests/executor_test.cpp
@@ -216,21 +216,35 @@
                        [this](CallResult aResult) { mResult = std::move(aResult); });
   }
 
-  // Reads the next request of the connection, which is accepted first if there is none.
+  // Reads the next request of the connection, which is accepted first if there is none. Skips the
+  // connections that the executor opens to find out whether the server is there.
   void ReadRequest()
   {
-    bool done = false;
-    const auto read = [&] {
-      mReceived.clear();
-      boost::asio::async_read_until(mConnection, boost::asio::dynamic_buffer(mReceived), "\r\n\r\n",
-                                    [&](const auto&, size_t) { done = true; });
-    };
-    if (mConnection.is_open()) {
-      read();
-    } else {
-      mAcceptor.async_accept(mConnection, [&](const auto&) { read(); });
+    if (!mConnection.is_open()) {
+      Accept();
     }
-    RunUntil([&] { return done; });
+    Read();
+    RunUntil([&] { return mReceived.ends_with("\r\n\r\n"); });
+  }
+
+  void Accept()
+  {
+    bool accepted = false;
+    mAcceptor.async_accept(mConnection, [&](const auto&) { accepted = true; });
+    RunUntil([&] { return accepted; });
+  }
+
+  void Read()
+  {
+    mReceived.clear();
+    boost::asio::async_read_until(mConnection, boost::asio::dynamic_buffer(mReceived), "\r\n\r\n",
+                                  [&](const auto& aError, size_t) {
+                                    if (aError == boost::asio::error::eof) {
+                                      mConnection.close();
+                                      mAcceptor.async_accept(mConnection,
+                                                             [&](const auto&) { Read(); });
+                                    }
+                                  });
   }
 
   void Write(const std::string& aBytes)
@@ -310,3 +324,31 @@
   CHECK(server.Copies() > kRequests / 20);
   server.Close();
 }
+
+// Guards against a success with an empty or short body: the server stops in the middle of the head
+// or the body of its response and closes the connection.
+TEST(Executor, TruncatedResponseIsNeverComplete)
+{
+  const std::string whole = Answer("a");
+  for (size_t size = 0; size < whole.size(); ++size) {
+    Start("a");
+    ReadRequest();
+    Write(whole.substr(0, size));
+    mConnection.close();
+    CHECK(Outcome() == AttemptOutcome::Unknown);
+  }
+}
+
+// The same for a response that is reset.
+TEST(Executor, ResetResponseIsNeverComplete)
+{
+  const std::string whole = Answer("a");
+  for (size_t size = 0; size < whole.size(); ++size) {
+    Start("a");
+    ReadRequest();
+    Write(whole.substr(0, size));
+    mConnection.set_option(boost::asio::socket_base::linger(true, 0));
+    mConnection.close();
+    CHECK(Outcome() == AttemptOutcome::Unknown);
+  }
+}
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -207,6 +207,26 @@
   STRCMP_EQUAL("least", call("127.0.0.1", "2999").c_str());
 }
 
+// Guards against a planned stop that cuts off requests which were read late and passed on. They are
+// refused before they run; calls of requests that are running are served.
+TEST(Gateway, RefusesLateRequestsOfAPlannedStop)
+{
+  Start(true);
+  StartParent("urgent", 3s);
+  mGateway->RefuseNewRequests();
+  const auto call = [&](const char* aDeadline) {
+    auto exchange = SubCall();
+    exchange->mRequest.mHeaders.Set("Host", "stock.example");
+    exchange->mRequest.mHeaders.Set("Balsam-Deadline-Ms", aDeadline);
+    mGateway->HandleCaller(exchange);
+    return exchange->mStatus;
+  };
+  CHECK_EQUAL(503, call("2000"));
+  CHECK(mCalls.mContexts.empty());
+  CHECK_EQUAL(0, call("2999")); // of the running request
+  CHECK_EQUAL(1, mCalls.mContexts.size());
+}
+
 // Guards against a server that is taken to fail although one of its calls failed.
 TEST(Gateway, FailedCallIsRememberedWithItsParent)
 {
