Share the samples of the node tests

The tests of the executor, the gateway and the response match had the same names and the same announcement three times.

--- a/packages/node/tests/executor_test.cpp
+++ b/packages/node/tests/executor_test.cpp
@@ -1,5 +1,7 @@
 #include "executor.h"
 
+#include "samples.h"
+
 #include "balsammount/log.h"
 #include "balsammount/random.h"
 
@@ -20,17 +22,6 @@
 // Created before the tests, which would report their shared state as a leak.
 const bool kLoggersExist = (Log("backend"), Log("admission"), true);
 
-HeaderNames Names()
-{
-  HeaderNames names;
-  names.mRequestId = "Id";
-  names.mExpectedServer = "Expected-Server";
-  names.mNotExecuted = "Not-Run";
-  names.mServerStamp = "Stamp";
-  names.mKeepRequestId = true;
-  return names;
-}
-
 std::string Answer(const std::string& aId)
 {
   return "HTTP/1.1 200 OK\r\nId: " + aId + "\r\nStamp: 1\r\nContent-Length: 2\r\n\r\nok";
@@ -150,7 +141,7 @@
   tcp::socket mConnection{ mContext }; // of the last request that was read
   std::string mReceived;
   NodeSettings mSettings;
-  HeaderNames mNames = Names();
+  HeaderNames mNames = NamesWithRequestId();
   RecentOverload mOverload{ mClock };
   std::unique_ptr<Executor> mExecutor;
   std::optional<CallResult> mResult;
@@ -162,14 +153,7 @@
     mExecutor = std::make_unique<Executor>(mContext, mClock, mSettings, mOverload, mNames,
                                            ServerPresence::Announced, nullptr);
     mExecutor->ApplyConfig(MakeConfig());
-    ServerLifecycle lifecycle("orders", "127.0.0.1:80");
-    ServerAnnouncement announcement;
-    announcement.mServerId = "server-1";
-    announcement.mService = "orders";
-    announcement.mAddress = "127.0.0.1:80";
-    announcement.mSlots = 4;
-    lifecycle.OnAnnouncement(announcement);
-    mExecutor->SetServer(lifecycle);
+    mExecutor->SetServer(AnnouncedServer());
   }
 
   void teardown() override
--- a/packages/node/tests/gateway_test.cpp
+++ b/packages/node/tests/gateway_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway.h"
 
+#include "samples.h"
+
 #include "balsammount/http_server.h"
 #include "balsammount/log.h"
 
@@ -107,14 +109,7 @@
     const auto config = MakeConfig(aWithRoutes);
     mExecutor->ApplyConfig(config);
     mGateway->ApplyConfig(config, 1);
-    ServerLifecycle lifecycle("orders", "127.0.0.1:80");
-    ServerAnnouncement announcement;
-    announcement.mServerId = "server-1";
-    announcement.mService = "orders";
-    announcement.mAddress = "127.0.0.1:80";
-    announcement.mSlots = 4;
-    lifecycle.OnAnnouncement(announcement);
-    mExecutor->SetServer(lifecycle);
+    mExecutor->SetServer(AnnouncedServer());
   }
 
   // Dispatches a request to the backend server that is never answered.
--- a/packages/node/tests/response_match_test.cpp
+++ b/packages/node/tests/response_match_test.cpp
@@ -1,22 +1,13 @@
 #include "response_match.h"
 
+#include "samples.h"
+
 #include <CppUTest/TestHarness.h>
 
 using namespace balsammount;
 
 namespace {
 
-HeaderNames Names()
-{
-  HeaderNames names;
-  names.mRequestId = "Id";
-  names.mExpectedServer = "Expected-Server";
-  names.mNotExecuted = "Not-Run";
-  names.mServerStamp = "Stamp";
-  names.mKeepRequestId = true;
-  return names;
-}
-
 HttpResponse Response(unsigned aStatus, const char* aId,
                       std::initializer_list<const char*> aHeaders)
 {
@@ -35,7 +26,7 @@
 
 TEST_GROUP(ResponseMatch)
 {
-  HeaderNames mNames = Names();
+  HeaderNames mNames = NamesWithRequestId();
 
   ResponseMatch Match(const HttpResponse& aResponse)
   {
