--- a/review/standins-2/harness.h
+++ b/review/standins-2/harness.h
@@ -445,6 +445,25 @@
   // How old the state is that reads with allow-stale return.
   void SetStaleness(int64_t aMs) { mStaleMs = aMs; }
 
+  // The longest time since a renewal of a lease that lives, in milliseconds.
+  int64_t OldestRenewal()
+  {
+    const std::lock_guard lock(mMutex);
+    int64_t oldest = 0;
+    for (const auto& [id, lease] : mLeases) {
+      const auto age = Clock::now() - (lease.mEnd - lease.mTtl);
+      oldest = std::max<int64_t>(oldest, std::chrono::duration_cast<milliseconds>(age).count());
+    }
+    return oldest;
+  }
+
+  // Calls that arrive until then get no response, and their connections return nothing further.
+  void SetSilent(int64_t aMs)
+  {
+    const std::lock_guard lock(mMutex);
+    mSilentUntil = Clock::now() + milliseconds(aMs);
+  }
+
 private:
   struct Item
   {
@@ -525,6 +544,11 @@
       if (!aConnection.ReadHead(request) || !aConnection.ReadBody(request)) {
         return;
       }
+      if (IsSilent()) {
+        while (aConnection.Fill()) {
+        }
+        return;
+      }
       Sleep(4);
       if (!aConnection.Write(Handle(request))) {
         return;
@@ -532,6 +556,12 @@
     }
   }
 
+  bool IsSilent()
+  {
+    const std::lock_guard lock(mMutex);
+    return Clock::now() < mSilentUntil;
+  }
+
   std::string Handle(const Message& aRequest)
   {
     const std::string path = aRequest.mTarget.substr(0, aRequest.mTarget.find('?'));
@@ -668,6 +698,7 @@
   std::map<int64_t, Lease> mLeases;
   int64_t mLastLease = 7000;
   std::atomic<int64_t> mStaleMs = 0;
+  Clock::time_point mSilentUntil{};
   Listener mListener;
 };
 
