Find changes that a lost watch request has not reported

Cause: after a change all nodes send their next watch requests at the same time. The store lost them, and no other call was due in that moment. A lost watch request looks like one that waits, and nothing else fails. The logs of the case have neither "lost" nor "watch-lost", and the record of its store shows no other call in the outage, which rules out a node that missed the end of an outage that it had noticed.

Change: every node keeps the time as of which its configuration was the newest one (ConfigFreshness) and checks it before that is too long ago for the deployment's convergence time: one node reads the key, the others ask each other in a tree of two levels, and who hears nothing recent reads for itself. All answers between nodes state the time, and the last change of the node list, whose watch is checked in the same way (StoreWatch::CheckNow).

Why it works: the bound depends on no watch, no other call and no other node.

Tests that failed before (run with the checks off): ConfigService, 5 of 5.

--- /dev/null
+++ b/packages/config/src/config_freshness.cpp
@@ -0,0 +1,87 @@
+#include "balsammount/config_freshness.h"
+
+#include <algorithm>
+#include <array>
+
+namespace balsammount {
+
+namespace {
+
+// All shares are shares of the convergence time.
+
+// Ages of the verification at which a node asks the one above it, by depth. Each level asks later
+// than the one above it, whose answer is therefore younger.
+constexpr std::array kQuestionShares = { 0.0, 0.5, 0.6 };
+// Ages at which a node reads the store, by depth. Those that hear nothing from above read between
+// the age of their depth and a little later. The rest of the convergence time is for the response
+// of a slow store.
+constexpr std::array kReadShares = { 0.45, 0.65, 0.72 };
+constexpr double kReadSpread = 0.08;
+// Number of ages over which the nodes of a depth are spread.
+constexpr uint64_t kSpreadSteps = 16;
+
+// Time between two questions if the first one brought no recent answer.
+constexpr double kRepeatedQuestionShare = 0.5;
+// An answer is recent if it is younger than what is known by this.
+constexpr double kRecentShare = 0.05;
+// Time between two reads that fail.
+constexpr double kRetryShare = 0.5;
+// Delay after a failure that was noticed later than that.
+constexpr Duration kMinRetryDelay = std::chrono::milliseconds(100);
+
+} // namespace
+
+ConfigFreshness::ConfigFreshness(Duration aConvergence)
+  : mConvergence(aConvergence)
+{
+}
+
+void ConfigFreshness::SetDepth(size_t aDepth, uint64_t aSpread)
+{
+  mDepth = std::min(aDepth, kReadShares.size() - 1);
+  mSpread = aSpread;
+}
+
+void ConfigFreshness::OnVerified(SteadyTime aAsOf)
+{
+  if (!mVerifiedAsOf || aAsOf >= *mVerifiedAsOf + Share(kRecentShare)) {
+    mNoQuestionBefore = {};
+  }
+  mVerifiedAsOf = std::max(mVerifiedAsOf.value_or(aAsOf), aAsOf);
+}
+
+void ConfigFreshness::OnAsked(SteadyTime aNow)
+{
+  mNoQuestionBefore = aNow + Share(kRepeatedQuestionShare);
+}
+
+void ConfigFreshness::OnReadFailed(SteadyTime aSentAt, SteadyTime aNow)
+{
+  mNoReadBefore = std::max(aSentAt + Share(kRetryShare), aNow + kMinRetryDelay);
+}
+
+std::optional<SteadyTime> ConfigFreshness::NextQuestion() const
+{
+  if (mDepth == 0 || !mVerifiedAsOf) {
+    return std::nullopt;
+  }
+  return std::max(*mVerifiedAsOf + Share(kQuestionShares[mDepth]), mNoQuestionBefore);
+}
+
+SteadyTime ConfigFreshness::NextRead() const
+{
+  return mVerifiedAsOf ? std::max(*mVerifiedAsOf + ReadAge(), mNoReadBefore) : mNoReadBefore;
+}
+
+Duration ConfigFreshness::Share(double aShare) const
+{
+  return std::chrono::duration_cast<Duration>(mConvergence * aShare);
+}
+
+Duration ConfigFreshness::ReadAge() const
+{
+  const double position = static_cast<double>(mSpread % kSpreadSteps) / kSpreadSteps;
+  return Share(kReadShares[mDepth] + (mDepth == 0 ? 0 : kReadSpread * position));
+}
+
+} // namespace balsammount
--- a/packages/node/include/balsammount/deployment_options.h
+++ b/packages/node/include/balsammount/deployment_options.h
@@ -35,6 +35,10 @@
   std::function<std::unique_ptr<Store>(boost::asio::io_context&, Random&)> mMakeStore;
   std::string mConfigKey = "/balsammount/config";
   ConfigDecoder mDecodeConfig; // null: balsammount's own format
+  // Time after which a configuration that the store has acknowledged is in force on every node that
+  // the store answers, even if the store loses watch requests. Zero: watches of the store end when
+  // it loses them, and the configuration is not read again.
+  std::chrono::milliseconds mConfigConvergence{ 0 };
   std::string mNodesPrefix = "/balsammount/nodes/";
   Discovery mDiscovery = Discovery::Gossip;
   ServerPresence mServerPresence = ServerPresence::Probed;
--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -56,6 +57,9 @@
   // Limit on the bytes of request and response bodies that are held at a time. The process copies a
   // body up to three times on its way.
   uint64_t mMaxHeldBytes = 64 * 1024 * 1024;
+  // Time after which an accepted configuration must be in force on every node. Used where the store
+  // may lose watch requests: each node then checks its configuration within this time.
+  std::chrono::milliseconds mConfigConvergence{ 2000 };
 
   bool operator==(const NodeSettings&) const = default;
   // Address that this node publishes to other nodes.
--- a/packages/node/src/call_context.cpp
+++ b/packages/node/src/call_context.cpp
@@ -45,17 +45,26 @@
 constexpr std::string_view kCallFailed = "bm-call-failed";
 constexpr std::string_view kLoad = "bm-load";
 constexpr std::string_view kConfigRevision = "bm-config";
+constexpr std::string_view kConfigAge = "bm-config-age";
+constexpr std::string_view kListRevision = "bm-list";
 // Sent in place of a request id that equals the one in the context.
 constexpr std::string_view kSameId = "=";
 
+// The age of the configuration is sent in this unit, so that most responses repeat a value that the
+// header compression knows.
+using ConfigAgeUnit = std::chrono::duration<int64_t, std::deci>;
+// Greater ages are not sent; they tell other nodes nothing.
+constexpr std::chrono::seconds kMaxConfigAge{ 60 };
+
 // Longer deadlines are rejected, because they could overflow the arithmetic of the clock.
 constexpr uint64_t kMaxDeadlineMs = 3'600'000;
 // The year 2255. Nanoseconds since 1970 overflow soon after.
 constexpr uint64_t kMaxExpiresMs = 9'000'000'000'000;
 
-std::optional<uint64_t> ParseNumber(std::string_view aText)
+template <class T = uint64_t>
+std::optional<T> ParseNumber(std::string_view aText)
 {
-  uint64_t value = 0;
+  T value = 0;
   const auto [end, error] = std::from_chars(aText.data(), aText.data() + aText.size(), value);
   if (error != std::errc() || end != aText.data() + aText.size()) {
     return std::nullopt;
@@ -281,16 +290,33 @@
   }
 }
 
-void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders)
+void WriteStoreView(const StoreView& aView, Headers& aHeaders)
 {
-  if (aRevision > 0) {
-    aHeaders.Add(kConfigRevision, std::to_string(aRevision));
+  if (aView.mConfigRevision > 0) {
+    aHeaders.Add(kConfigRevision, std::to_string(aView.mConfigRevision));
+  }
+  if (aView.mConfigAge && std::chrono::abs(*aView.mConfigAge) <= kMaxConfigAge) {
+    const auto age = std::chrono::ceil<ConfigAgeUnit>(*aView.mConfigAge).count();
+    aHeaders.Add(kConfigAge, std::to_string(age));
+  }
+  if (aView.mListRevision > 0) {
+    aHeaders.Add(kListRevision, std::to_string(aView.mListRevision));
   }
 }
 
-uint64_t ReadConfigRevision(const Headers& aHeaders)
+StoreView ReadStoreView(const Headers& aHeaders)
 {
-  return ParseNumber(aHeaders.Find(kConfigRevision)).value_or(0);
+  StoreView view;
+  view.mConfigRevision = ParseNumber(aHeaders.Find(kConfigRevision)).value_or(0);
+  const auto age = ParseNumber<int64_t>(aHeaders.Find(kConfigAge));
+  constexpr int64_t kMaxAge = kMaxConfigAge / ConfigAgeUnit(1);
+  if (age && *age >= -kMaxAge && *age <= kMaxAge) {
+    view.mConfigAge = ConfigAgeUnit(*age);
+  }
+  constexpr auto kMaxRevision = static_cast<uint64_t>(std::numeric_limits<Revision>::max());
+  view.mListRevision = static_cast<Revision>(
+    std::min(ParseNumber(aHeaders.Find(kListRevision)).value_or(0), kMaxRevision));
+  return view;
 }
 
 HttpResponse EncodeCallResult(CallResult aResult)
@@ -321,7 +347,7 @@
   if (aResult.mCallFailed) {
     response.mHeaders.Add(kCallFailed, "1");
   }
-  WriteConfigRevision(aResult.mConfigRevision, response.mHeaders);
+  WriteStoreView(aResult.mStoreView, response.mHeaders);
   if (aResult.mLoadPercent > 0) {
     response.mHeaders.Add(kLoad, std::to_string(aResult.mLoadPercent));
   }
@@ -354,7 +380,7 @@
   // A peer that sent no outcome may have sent the request to its backend server.
   result.mReachedServer = !outcome || headers.Has(kReachedServer);
   result.mCallFailed = headers.Has(kCallFailed);
-  result.mConfigRevision = ReadConfigRevision(headers);
+  result.mStoreView = ReadStoreView(headers);
   result.mLoadPercent = static_cast<uint32_t>(
     std::min<uint64_t>(ParseNumber(headers.Find(kLoad)).value_or(0), UINT32_MAX));
   result.mResponse = std::move(aResponse);
--- a/packages/node/src/call_context.h
+++ b/packages/node/src/call_context.h
@@ -5,6 +5,7 @@
 #include "balsammount/exchange.h"
 #include "balsammount/header_names.h"
 #include "balsammount/retry.h"
+#include "balsammount/store.h"
 
 #include <functional>
 #include <optional>
@@ -60,6 +61,18 @@
 const char* ToString(CallReason aReason);
 std::optional<CallReason> ParseCallReason(std::string_view aName);
 
+// What a node has seen of the store. It states this with every response to another node.
+struct StoreView
+{
+  uint64_t mConfigRevision = 0; // in force; 0: none
+  // Time from when that was known to be the newest configuration until the arrival of the request
+  // to which the node responds; negative if it was later. Nullopt: unknown.
+  std::optional<Duration> mConfigAge;
+  Revision mListRevision = 0; // of the last change of the node list; 0: unknown
+
+  bool operator==(const StoreView&) const = default;
+};
+
 // Result of a call at one hop.
 struct CallResult
 {
@@ -73,10 +86,10 @@
   bool mLeaving = false;                // the executing node accepts no new requests
   std::optional<Duration> mOverloadAge; // since the last lack of capacity, here or downstream
   bool mStartsChains = false;           // the route is used by callers, not only by backend servers
-  bool mReachedServer = false;  // the request was sent to a backend server, even if it did not run
-  bool mCallFailed = false;     // the backend server failed it because of one of its own calls
-  uint64_t mConfigRevision = 0; // in force at the executing node; 0: unknown
-  uint32_t mLoadPercent = 0;    // requests at the executing node in percent of its server's slots
+  bool mReachedServer = false; // the request was sent to a backend server, even if it did not run
+  bool mCallFailed = false;    // the backend server failed it because of one of its own calls
+  StoreView mStoreView;        // of the executing node
+  uint32_t mLoadPercent = 0;   // requests at the executing node in percent of its server's slots
 };
 
 using CallResultCallback = std::function<void(CallResult)>;
@@ -111,9 +124,9 @@
 void ShortenRequestId(std::string_view aRequestId, const HeaderNames& aNames, Headers& aHeaders);
 void RestoreRequestId(std::string_view aRequestId, const HeaderNames& aNames, Headers& aHeaders);
 
-// A node sends its configuration revision with every response to another node; 0: unknown.
-void WriteConfigRevision(uint64_t aRevision, Headers& aHeaders);
-uint64_t ReadConfigRevision(const Headers& aHeaders);
+void WriteStoreView(const StoreView& aView, Headers& aHeaders);
+// Returns a default value for each header that is missing or malformed.
+StoreView ReadStoreView(const Headers& aHeaders);
 
 // Conversion to and from the responses between nodes.
 HttpResponse EncodeCallResult(CallResult aResult);
--- a/packages/node/src/config_service.cpp
+++ b/packages/node/src/config_service.cpp
@@ -1,7 +1,11 @@
 #include "config_service.h"
 
+#include "balsammount/event.h"
 #include "balsammount/log.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace balsammount {
 
 using namespace std::chrono_literals;
@@ -38,6 +42,8 @@
   , mTimer(aContext)
   , mHolder(aDeployment.mDecodeConfig)
   , mWatching(aDeployment.mDiscovery == Discovery::Store)
+  , mChecksWatch(aDeployment.mConfigConvergence > Duration::zero())
+  , mFreshness(aDeployment.mConfigConvergence)
 {
 }
 
@@ -49,6 +55,11 @@
   mListeners.push_back(std::move(aListener));
 }
 
+void ConfigService::SetStoreRevisionCallback(std::function<void(Revision)> aCallback)
+{
+  mOnStoreRevision = std::move(aCallback);
+}
+
 Result<void> ConfigService::Start()
 {
   Read();
@@ -94,32 +105,82 @@
   return mHolder.Current() ? mClock.Now() - mAppliedAt : Duration::zero();
 }
 
+std::optional<Duration> ConfigService::VerifiedAge() const
+{
+  const auto verified = VerifiedAsOf();
+  return verified ? std::optional(mClock.Now() - *verified) : std::nullopt;
+}
+
+std::optional<SteadyTime> ConfigService::VerifiedAsOf() const
+{
+  return mChecksWatch ? mFreshness.VerifiedAsOf() : std::nullopt;
+}
+
 void ConfigService::Read()
 {
-  mStore.Get(mKey, [this](StoreResult<StoreRead> aResult) { OnRead(std::move(aResult)); });
+  mStore.Get(mKey, [this, sentAt = mClock.Now()](StoreResult<StoreRead> aResult) {
+    if (!mStopped) {
+      OnRead(sentAt, std::move(aResult));
+    }
+  });
 }
 
-void ConfigService::OnRead(StoreResult<StoreRead> aResult)
+void ConfigService::OnRead(SteadyTime aSentAt, StoreResult<StoreRead> aResult)
 {
-  if (mStopped) {
-    return;
-  }
   if (!aResult) {
-    Log("config").warn("cannot read the configuration from the store: {}",
-                       Describe(aResult.error()));
-    ReadLater(mHolder.Current() ? kReadRetryIntervalWithConfig : kReadRetryInterval);
+    OnReadFailed(aSentAt, aResult.error());
     return;
   }
-  if (aResult->mEntry) {
-    Offer(aResult->mEntry->mValue, "store");
-  }
+  mReadFailed = false;
+  const auto& entry = aResult->mEntry;
+  const bool isNews = entry && OfferFromStore(entry->mValue, entry->mModRevision);
+  mFreshness.OnVerified(aSentAt);
   if (!mWatching) {
     ReadLater(kUnwatchedReadInterval);
     return;
   }
-  mWatch = mStore.Watch(mKey, aResult->mRevision + 1, [this](const WatchEvent& aEvent) {
+  const bool hasMissedNews = mWatch && isNews;
+  if (hasMissedNews) {
+    Event("config", "watch-missed").Add("revision", mHolder.Revision());
+  }
+  if (!mWatch || hasMissedNews) {
+    StartWatch(aResult->mRevision + 1);
+  }
+  mOnStoreRevision(aResult->mRevision);
+  if (mChecksWatch) {
+    CheckWhenDue();
+  }
+}
+
+void ConfigService::OnReadFailed(SteadyTime aSentAt, const StoreFailure& aFailure)
+{
+  if (!std::exchange(mReadFailed, true)) {
+    Log("config").warn("cannot read the configuration from the store: {}", Describe(aFailure));
+  }
+  if (mChecksWatch && mWatch) {
+    mFreshness.OnReadFailed(aSentAt, mClock.Now());
+    CheckWhenDue();
+    return;
+  }
+  ReadLater(mHolder.Current() ? kReadRetryIntervalWithConfig : kReadRetryInterval);
+}
+
+// Returns whether the value has been applied. A value that has been offered before is ignored, so
+// that one that was rejected is not reported with every read.
+bool ConfigService::OfferFromStore(const std::string& aValue, Revision aModRevision)
+{
+  if (aModRevision <= mOfferedRevision) {
+    return false;
+  }
+  mOfferedRevision = aModRevision;
+  return Offer(aValue, "store") == OfferOutcome::Applied;
+}
+
+void ConfigService::StartWatch(Revision aFrom)
+{
+  mWatch = mStore.Watch(mKey, aFrom, [this](const WatchEvent& aEvent) {
     if (aEvent.mValue) {
-      Offer(*aEvent.mValue, "store");
+      OfferFromStore(*aEvent.mValue, aEvent.mModRevision);
     }
   });
 }
@@ -146,4 +207,32 @@
   });
 }
 
+// Other nodes may verify the configuration while the timer runs, so what is due is looked up when
+// it expires.
+void ConfigService::CheckWhenDue()
+{
+  const SteadyTime read = mFreshness.NextRead();
+  const SteadyTime due = std::min(mFreshness.NextQuestion().value_or(read), read);
+  mTimer.expires_after(std::max(due - mClock.Now(), Duration::zero()));
+  mTimer.async_wait([this](const auto& aError) {
+    if (!aError) {
+      Check();
+    }
+  });
+}
+
+void ConfigService::Check()
+{
+  const SteadyTime now = mClock.Now();
+  if (now >= mFreshness.NextRead()) {
+    Read();
+    return;
+  }
+  if (const auto question = mFreshness.NextQuestion(); question && now >= *question) {
+    mFreshness.OnAsked(now);
+    mAsk();
+  }
+  CheckWhenDue();
+}
+
 } // namespace balsammount
--- a/packages/node/src/config_service.h
+++ b/packages/node/src/config_service.h
@@ -1,6 +1,7 @@
 // Keeps the configuration of this node up to date from the store and other nodes.
 #pragma once
 
+#include "balsammount/config_freshness.h"
 #include "balsammount/config_revision.h"
 #include "balsammount/deployment_options.h"
 #include "balsammount/kernel.h"
@@ -11,6 +12,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <vector>
 
 namespace balsammount {
@@ -25,6 +27,8 @@
 
   // Calls the listener whenever a configuration is applied, and at once if there is one already.
   void AddListener(Listener aListener);
+  // The callback receives the revision of the store after each read of the configuration.
+  void SetStoreRevisionCallback(std::function<void(Revision)> aCallback);
 
   Result<void> Start() override;
   void Stop() override;
@@ -33,20 +37,36 @@
   // periodically.
   void SetWatching(bool aWatching);
 
+  // Sets the position of this node in the tree of ConfigFreshness, and the function that asks the
+  // node above it. The answer, if there is one, is given to OnVerified.
+  void SetDepth(size_t aDepth, uint64_t aSpread) { mFreshness.SetDepth(aDepth, aSpread); }
+  void SetQuestion(std::function<void()> aAsk) { mAsk = std::move(aAsk); }
+  // The configuration in force was the newest one in the store at aAsOf.
+  void OnVerified(SteadyTime aAsOf) { mFreshness.OnVerified(aAsOf); }
+
   // Offers a value from a peer or the store. Notifies the listeners if it is applied.
   OfferOutcome Offer(std::string_view aValue, std::string_view aSource);
 
   const ConfigHolder& Holder() const { return mHolder; }
   // Time since the current configuration was applied; zero if there is none.
   Duration Age() const;
+  // Time since the current configuration was known to be the newest one in the store; nullopt if
+  // this node does not check that.
+  std::optional<Duration> VerifiedAge() const;
+  std::optional<SteadyTime> VerifiedAsOf() const;
   // Why the last rejected value was rejected; empty if there is none or a value has
   // been applied since.
   const std::string& LastRefusal() const { return mLastRefusal; }
 
 private:
   void Read();
-  void OnRead(StoreResult<StoreRead> aResult);
+  void OnRead(SteadyTime aSentAt, StoreResult<StoreRead> aResult);
+  void OnReadFailed(SteadyTime aSentAt, const StoreFailure& aFailure);
+  bool OfferFromStore(const std::string& aValue, Revision aModRevision);
+  void StartWatch(Revision aFrom);
   void ReadLater(Duration aDelay);
+  void CheckWhenDue();
+  void Check();
 
   const Clock& mClock;
   Store& mStore;
@@ -54,10 +74,16 @@
   boost::asio::steady_timer mTimer;
   ConfigHolder mHolder;
   std::vector<Listener> mListeners;
+  std::function<void(Revision)> mOnStoreRevision = [](Revision) {};
+  std::function<void()> mAsk = [] {};
   std::unique_ptr<StoreWatch> mWatch;
+  Revision mOfferedRevision = 0; // of the last value from the store
   SteadyTime mAppliedAt{};
   std::string mLastRefusal;
   bool mWatching;
+  bool mChecksWatch; // whether the store is read in case the watch has missed a change
+  ConfigFreshness mFreshness;
+  bool mReadFailed = false; // the last read of the store
   bool mStopped = false;
 };
 
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -1,6 +1,7 @@
 #include "directory_service.h"
 
 #include "balsammount/event.h"
+#include "balsammount/hash.h"
 
 #include <boost/asio/ip/address.hpp>
 
@@ -34,7 +35,15 @@
 // Interval at which records are pulled from another node while the store is unreachable.
 constexpr auto kPullInterval = 500ms;
 constexpr auto kExchangeTimeout = 1000ms;
+// Time in which a change of the list that another node has seen is reported to this one as well, in
+// addition to the interval between reports.
+constexpr Duration kListReportMargin = 500ms;
 constexpr auto kConfigFetchTimeout = 1000ms;
+// Time for the answer to a question for the age of the configuration. Without one, the node reads
+// the store somewhat later.
+constexpr auto kQuestionTimeout = 200ms;
+// A node that has given no answer is not asked again for this long.
+constexpr Duration kSilentTime = 10s;
 // Maximum number of nodes to which a change is pushed directly. In a larger fleet the others learn
 // of it from the store.
 constexpr size_t kMaxPushTargets = 128;
@@ -128,6 +137,7 @@
   }
   SetStoreReachable(true, "list", {});
   mBackoff.Reset();
+  mListRevision = std::max(mListRevision, aResult->mRevision);
   std::vector<NodeRecord> records;
   mOwnRevision = kAbsent;
   for (const StoreItem& item : aResult->mItems) {
@@ -135,6 +145,7 @@
     if (item.mKey == OwnKey()) {
       mOwnRevision = item.mEntry.mModRevision;
     }
+    mLastListChange = std::max(mLastListChange, item.mEntry.mModRevision);
     if (auto record = DecodeEntry(item.mKey, item.mEntry.mValue)) {
       records.push_back(std::move(*record));
     }
@@ -166,6 +177,8 @@
 
 void DirectoryService::OnEvent(const WatchEvent& aEvent)
 {
+  mLastListChange = std::max(mLastListChange, aEvent.mModRevision);
+  mListRevision = std::max(mListRevision, aEvent.mModRevision);
   if (aEvent.mKey == OwnKey()) {
     mOwnRevision = aEvent.mValue ? aEvent.mModRevision : kAbsent;
     const bool isCurrent = aEvent.mValue && *aEvent.mValue == EncodeNodeRecord(mOwnRecord);
@@ -186,6 +199,21 @@
   ApplyChanges();
 }
 
+void DirectoryService::CheckList()
+{
+  if (mWatch) {
+    mWatch->CheckNow(
+      [this](Revision aRevision) { mListRevision = std::max(mListRevision, aRevision); });
+  }
+}
+
+void DirectoryService::OnStoreRevision(Revision aRevision)
+{
+  if (aRevision > mListRevision) {
+    CheckList();
+  }
+}
+
 // Another writer may leave anything under the prefix. Only a valid record under the key of its node
 // names a node.
 std::optional<NodeRecord> DirectoryService::DecodeEntry(const std::string& aKey,
@@ -222,6 +250,7 @@
     mWatch->SetMinReportInterval(MinListUpdateInterval(fleet));
   }
   mDependencies.mOnFleetSize(fleet);
+  UpdateTreePosition();
 }
 
 void DirectoryService::ApplyChange(const DirectoryChange& aChange)
@@ -508,6 +537,14 @@
     ConfirmNode(record);
   }
   const SteadyTime now = mClock.Now();
+  if (!mSilentNodes.empty() && now >= mSilentSince + kSilentTime) {
+    mSilentNodes.clear();
+    UpdateTreePosition();
+  }
+  if (mListCheckDue && now >= *mListCheckDue) {
+    mListCheckDue.reset();
+    OnStoreRevision(mPeersListChange);
+  }
   if (!mStoreReachable && now >= mNextPull) {
     mNextPull = now + kPullInterval;
     PullFromRandomNode();
@@ -555,15 +592,16 @@
     }
     request.mBody = EncodeNodeRecords(records);
   }
-  mDependencies.mPeers.Send(aNodeId, std::move(request), kExchangeTimeout,
-                            [this, aNodeId](const Result<HttpResponse>& aResult) {
-                              if (!mStopped) {
-                                OnRecordsExchanged(aNodeId, aResult);
-                              }
-                            });
+  mDependencies.mPeers.Send(
+    aNodeId, std::move(request), kExchangeTimeout,
+    [this, aNodeId, sentAt = mClock.Now()](const Result<HttpResponse>& aResult) {
+      if (!mStopped) {
+        OnRecordsExchanged(aNodeId, sentAt, aResult);
+      }
+    });
 }
 
-void DirectoryService::OnRecordsExchanged(const std::string& aNodeId,
+void DirectoryService::OnRecordsExchanged(const std::string& aNodeId, SteadyTime aSentAt,
                                           const Result<HttpResponse>& aResult)
 {
   size_t skipped = 0;
@@ -580,7 +618,7 @@
     for (size_t i = 1; i < records.size(); ++i) {
       mDirectory.OnReported(records[i]);
     }
-    OnPeerRevision(aNodeId, ReadConfigRevision(aResult->mHeaders));
+    OnPeerView(aNodeId, ReadStoreView(aResult->mHeaders), aSentAt);
   }
   ApplyChanges();
 }
@@ -616,14 +654,78 @@
     }
   }
   response.mBody = EncodeNodeRecords(records);
-  WriteConfigRevision(mDependencies.mConfig.Holder().Revision(), response.mHeaders);
+  WriteStoreView(View(mClock.Now()), response.mHeaders);
   return response;
 }
 
-void DirectoryService::OnPeerRevision(const std::string& aNodeId, uint64_t aRevision)
+StoreView DirectoryService::View(SteadyTime aArrived) const
 {
-  if (aRevision > mDependencies.mConfig.Holder().Revision() && !mFetch) {
+  StoreView view;
+  view.mConfigRevision = mDependencies.mConfig.Holder().Revision();
+  if (const auto verified = mDependencies.mConfig.VerifiedAsOf()) {
+    view.mConfigAge = aArrived - *verified;
+  }
+  view.mListRevision = mLastListChange;
+  return view;
+}
+
+HttpResponse DirectoryService::HandleQuestion() const
+{
+  HttpResponse response;
+  response.mStatus = 204;
+  WriteStoreView(View(mClock.Now()), response.mHeaders);
+  return response;
+}
+
+void DirectoryService::AskForView()
+{
+  const std::string node = mTreePosition.mAbove;
+  HttpRequest request;
+  request.mTarget = kViewTarget;
+  mDependencies.mPeers.Send(node, std::move(request), kQuestionTimeout,
+                            [this, node, sentAt = mClock.Now()](const auto& aResult) {
+                              if (mStopped) {
+                                return;
+                              }
+                              if (aResult && aResult->mStatus == 204) {
+                                OnPeerView(node, ReadStoreView(aResult->mHeaders), sentAt);
+                              } else {
+                                OnSilent(node);
+                              }
+                            });
+}
+
+void DirectoryService::OnSilent(const std::string& aNodeId)
+{
+  if (mSilentNodes.empty()) {
+    mSilentSince = mClock.Now();
+  }
+  mSilentNodes.insert(aNodeId);
+  UpdateTreePosition();
+}
+
+void DirectoryService::UpdateTreePosition()
+{
+  mTreePosition = FindTreePosition(mOwnRecord, mDirectory.Nodes(), mSilentNodes);
+  mDependencies.mConfig.SetDepth(mTreePosition.mDepth, Hash64(mOwnRecord.mNodeId));
+}
+
+void DirectoryService::OnPeerView(const std::string& aNodeId, const StoreView& aView,
+                                  SteadyTime aSentAt)
+{
+  const uint64_t revision = mDependencies.mConfig.Holder().Revision();
+  if (aView.mConfigRevision > revision && !mFetch) {
     FetchConfig(aNodeId);
+  } else if (aView.mConfigRevision == revision && aView.mConfigAge) {
+    // The request arrived after it was sent.
+    mDependencies.mConfig.OnVerified(std::min(aSentAt - *aView.mConfigAge, mClock.Now()));
+  }
+  if (aView.mListRevision > mListRevision) {
+    mPeersListChange = std::max(mPeersListChange, aView.mListRevision);
+    if (!mListCheckDue) {
+      mListCheckDue =
+        mClock.Now() + MinListUpdateInterval(mDirectory.Size() + 1) + kListReportMargin;
+    }
   }
 }
 
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -8,6 +8,7 @@
 
 #include "balsammount/backoff.h"
 #include "balsammount/directory.h"
+#include "balsammount/freshness_tree.h"
 #include "balsammount/kernel.h"
 #include "balsammount/node_settings.h"
 #include "balsammount/server_lifecycle.h"
@@ -19,8 +20,10 @@
 
 // Path for exchanging records between nodes. GET returns all known records. POST sends the record
 // of the sender and the one that it has of the receiver, which may have restarted in the meantime.
-// Both responses start with the record of the responding node and carry its configuration revision.
+// Both responses start with the record of the responding node and carry its view of the store.
 inline const std::string kNodesTarget = "/balsammount/nodes";
+// Path for asking a node for its view of the store. The response has no body.
+inline const std::string kViewTarget = "/balsammount/view";
 
 // The components that are updated when nodes of the fleet change.
 struct DirectoryDependencies
@@ -58,8 +61,17 @@
   bool HasNodeList() const { return mHasNodeList; }
 
   HttpResponse HandlePeer(const HttpRequest& aRequest);
-  // Handles the configuration revision in a response of another node.
-  void OnPeerRevision(const std::string& aNodeId, uint64_t aRevision);
+  // What this node has seen of the store, for the response to a request that arrived at aArrived.
+  StoreView View(SteadyTime aArrived) const;
+  // Asks the node above this one in the tree of ConfigFreshness for its view.
+  void AskForView();
+  // Responds to a question of another node for the age of the configuration.
+  HttpResponse HandleQuestion() const;
+  // Handles the view in the response of another node to a request that was sent at aSentAt.
+  void OnPeerView(const std::string& aNodeId, const StoreView& aView, SteadyTime aSentAt);
+  // Handles the revision of the store in the response to a read. Looks for changes of the node list
+  // that the watch has not reported.
+  void OnStoreRevision(Revision aRevision);
 
   std::vector<FleetNode> Fleet() const;
   std::vector<NodeRecord> Nodes() const { return mDirectory.Nodes(); }
@@ -68,6 +80,7 @@
   void ReadList(Freshness aFreshness);
   void OnList(const StoreResult<StoreRange>& aResult);
   void OnEvent(const WatchEvent& aEvent);
+  void CheckList();
   std::optional<NodeRecord> DecodeEntry(const std::string& aKey, std::string_view aValue);
   void Supersede(std::string_view aForeignEntry);
   void ApplyChanges();
@@ -92,8 +105,11 @@
   void PushIfUsedDifferently();
   void PushToNodes();
   void ExchangeRecords(const std::string& aNodeId, bool aPush);
-  void OnRecordsExchanged(const std::string& aNodeId, const Result<HttpResponse>& aResult);
+  void OnRecordsExchanged(const std::string& aNodeId, SteadyTime aSentAt,
+                          const Result<HttpResponse>& aResult);
   void FetchConfig(const std::string& aNodeId);
+  void OnSilent(const std::string& aNodeId);
+  void UpdateTreePosition();
   std::string OwnKey() const { return mPrefix + mOwnRecord.mNodeId; }
 
   const Clock& mClock;
@@ -113,6 +129,10 @@
   boost::asio::steady_timer mPublishWaiterTimer;
   std::vector<std::function<void()>> mPublishWaiters;
   std::unique_ptr<StoreWatch> mWatch;
+  Revision mListRevision = 0;    // all changes of the list up to this one have been reported
+  Revision mLastListChange = 0;  // the last change of the list that has been reported
+  Revision mPeersListChange = 0; // the last one that another node has stated
+  std::optional<SteadyTime> mListCheckDue; // if another node has seen a later change
   LeaseId mLease = kNoLease;
   Revision mOwnRevision = kAbsent; // last known mod revision of this node's key
   uint64_t mPublishedSequence = 0;
@@ -123,7 +143,10 @@
   bool mLeaving = false;
   bool mStoreReachable = true;
   bool mStopped = false;
-  std::shared_ptr<Call> mFetch; // fetch of the configuration from a peer
+  TreePosition mTreePosition;         // for the age of the configuration
+  std::set<std::string> mSilentNodes; // gave no answer to a question
+  SteadyTime mSilentSince{};          // when the first of them gave none
+  std::shared_ptr<Call> mFetch;       // fetch of the configuration from a peer
 
   struct Incarnation
   {
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -259,9 +259,13 @@
   mExecutor->SetObserver(mQuarantine.get());
   if (mDirectory) {
     mQuarantine->SetFleet([this] { return mDirectory->Fleet(); });
-    mPeers.SetRevisionCallback([this](const std::string& aNodeId, uint64_t aRevision) {
-      mDirectory->OnPeerRevision(aNodeId, aRevision);
-    });
+    mPeers.SetStoreViewCallback(
+      [this](const std::string& aNodeId, const StoreView& aView, SteadyTime aSentAt) {
+        mDirectory->OnPeerView(aNodeId, aView, aSentAt);
+      });
+    mConfig->SetStoreRevisionCallback(
+      [this](Revision aRevision) { mDirectory->OnStoreRevision(aRevision); });
+    mConfig->SetQuestion([this] { mDirectory->AskForView(); });
     mDirectory->SetPreviousRecordCallback([this](const NodeRecord& aRecord) {
       if (aRecord.mServerLeft) {
         mServerLifecycle.RestoreDeparture(aRecord.mServerId, aRecord.mServerStarted);
@@ -344,6 +348,11 @@
   add("config_age_seconds", "Time since the configuration in force was applied.",
       [this] { return std::chrono::duration<double>(mConfig->Age()).count(); });
   if (!mOwnership) {
+    add("config_verified_seconds",
+        "Time since the configuration in force was known to be the newest in the store.", [this] {
+          const auto age = mConfig->VerifiedAge();
+          return age ? std::chrono::duration<double>(*age).count() : -1.0;
+        });
     add("store_reachable", "Whether the store answers this node.",
         [this] { return mDirectory->StoreReachable() ? 1.0 : 0.0; });
     return;
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -23,7 +23,8 @@
   const char* mName;
   std::variant<std::string NodeSettings::*, Endpoint NodeSettings::*,
                std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*,
-               uint64_t NodeSettings::*, double NodeSettings::*>
+               uint64_t NodeSettings::*, double NodeSettings::*,
+               std::chrono::milliseconds NodeSettings::*>
     mMember;
   bool mRequired;
 };
@@ -48,6 +49,7 @@
   Setting{ "fleet_retry_ratio", &NodeSettings::mFleetRetryRatio, false },
   Setting{ "fleet_retry_slack", &NodeSettings::mFleetRetrySlack, false },
   Setting{ "max_held_bytes", &NodeSettings::mMaxHeldBytes, false },
+  Setting{ "config_convergence_ms", &NodeSettings::mConfigConvergence, false },
 };
 
 Failure Fail(SettingsError aError, const std::string& aName, const std::string& aDetail)
@@ -86,6 +88,20 @@
   return {};
 }
 
+Result<void> Assign(std::chrono::milliseconds& aTarget, const std::string& aName,
+                    const Json& aValue)
+{
+  constexpr uint64_t kMin = 100;
+  constexpr uint64_t kMax = 3'600'000;
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() < kMin ||
+      aValue.get<uint64_t>() > kMax) {
+    return Fail(SettingsError::WrongType, aName,
+                "expected a number of milliseconds from 100 to 3600000");
+  }
+  aTarget = std::chrono::milliseconds(aValue.get<uint64_t>());
+  return {};
+}
+
 Result<void> Assign(double& aTarget, const std::string& aName, const Json& aValue)
 {
   if (!aValue.is_number() || aValue.get<double>() < 0 || aValue.get<double>() > 1) {
--- a/packages/node/src/peer_handler.cpp
+++ b/packages/node/src/peer_handler.cpp
@@ -30,6 +30,8 @@
     aExchange->Respond(BodyResponse(200, *mConfig.Holder().Value()));
   } else if (mDirectory && target.starts_with(kNodesTarget)) {
     aExchange->Respond(mDirectory->HandlePeer(aExchange->Request()));
+  } else if (mDirectory && target == kViewTarget) {
+    aExchange->Respond(mDirectory->HandleQuestion());
   } else if (mOwnership && target == "/balsammount/ownership") {
     const bool accepted = mOwnership->OnMessage(aExchange->Request().mBody);
     aExchange->Respond(BodyResponse(accepted ? 204 : 400, {}));
@@ -66,14 +68,16 @@
   }
   auto answered = std::make_shared<bool>(false);
   const std::string id = received->mContext.mRequestId;
-  const auto call = mLocal.Handle(std::move(received->mContext), aExchange->Request(),
-                                  RequestBudget(received->mRetries),
-                                  [this, aExchange, answered, id](CallResult aResult) {
-                                    *answered = true;
-                                    ShortenRequestId(id, mNames, aResult.mResponse.mHeaders);
-                                    aResult.mConfigRevision = mConfig.Holder().Revision();
-                                    aExchange->Respond(EncodeCallResult(std::move(aResult)));
-                                  });
+  const auto call = mLocal.Handle(
+    std::move(received->mContext), aExchange->Request(), RequestBudget(received->mRetries),
+    [this, aExchange, answered, id, arrived = mClock.Now()](CallResult aResult) {
+      *answered = true;
+      ShortenRequestId(id, mNames, aResult.mResponse.mHeaders);
+      if (mDirectory) {
+        aResult.mStoreView = mDirectory->View(arrived);
+      }
+      aExchange->Respond(EncodeCallResult(std::move(aResult)));
+    });
   if (!*answered) {
     aExchange->OnCancel([call] { call->Cancel(); });
   }
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -45,7 +45,7 @@
   }
   auto budget = std::make_shared<RequestBudget>(std::move(aBudget));
   return Send(aNodeId, std::move(aRequest), aContext.mDeadline - aNow,
-              [this, aNodeId, budget, id = aContext.mRequestId,
+              [this, aNodeId, aNow, budget, id = aContext.mRequestId,
                callback = std::move(aCallback)](Result<HttpResponse> aResult) {
                 if (!aResult) {
                   // It is unknown how many retries the peer spent before the connection was lost.
@@ -57,9 +57,7 @@
                 }
                 CallResult callResult = DecodeCallResult(std::move(*aResult));
                 RestoreRequestId(id, mNames, callResult.mResponse.mHeaders);
-                if (mOnRevision && callResult.mConfigRevision > 0) {
-                  mOnRevision(aNodeId, callResult.mConfigRevision);
-                }
+                mOnStoreView(aNodeId, callResult.mStoreView, aNow);
                 budget->LimitTo(callResult.mBudget.Left());
                 callResult.mBudget = std::move(*budget);
                 callback(std::move(callResult));
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -27,11 +27,10 @@
   // Calls in flight continue; the connection closes after the last of them.
   void Remove(const std::string& aNodeId);
   bool Has(const std::string& aNodeId) const { return mPeers.contains(aNodeId); }
-  // The callback receives a node id and the configuration revision in a response of that node.
-  void SetRevisionCallback(std::function<void(const std::string&, uint64_t)> aCallback)
-  {
-    mOnRevision = std::move(aCallback);
-  }
+  // The callback receives a node id, what a response of that node states of the store, and when the
+  // request was sent.
+  using StoreViewCallback = std::function<void(const std::string&, const StoreView&, SteadyTime)>;
+  void SetStoreViewCallback(StoreViewCallback aCallback) { mOnStoreView = std::move(aCallback); }
 
   // Forwards a call to a node. A call to an unknown node is refused.
   std::shared_ptr<Call> Forward(const std::string& aNodeId, const CallContext& aContext,
@@ -53,7 +52,7 @@
   boost::asio::io_context& mContext;
   HeaderNames mNames;
   std::map<std::string, Peer> mPeers;
-  std::function<void(const std::string&, uint64_t)> mOnRevision;
+  StoreViewCallback mOnStoreView = [](const std::string&, const StoreView&, SteadyTime) {};
 };
 
 // The result of a call that failed without a response from the peer.
--- a/packages/node/tests/call_context_test.cpp
+++ b/packages/node/tests/call_context_test.cpp
@@ -193,6 +193,37 @@
   STRCMP_EQUAL("0123-1", std::string(headers.Find("Call-Id")).c_str());
 }
 
+// Guards against a configuration that another node takes for newer than it is.
+TEST(CallContext, StoreViewIsNeverYoungerThanStated)
+{
+  StoreView view;
+  view.mConfigRevision = 42;
+  view.mConfigAge = std::chrono::milliseconds(1201); // is rounded up
+  view.mListRevision = 7;
+  Headers headers;
+  WriteStoreView(view, headers);
+  StoreView read = ReadStoreView(headers);
+  CHECK(read.mConfigAge == std::chrono::milliseconds(1300));
+  read.mConfigAge = view.mConfigAge;
+  CHECK(read == view);
+  view.mConfigAge = std::chrono::milliseconds(-1201);
+  Headers later;
+  WriteStoreView(view, later);
+  CHECK(ReadStoreView(later).mConfigAge == std::chrono::milliseconds(-1200));
+  for (const char* odd :
+       { "", "-", "-9999", "+1", "x", "1e3", "99999999999999999999", "18446744073709551615" }) {
+    Headers malformed;
+    malformed.Set("bm-config-age", odd);
+    CHECK_FALSE(ReadStoreView(malformed).mConfigAge.has_value());
+  }
+  Headers huge;
+  huge.Set("bm-list", "18446744073709551615");
+  CHECK(ReadStoreView(huge).mListRevision > 0);
+  Headers none;
+  WriteStoreView({}, none);
+  CHECK(none.All().empty());
+}
+
 // Guards against callers and backend servers that forge headers which only nodes may set.
 TEST(CallContext, RemovesInternalHeaders)
 {
--- /dev/null
+++ b/packages/node/tests/config_service_test.cpp
@@ -0,0 +1,148 @@
+#include "config_service.h"
+
+#include "balsammount/fake_store.h"
+#include "balsammount/log.h"
+
+#include <CppUTest/TestHarness.h>
+
+using namespace balsammount;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Created before the tests, which would report its shared state as a leak.
+const bool kLoggersExist = (Log("config"), true);
+
+// A value is the number of its revision; "bad" is invalid.
+Result<VersionedConfig> DecodeNumber(std::string_view aText)
+{
+  if (aText == "bad") {
+    return Failure{ RevisionError::OutOfRange, "not a number" };
+  }
+  return VersionedConfig{ std::stoull(std::string(aText)), std::make_shared<const Config>() };
+}
+
+DeploymentOptions Deployment()
+{
+  DeploymentOptions deployment;
+  deployment.mDiscovery = Discovery::Store;
+  deployment.mConfigKey = "config";
+  deployment.mConfigConvergence = 200ms;
+  return deployment;
+}
+
+} // namespace
+
+TEST_GROUP(ConfigService)
+{
+  SystemClock mClock;
+  boost::asio::io_context mContext{ 1 };
+  FakeStore mStore{ mClock };
+  size_t mDecoded = 0;
+  std::unique_ptr<ConfigService> mService;
+
+  void setup() override
+  {
+    DeploymentOptions deployment = Deployment();
+    deployment.mDecodeConfig = [this](std::string_view aText) {
+      ++mDecoded;
+      return DecodeNumber(aText);
+    };
+    mService = std::make_unique<ConfigService>(mContext, mClock, mStore, deployment);
+    Put(1);
+    CHECK(mService->Start().has_value());
+    CHECK(IsInForce(1, 5s));
+  }
+
+  void teardown() override
+  {
+    mService->Stop();
+    mContext.restart();
+    mContext.run_for(5ms);
+  }
+
+  void Put(uint64_t aRevision)
+  {
+    Put(std::to_string(aRevision));
+  }
+
+  void Put(const std::string& aValue)
+  {
+    CHECK(mStore.Model().Put("config", aValue, kNoLease));
+  }
+
+  template <class Condition>
+  bool RunUntil(Duration aLimit, Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + aLimit;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      mStore.Poll();
+      mContext.restart();
+      mContext.run_for(2ms);
+    }
+    return aCondition();
+  }
+
+  bool IsInForce(uint64_t aRevision, Duration aLimit)
+  {
+    return RunUntil(aLimit, [&] { return mService->Holder().Revision() == aRevision; });
+  }
+};
+
+// Guards against a change that is not in force for half a minute: the store lost the request of the
+// watch in an outage that no other call of the node noticed.
+TEST(ConfigService, ChangeIsInForceAlthoughTheWatchWasLost)
+{
+  for (uint64_t revision = 2; revision <= 4; ++revision) {
+    mStore.LoseWatches();
+    Put(revision);
+    CHECK(IsInForce(revision, 200ms));
+  }
+}
+
+// Guards against a watch that stays lost after the first change that it missed.
+TEST(ConfigService, WatchIsReplacedAfterAMissedChange)
+{
+  mStore.LoseWatches();
+  Put(2);
+  CHECK(IsInForce(2, 200ms));
+  Put(3);
+  CHECK(IsInForce(3, 50ms));
+}
+
+// Guards against reads that bring nothing: another node has verified the configuration.
+TEST(ConfigService, DoesNotReadWhileOtherNodesVerify)
+{
+  const size_t calls = mStore.mCalls;
+  RunUntil(1s, [&] {
+    mService->OnVerified(mClock.Now());
+    return false;
+  });
+  CHECK_EQUAL(calls, mStore.mCalls);
+  CHECK(RunUntil(400ms, [&] { return mStore.mCalls > calls; }));
+}
+
+// Guards against a node that stops checking after an outage.
+TEST(ConfigService, ChecksAgainAfterAnOutage)
+{
+  mStore.LoseWatches();
+  mStore.mFaults.mDown = true;
+  RunUntil(500ms, [] { return false; });
+  Put(2);
+  mStore.mFaults.mDown = false;
+  CHECK(IsInForce(2, 300ms));
+}
+
+// Guards against one log line with every read of a value that cannot be used.
+TEST(ConfigService, InvalidValueIsOfferedOnce)
+{
+  Put("bad");
+  CHECK(RunUntil(1s, [&] { return !mService->LastRefusal().empty(); }));
+  const size_t calls = mStore.mCalls;
+  const size_t decoded = mDecoded;
+  CHECK(RunUntil(5s, [&] { return mStore.mCalls > calls + 2; }));
+  CHECK_EQUAL(decoded, mDecoded);
+  Put(2);
+  CHECK(IsInForce(2, 200ms));
+  CHECK(mService->LastRefusal().empty());
+}
--- a/packages/node/tests/directory_service_test.cpp
+++ b/packages/node/tests/directory_service_test.cpp
@@ -317,3 +317,36 @@
   CHECK_EQUAL(0, pushed.size());
   peer.Stop();
 }
+
+// Guards against a node that is not used for half a minute because the request of the list's watch
+// was lost: the revision of the store in another response shows that there may be a change.
+TEST(DirectoryService, FindsAChangeThatTheWatchMissed)
+{
+  mFixture->Start();
+  mFixture->mStore.LoseWatches();
+  mFixture->Put("a", EncodeNodeRecord(Record("a", 1)));
+  STRCMP_EQUAL("", mFixture->KnownNodes().c_str());
+  mFixture->mService->OnStoreRevision(mFixture->mStore.Model().CurrentRevision());
+  mFixture->Run(20ms);
+  STRCMP_EQUAL("a ", mFixture->KnownNodes().c_str());
+  // Without a later change nothing is asked.
+  const size_t calls = mFixture->mStore.mCalls;
+  mFixture->mService->OnStoreRevision(mFixture->mStore.Model().CurrentRevision());
+  CHECK_EQUAL(calls, mFixture->mStore.mCalls);
+}
+
+// The same for a node that does not read the store itself: other nodes state the last change.
+TEST(DirectoryService, FindsAChangeThatAnotherNodeHasSeen)
+{
+  mFixture->Start();
+  mFixture->mStore.LoseWatches();
+  mFixture->Put("a", EncodeNodeRecord(Record("a", 1)));
+  StoreView view;
+  view.mListRevision = mFixture->mStore.Model().CurrentRevision();
+  mFixture->mService->OnPeerView("b", view, mFixture->mClock.Now());
+  mFixture->Run(300ms);
+  STRCMP_EQUAL("", mFixture->KnownNodes().c_str()); // the watch may still report it
+  mFixture->mClock.Advance(MinListUpdateInterval(2) + 1s);
+  mFixture->Run(600ms);
+  STRCMP_EQUAL("a ", mFixture->KnownNodes().c_str());
+}
--- a/packages/store/include/balsammount/fake_store.h
+++ b/packages/store/include/balsammount/fake_store.h
@@ -38,6 +38,9 @@
                                           WatchCallback aCallback,
                                           std::function<void()> aOnHistoryLost) override;
 
+  // The watches that exist report nothing, until a check finds a change that they missed.
+  void LoseWatches();
+
   // Expires leases and makes all callbacks that are due, including those that result from them.
   void Poll();
 
@@ -60,6 +63,7 @@
   std::optional<StoreFailure> CheckExpected(const std::string& aKey, Revision aExpected) const;
   bool DeliverReply();
   bool DeliverEvents();
+  bool DeliverEventsTo(Watcher& aWatcher);
 
   const Clock& mClock;
   Duration mTimeout;
--- a/packages/store/include/balsammount/store.h
+++ b/packages/store/include/balsammount/store.h
@@ -121,6 +121,10 @@
   // saves calls to a store where each report costs one. Has no effect on a watch whose reports
   // arrive in one streamed response.
   virtual void SetMinReportInterval(std::chrono::milliseconds) {}
+  // Asks the store for changes that have not been reported, in case it has lost the request of the
+  // watch. If the store answers, reports them and passes aOnChecked the revision up to which all
+  // changes have been reported. Has no effect on a streamed watch, which ends when it is lost.
+  virtual void CheckNow(const std::function<void(Revision)>& /*aOnChecked*/) {}
 };
 
 // Calls do not block. Each callback is called exactly once, later, on the thread of the event loop.
--- a/packages/store/include/balsammount/watch_handle.h
+++ b/packages/store/include/balsammount/watch_handle.h
@@ -7,7 +7,7 @@
 
 namespace balsammount {
 
-// Loop must have an idempotent Cancel() and may have SetMinReportInterval().
+// Loop must have an idempotent Cancel() and may have SetMinReportInterval() and CheckNow().
 template <class Loop>
 class WatchHandle final : public StoreWatch
 {
@@ -24,6 +24,12 @@
       mLoop->SetMinReportInterval(aInterval);
     }
   }
+  void CheckNow(const std::function<void(Revision)>& aOnChecked) override
+  {
+    if constexpr (requires { mLoop->CheckNow(aOnChecked); }) {
+      mLoop->CheckNow(aOnChecked);
+    }
+  }
 
 private:
   std::shared_ptr<Loop> mLoop;
--- a/packages/store/src/fake_store.cpp
+++ b/packages/store/src/fake_store.cpp
@@ -8,13 +8,33 @@
 
 struct FakeStore::Watcher
 {
+  explicit Watcher(FakeStore& aStore)
+    : mStore(aStore)
+  {
+  }
+
+  FakeStore& mStore;
   std::string mKey;
   Revision mNextRevision = 0;
   WatchCallback mCallback;
   std::function<void()> mOnHistoryLost; // set if the watch is for a prefix
   bool mCancelled = false;
+  bool mLost = false;
 
   void Cancel() { mCancelled = true; }
+  void CheckNow(const std::function<void(Revision)>& aOnChecked)
+  {
+    ++mStore.mCalls;
+    if (mStore.mFaults.mDown) {
+      return;
+    }
+    if (mStore.DeliverEventsTo(*this)) {
+      mLost = false;
+    }
+    if (!mCancelled) {
+      aOnChecked(mStore.mModel.CurrentRevision());
+    }
+  }
   bool Matches(const std::string& aKey) const
   {
     return mOnHistoryLost ? aKey.starts_with(mKey) : aKey == mKey;
@@ -161,7 +181,7 @@
 {
   ++mCalls;
   const Revision from = aFrom == 0 ? mModel.CurrentRevision() + 1 : aFrom;
-  auto watcher = std::make_shared<Watcher>();
+  auto watcher = std::make_shared<Watcher>(*this);
   watcher->mKey = std::move(aPrefix);
   watcher->mNextRevision = from;
   watcher->mCallback = std::move(aCallback);
@@ -170,6 +190,13 @@
   return std::make_unique<WatchHandle<Watcher>>(std::move(watcher));
 }
 
+void FakeStore::LoseWatches()
+{
+  for (const auto& watcher : mWatchers) {
+    watcher->mLost = true;
+  }
+}
+
 void FakeStore::Poll()
 {
   mModel.ExpireLeases();
@@ -199,22 +226,29 @@
   }
   bool delivered = false;
   for (const auto& watcher : std::vector(mWatchers)) {
-    if (watcher->mOnHistoryLost && watcher->mNextRevision <= mModel.CompactRevision()) {
-      watcher->mCancelled = true;
-      watcher->mOnHistoryLost();
-      return true;
-    }
-    const auto events =
-      mModel.EventsFrom(std::max(watcher->mNextRevision, mModel.CompactRevision() + 1));
-    for (const ModelEvent& event : *events) {
-      if (!watcher->Matches(event.mKey) || watcher->mCancelled) {
-        continue;
-      }
-      delivered = true;
-      watcher->mNextRevision = event.mRevision + 1;
-      watcher->mCallback({ event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt,
-                           event.mRevision, event.mKey });
+    delivered = (!watcher->mLost && DeliverEventsTo(*watcher)) || delivered;
+  }
+  return delivered;
+}
+
+bool FakeStore::DeliverEventsTo(Watcher& aWatcher)
+{
+  if (aWatcher.mOnHistoryLost && aWatcher.mNextRevision <= mModel.CompactRevision()) {
+    aWatcher.mCancelled = true;
+    aWatcher.mOnHistoryLost();
+    return true;
+  }
+  bool delivered = false;
+  const auto events =
+    mModel.EventsFrom(std::max(aWatcher.mNextRevision, mModel.CompactRevision() + 1));
+  for (const ModelEvent& event : *events) {
+    if (!aWatcher.Matches(event.mKey) || aWatcher.mCancelled) {
+      continue;
     }
+    delivered = true;
+    aWatcher.mNextRevision = event.mRevision + 1;
+    aWatcher.mCallback({ event.mEntry ? std::optional(event.mEntry->mValue) : std::nullopt,
+                         event.mRevision, event.mKey });
   }
   return delivered;
 }
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -23,6 +23,9 @@
   // For the bodies that are being read; null: no common limit.
   std::shared_ptr<ByteBudget> mBudget;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
+  // Closes the idle connections after a call without a response in time. They may have become
+  // silent with the connection of that call.
+  bool mDropIdleAfterTimeout = false;
   // Accepts a response without a length, which ends with an orderly close of the connection. If
   // false, such a response fails with ConnectionLost.
   bool mAcceptCloseDelimited = false;
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -363,6 +363,9 @@
       const auto error = co_await ReadResponse(*connection, *parser, self.mLimits.mBudget);
       if (error) {
         connection->mStream.close();
+        if (error == beast::error::timeout && self.mLimits.mDropIdleAfterTimeout) {
+          self.mIdle.clear();
+        }
         aCall->Finish(self.MakeFailure(ToTransportError(error), error));
         co_return;
       }
