Decide the framing of a message in one place, and refuse what has no known end

A request with a transfer coding other than a last "chunked", or with one under HTTP/1.0, ran without its body, and its body ran as the next request of the connection: a request hidden in a body ran. A response with such a coding counted as complete with the end of its connection.

Cause: the parser of the library takes every other Transfer-Encoding as a message without a body, and nothing looked at the field. Its view of several fields, of folded lines and of HTTP/1.0 differs from RFC 9112 as well.

Change: message_framing.h decides for requests and responses and compares the result with the parser's. Requests are refused with 400 or 501 before they run, and the connection closes without reading on; responses fail. Fields that Connection names are removed in both directions.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,5 +1,7 @@
 #include "balsammount/http_client.h"
 
+#include "message_framing.h"
+
 #include "balsammount/endpoint.h"
 #include "balsammount/unhandled.h"
 
@@ -112,6 +114,9 @@
       response.mHeaders.Add(name, std::string_view(field.value().data(), field.value().size()));
     }
   }
+  for (const std::string& option : detail::ConnectionOptions(aMessage)) {
+    response.mHeaders.Remove(option);
+  }
   response.mBody = std::move(aMessage.body());
   return response;
 }
@@ -399,6 +404,13 @@
 
   using ResponseParser = http::response_parser<http::string_body>;
 
+  static bool IsFramingValid(ResponseParser& aParser)
+  {
+    return detail::IsResponseFramingValid(
+      aParser.get(), aParser.get().version(),
+      { aParser.chunked(), aParser.content_length().has_value() });
+  }
+
   // Reads a response whose bytes count against the budget while they arrive. Fails with body_limit
   // if the budget is used up.
   static asio::awaitable<beast::error_code> ReadResponse(Connection& aConnection,
@@ -408,9 +420,15 @@
     beast::tcp_stream& stream = aConnection.mStream;
     auto [headError, headSize] =
       co_await http::async_read_header(stream, aConnection.mBuffer, aParser, kAwait);
-    if (headError || aParser.is_done()) {
+    if (headError) {
       co_return headError;
     }
+    if (!IsFramingValid(aParser)) {
+      co_return http::error::bad_transfer_encoding;
+    }
+    if (aParser.is_done()) {
+      co_return beast::error_code{};
+    }
     HeldBytes held(std::move(aBudget));
     const auto length = aParser.content_length();
     if (length && *length <= kSmallBodyBytes) {
@@ -495,6 +513,11 @@
       aCall->Finish(self.MakeFailure(ToTransportError(headError), headError));
       co_return;
     }
+    if (!IsFramingValid(parser)) {
+      aCall->Finish(self.MakeFailure(TransportError::ConnectionLost,
+                                     beast::error_code(http::error::bad_transfer_encoding)));
+      co_return;
+    }
     const bool isSelfDelimited = parser.content_length() || parser.chunked() || !parser.need_eof();
     aCall->DeliverHead(FromBeast(http::response<http::string_body>(parser.get().base())));
     while (!parser.is_done() && !aCall->IsDone()) {
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,6 +1,9 @@
 #include "balsammount/http_server.h"
 
+#include "message_framing.h"
+
 #include "balsammount/endpoint.h"
+#include "balsammount/event.h"
 #include "balsammount/unhandled.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -167,6 +170,11 @@
     request.mHeaders.Add(std::string_view(field.name_string().data(), field.name_string().size()),
                          std::string_view(field.value().data(), field.value().size()));
   }
+  for (const std::string& option : detail::ConnectionOptions(aMessage)) {
+    if (!EqualsIgnoringCase(option, "host")) {
+      request.mHeaders.Remove(option);
+    }
+  }
   // The server has already sent 100 Continue.
   request.mHeaders.Remove("Expect");
   request.mBody = std::move(aMessage.body());
@@ -432,6 +440,10 @@
     HeldBytes held(mLimits.mBudget);
     const auto error = co_await ReadRequest(aSession, parser, held);
     session.mTimer.cancel();
+    if (const unsigned status = FramingStatus(parser); status != 0) {
+      RespondAndClose(aSession, MakeErrorResponse(status, "the end of the body is unknown"));
+      co_return false;
+    }
     if (error) {
       session.mDisconnected = IsDisconnect(error);
       if (auto response = ResponseToReadError(session.mTimedOut ? beast::error::timeout : error)) {
@@ -446,7 +458,9 @@
       co_return false;
     }
     const auto hosts = parser.get().count(http::field::host);
-    if (hosts > 1 || (hosts == 0 && parser.get().version() >= 11)) {
+    // The parser joins folded lines by spaces, so a field after Host may have become part of it.
+    const bool hasSpace = parser.get()[http::field::host].find_first_of(" \t") != std::string::npos;
+    if (hosts > 1 || hasSpace || (hosts == 0 && parser.get().version() >= 11)) {
       RespondAndClose(aSession, MakeErrorResponse(400, "exactly one Host header is expected"));
       co_return false;
     }
@@ -486,9 +500,16 @@
     co_return keepAlive;
   }
 
-  // Queues a response of the server itself behind the pending ones.
+  // Queues a response of the server itself behind the pending ones. A refusal for lack of capacity
+  // is not logged.
   void RespondAndClose(const std::shared_ptr<Session>& aSession, HttpResponse aResponse)
   {
+    if (aResponse.mStatus != 503) {
+      Event("http-server", "bad-request")
+        .Add("status", aResponse.mStatus)
+        .Add("reason", aResponse.mBody.substr(0, aResponse.mBody.find('\n')))
+        .Add("client", aSession->mAddress);
+    }
     auto exchange =
       std::make_shared<ServerExchange>(aSession->mStream.get_executor(), HttpRequest{},
                                        aSession->mAddress, mLimits.mMaxStreamBacklogBytes);
@@ -496,19 +517,35 @@
     aSession->mPending.push_back({ std::move(exchange), 11, false, false });
   }
 
-  // Fails with no_memory if the body does not fit into the budget.
+  using RequestParser = http::request_parser<http::string_body>;
+
+  // Returns the status that refuses a request because of its framing; 0: none.
+  static unsigned FramingStatus(RequestParser& aParser)
+  {
+    if (!aParser.is_header_done()) {
+      return 0;
+    }
+    return detail::StatusOfRequestFraming(
+      aParser.get(), aParser.get().version(),
+      { aParser.chunked(), aParser.content_length().has_value() });
+  }
+
+  // Reads no body if the request is to be refused because of its framing. Fails with no_memory if
+  // the body does not fit into the budget.
   asio::awaitable<beast::error_code> ReadRequest(std::shared_ptr<Session> aSession,
-                                                 http::request_parser<http::string_body>& aParser,
-                                                 HeldBytes& aHeldBytes)
+                                                 RequestParser& aParser, HeldBytes& aHeldBytes)
   {
     beast::tcp_stream& stream = aSession->mStream;
     StartTimer(aSession, mLimits.mHeaderTimeout);
     stream.expires_never();
     auto [error, size] =
       co_await http::async_read_header(stream, aSession->mBuffer, aParser, kAwait);
-    if (error || aParser.is_done()) {
+    if (error) {
       co_return error;
     }
+    if (aParser.is_done() || FramingStatus(aParser) != 0) {
+      co_return beast::error_code{};
+    }
     if (!aHeldBytes.GrowTo(aParser.content_length().value_or(0))) {
       co_return asio::error::no_memory;
     }
--- /dev/null
+++ b/packages/transport/src/message_framing.cpp
@@ -0,0 +1,95 @@
+#include "message_framing.h"
+
+#include "balsammount/http_message.h"
+
+#include <boost/beast/http/field.hpp>
+
+#include <algorithm>
+
+namespace balsammount::detail {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+std::string_view Trim(std::string_view aText)
+{
+  constexpr std::string_view kSpaces = " \t";
+  const size_t first = aText.find_first_not_of(kSpaces);
+  if (first == std::string_view::npos) {
+    return {};
+  }
+  return aText.substr(first, aText.find_last_not_of(kSpaces) - first + 1);
+}
+
+// Returns the elements of the lists in all fields of a name, in order and without empty ones.
+std::vector<std::string> ListElements(const http::fields& aFields, http::field aName)
+{
+  std::vector<std::string> elements;
+  const auto [begin, end] = aFields.equal_range(aName);
+  for (auto field = begin; field != end; ++field) {
+    std::string_view rest(field->value().data(), field->value().size());
+    for (bool more = true; more;) {
+      const size_t comma = rest.find(',');
+      more = comma != std::string_view::npos;
+      const std::string_view element = Trim(rest.substr(0, comma));
+      if (!element.empty()) {
+        elements.emplace_back(element);
+      }
+      rest.remove_prefix(more ? comma + 1 : rest.size());
+    }
+  }
+  return elements;
+}
+
+bool IsChunked(const std::string& aCoding)
+{
+  return EqualsIgnoringCase(aCoding, "chunked");
+}
+
+} // namespace
+
+Framing FindFraming(const http::fields& aFields, unsigned aVersion)
+{
+  if (aFields.count(http::field::transfer_encoding) == 0) {
+    return Framing::NoTransferCoding;
+  }
+  const auto codings = ListElements(aFields, http::field::transfer_encoding);
+  const auto chunked = std::count_if(codings.begin(), codings.end(), IsChunked);
+  // HTTP/1.0 has no transfer codings; an intermediary of that version may have passed the field on
+  // without regard to it.
+  if (aVersion < 11 || chunked != 1 || !IsChunked(codings.back())) {
+    return Framing::Malformed;
+  }
+  return codings.size() == 1 ? Framing::Chunked : Framing::Unsupported;
+}
+
+unsigned StatusOfRequestFraming(const http::fields& aFields, unsigned aVersion,
+                                const ParsedFraming& aParsed)
+{
+  constexpr unsigned kBadRequest = 400;
+  constexpr unsigned kNotImplemented = 501;
+  const Framing framing = FindFraming(aFields, aVersion);
+  if (framing == Framing::Unsupported) {
+    return kNotImplemented;
+  }
+  const bool isChunked = framing == Framing::Chunked;
+  const bool hasLength = aFields.count(http::field::content_length) > 0;
+  const bool agrees = aParsed == ParsedFraming{ isChunked, hasLength };
+  return framing == Framing::Malformed || (isChunked && hasLength) || !agrees ? kBadRequest : 0;
+}
+
+bool IsResponseFramingValid(const http::fields& aFields, unsigned aVersion,
+                            const ParsedFraming& aParsed)
+{
+  const Framing framing = FindFraming(aFields, aVersion);
+  const bool isChunked = framing == Framing::Chunked;
+  return (isChunked || framing == Framing::NoTransferCoding) && aParsed.mChunked == isChunked;
+}
+
+std::vector<std::string> ConnectionOptions(const http::fields& aFields)
+{
+  return ListElements(aFields, http::field::connection);
+}
+
+} // namespace balsammount::detail
