Write 100 Continue in the order of the responses

Change: the interim response is an entry of the queue of responses, so that only the writer writes. It is left out when the refusal is certain, when the body has begun to arrive and for HTTP/1.0. An unknown expectation is refused with 417 before the request runs.

--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -251,10 +251,10 @@
 
 struct HttpServer::State : std::enable_shared_from_this<State>
 {
-  // A request whose response has not been written yet.
+  // A response that has not been written yet.
   struct Pending
   {
-    std::shared_ptr<ServerExchange> mExchange;
+    std::shared_ptr<ServerExchange> mExchange; // null: 100 Continue for the request being read
     unsigned mVersion = 11;
     bool mKeepAlive = true;
     bool mIsHead = false;
@@ -278,7 +278,9 @@
     void NotifyClosed()
     {
       for (auto pending = std::exchange(mPending, {}); const Pending& one : pending) {
-        one.mExchange->NotifyClosed();
+        if (one.mExchange) {
+          one.mExchange->NotifyClosed();
+        }
       }
       mChanged.cancel();
     }
@@ -440,8 +442,8 @@
     HeldBytes held(mLimits.mBudget);
     const auto error = co_await ReadRequest(aSession, parser, held);
     session.mTimer.cancel();
-    if (const unsigned status = FramingStatus(parser); status != 0) {
-      RespondAndClose(aSession, MakeErrorResponse(status, "the end of the body is unknown"));
+    if (auto refusal = RefusalOfHeader(parser)) {
+      RespondAndClose(aSession, std::move(*refusal));
       co_return false;
     }
     if (error) {
@@ -457,13 +459,6 @@
       RespondAndClose(aSession, std::move(refusal));
       co_return false;
     }
-    const auto hosts = parser.get().count(http::field::host);
-    // The parser joins folded lines by spaces, so a field after Host may have become part of it.
-    const bool hasSpace = parser.get()[http::field::host].find_first_of(" \t") != std::string::npos;
-    if (hosts > 1 || hasSpace || (hosts == 0 && parser.get().version() >= 11)) {
-      RespondAndClose(aSession, MakeErrorResponse(400, "exactly one Host header is expected"));
-      co_return false;
-    }
     const bool more = co_await Dispatch(aSession, parser.release(), std::move(held));
     co_return more;
   }
@@ -519,19 +514,55 @@
 
   using RequestParser = http::request_parser<http::string_body>;
 
-  // Returns the status that refuses a request because of its framing; 0: none.
-  static unsigned FramingStatus(RequestParser& aParser)
+  // Returns the response to a request that is refused whatever its body is.
+  static std::optional<HttpResponse> RefusalOfHeader(RequestParser& aParser)
   {
     if (!aParser.is_header_done()) {
-      return 0;
+      return std::nullopt;
+    }
+    const auto& header = aParser.get();
+    const unsigned status = detail::StatusOfRequestFraming(
+      header, header.version(), { aParser.chunked(), aParser.content_length().has_value() });
+    if (status != 0) {
+      return MakeErrorResponse(status, "the end of the body is unknown");
+    }
+    const auto hosts = header.count(http::field::host);
+    // The parser joins folded lines by spaces, so a field after Host may have become part of it.
+    const bool hasSpace = header[http::field::host].find_first_of(" \t") != std::string::npos;
+    if (hosts > 1 || hasSpace || (hosts == 0 && header.version() >= 11)) {
+      return MakeErrorResponse(400, "exactly one Host header is expected");
+    }
+    if (header.version() >= 11 && header.count(http::field::expect) > 0 &&
+        !ExpectsContinue(aParser)) {
+      return MakeErrorResponse(417, "the expectation is not supported");
+    }
+    return std::nullopt;
+  }
+
+  // HTTP/1.0 has no interim responses; a client of that version does not wait for one.
+  static bool ExpectsContinue(RequestParser& aParser)
+  {
+    const auto& header = aParser.get();
+    return header.version() >= 11 && header.count(http::field::expect) == 1 &&
+           beast::iequals(header[http::field::expect], "100-continue");
+  }
+
+  // Has 100 Continue written when the earlier responses have been. Returns false if the connection
+  // ends before.
+  static asio::awaitable<bool> SendContinue(std::shared_ptr<Session> aSession)
+  {
+    Session& session = *aSession;
+    session.mTimer.cancel();
+    session.mPending.emplace_back();
+    session.mChanged.cancel();
+    while (!session.mPending.empty() && !session.mWriterDone) {
+      co_await session.mChanged.async_wait(kAwait);
     }
-    return detail::StatusOfRequestFraming(
-      aParser.get(), aParser.get().version(),
-      { aParser.chunked(), aParser.content_length().has_value() });
+    co_return !session.mWriterDone;
   }
 
-  // Reads no body if the request is to be refused because of its framing. Fails with no_memory if
-  // the body does not fit into the budget.
+  // Reads no body if the request is refused because of its header. Fails with no_memory if the body
+  // does not fit into the budget.
   asio::awaitable<beast::error_code> ReadRequest(std::shared_ptr<Session> aSession,
                                                  RequestParser& aParser, HeldBytes& aHeldBytes)
   {
@@ -543,23 +574,23 @@
     if (error) {
       co_return error;
     }
-    if (aParser.is_done() || FramingStatus(aParser) != 0) {
+    const bool isRefused =
+      RefusalOfHeader(aParser) || (aSession->mOverLimit && ExpectsContinue(aParser));
+    if (aParser.is_done() || isRefused) {
       co_return beast::error_code{};
     }
     if (!aHeldBytes.GrowTo(aParser.content_length().value_or(0))) {
       co_return asio::error::no_memory;
     }
-    StartTimer(aSession, mLimits.mReadTimeout);
-    if (beast::iequals(aParser.get()[http::field::expect], "100-continue")) {
-      // The client sends the body only after this response.
-      static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-      auto [writeError, written] =
-        co_await asio::async_write(stream, asio::buffer(kContinue), kAwait);
-      if (writeError) {
-        co_return writeError;
-      }
+    // A client that has sent a part of the body does not wait.
+    const bool isAwaited = ExpectsContinue(aParser) && aSession->mBuffer.size() == 0;
+    if (isAwaited && !co_await SendContinue(aSession)) {
+      co_return asio::error::operation_aborted;
     }
+    StartTimer(aSession, mLimits.mReadTimeout);
     while (!aParser.is_done()) {
+      // The writer may have set a time limit for a response.
+      stream.expires_never();
       auto [bodyError, bodySize] =
         co_await http::async_read_some(stream, aSession->mBuffer, aParser, kAwait);
       if (bodyError) {
@@ -618,6 +649,13 @@
       co_await session.mChanged.async_wait(kAwait);
     }
     const Pending pending = session.mPending.front();
+    if (!pending.mExchange) {
+      static constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+      session.mStream.expires_after(mLimits.mWriteTimeout);
+      auto [error, size] =
+        co_await asio::async_write(session.mStream, asio::buffer(kContinue), kAwait);
+      co_return !error && Pop(aSession, true);
+    }
     auto response = co_await pending.mExchange->WaitForResponse();
     if (!response) {
       co_return false;
--- a/packages/transport/tests/http_test.cpp
+++ b/packages/transport/tests/http_test.cpp
@@ -421,6 +421,72 @@
   CHECK_FALSE(mExchanges[0]->Request().mHeaders.Has("Expect"));
 }
 
+// Guards against 100 Continue inside the body of an earlier response.
+TEST(Http, ContinueFollowsTheEarlierResponse)
+{
+  const std::string body(7 * 1024 * 1024, 'a'); // more than the buffers of the sockets hold
+  tcp::socket socket(mContext);
+  socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+  boost::asio::write(socket, boost::asio::buffer(std::string(
+                               "GET /1 HTTP/1.1\r\nHost: x\r\n\r\nPOST /2 HTTP/1.1\r\nHost: x\r\n"
+                               "Content-Length: 2\r\nExpect: 100-continue\r\n\r\n")));
+  RunUntil([&] { return mExchanges.size() == 1; });
+  HttpResponse response;
+  response.mBody = body;
+  mExchanges[0]->Respond(std::move(response));
+  RunBriefly();
+  std::string received;
+  socket.non_blocking(true);
+  const auto receive = [&] {
+    std::string bytes(1024 * 1024, ' ');
+    boost::system::error_code error;
+    received.append(bytes, 0, socket.read_some(boost::asio::buffer(bytes), error));
+    return received.ends_with("100 Continue\r\n\r\n");
+  };
+  RunUntil(receive);
+  const size_t bodyStart = received.find("\r\n\r\n") + 4;
+  CHECK(received.compare(bodyStart, body.size(), body) == 0);
+  STRCMP_EQUAL("HTTP/1.1 100 Continue\r\n\r\n", received.substr(bodyStart + body.size()).c_str());
+  boost::asio::write(socket, boost::asio::buffer(std::string("ok")));
+  RunUntil([&] { return mExchanges.size() == 2; });
+  CHECK_EQUAL(std::string("ok"), mExchanges[1]->Request().mBody);
+}
+
+// Guards against a client that sends a body for nothing, and against a request that runs although
+// its expectation is not understood.
+TEST(Http, NoContinueWithoutNeed)
+{
+  const auto statusLine = [this](const std::string& aVersion, const std::string& aFields,
+                                 const std::string& aBody) {
+    tcp::socket socket(mContext);
+    socket.connect(tcp::endpoint(kAnyHttpPort.address(), mServer->Port()));
+    boost::asio::write(socket, boost::asio::buffer("POST / HTTP/" + aVersion + "\r\nHost: x\r\n" +
+                                                   aFields + "\r\n" + aBody));
+    const size_t exchanges = mExchanges.size();
+    RunUntil([&] { return socket.available() > 0 || mExchanges.size() > exchanges; });
+    std::string response(socket.available(), ' ');
+    boost::system::error_code error;
+    socket.read_some(boost::asio::buffer(response), error);
+    return response.substr(0, 12);
+  };
+  const std::string expect = "Expect: 100-continue\r\n";
+  CHECK_EQUAL(std::string("HTTP/1.1 413"),
+              statusLine("1.1", "Content-Length: 99999999\r\n" + expect, ""));
+  CHECK_EQUAL(std::string("HTTP/1.1 400"),
+              statusLine("1.1", "Host: y\r\nContent-Length: 2\r\n" + expect, ""));
+  CHECK_EQUAL(std::string("HTTP/1.1 501"),
+              statusLine("1.1", "Transfer-Encoding: gzip, chunked\r\n" + expect, ""));
+  for (const char* unknown : { "Expect: 200-ok\r\n", "Expect:\r\n", "Expect: 100-continue, x\r\n",
+                               "Expect: 100-continue\r\nExpect: x\r\n" }) {
+    CHECK_EQUAL(std::string("HTTP/1.1 417"),
+                statusLine("1.1", std::string("Content-Length: 2\r\n") + unknown, "ok"));
+  }
+  CHECK(mExchanges.empty());
+  CHECK_EQUAL(std::string(), statusLine("1.1", "Content-Length: 2\r\n" + expect, "ok"));
+  CHECK_EQUAL(std::string(), statusLine("1.0", "Content-Length: 2\r\n" + expect, "ok"));
+  CHECK_EQUAL(2, mExchanges.size());
+}
+
 TEST_GROUP_BASE(HttpStream, TEST_GROUP_CppUTestGroupHttp)
 {
   std::string mBody;
