Apply a departure to every incarnation up to the one that it names

Cause: OnDeparture compared the stated start with that of the incarnation it knew, and marked the current one only if they were equal. The path that restores a departure after a restart of the node had another rule.

Change: one function marks all incarnations of an id up to a start, for both paths, and keeps 16 ids in place of one. A departure without a start covers all that started by now, also for the current id. The record in the store states the latest start that has left.

--- a/packages/directory/include/balsammount/directory.h
+++ b/packages/directory/include/balsammount/directory.h
@@ -38,7 +38,7 @@
   std::string mService;
   std::string mDataCentre;
   std::string mServerId;         // of the backend server; empty when none has registered
-  uint64_t mServerStarted = 0;   // wall clock in ms
+  uint64_t mServerStarted = 0;   // wall clock in ms; the latest start that has left, if any has
   uint64_t mServerWarmUntil = 0; // end of the server's warm-up, wall clock in ms
   bool mServing = false;         // accepts new calls
   bool mServerLeft = false;      // the backend server has announced its shutdown
--- a/packages/node/include/balsammount/server_lifecycle.h
+++ b/packages/node/include/balsammount/server_lifecycle.h
@@ -10,6 +10,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace balsammount {
 
@@ -57,8 +58,8 @@
 
   AnnouncementResult OnAnnouncement(const ServerAnnouncement& aAnnouncement);
   // Records that a server has stopped or is about to, even if this process has seen no announcement
-  // of it. Without aStarted this applies to the current incarnation if it has that id, else to all
-  // incarnations started until aNow. Returns whether the current incarnation has departed.
+  // of it. This applies to all incarnations with that id that started until aStarted; without it,
+  // until aNow, and to the current one. Returns whether the current incarnation has departed.
   bool OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted, WallTime aNow);
   // Restores a departure that was announced to an earlier process of this node.
   void RestoreDeparture(const std::string& aServerId, uint64_t aLatestStart);
@@ -66,16 +67,20 @@
   // Empty until an announcement has been applied.
   const std::optional<ServerAnnouncement>& Current() const { return mCurrent; }
   bool IsServing() const { return mCurrent && !mCurrent->mLeaving; }
-  // The server that departed last.
-  const std::optional<DepartedServer>& Departed() const { return mDeparted; }
+  // The departure of the server with the current id, or else the last one. Null if there is none.
+  const DepartedServer* Departed() const;
 
 private:
+  // Late messages are about recent servers, so few departures need to be kept.
+  static constexpr size_t kMaxDepartures = 16;
+
   bool HasDeparted(const ServerAnnouncement& aAnnouncement) const;
+  void MarkDeparted(const std::string& aServerId, uint64_t aLatestStart);
 
   std::string mService;
   std::string mAddress;
   std::optional<ServerAnnouncement> mCurrent;
-  std::optional<DepartedServer> mDeparted;
+  std::vector<DepartedServer> mDepartures; // one for each id, the last one at the end
 };
 
 } // namespace balsammount
--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -305,7 +305,12 @@
         MillisecondsSinceEpoch(mClock.WallNow()) + static_cast<uint64_t>(warmUpLeftMs);
     }
     record.mServerLeft = server->mLeaving;
-  } else if (const auto& departed = aLifecycle.Departed()) {
+    if (const DepartedServer* departed = aLifecycle.Departed();
+        departed && server->mLeaving && departed->mServerId == server->mServerId) {
+      // The departure may be that of a later incarnation than the one that is known.
+      record.mServerStarted = std::max(server->mStarted, departed->mLatestStart);
+    }
+  } else if (const DepartedServer* departed = aLifecycle.Departed()) {
     // Kept until another server announces itself, so that a restarted node still knows the
     // departure.
     record.mServerId = departed->mServerId;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -303,7 +303,7 @@
 void Node::Impl::CompleteAnnouncement(std::function<void()> aDone)
 {
   const auto& server = mServerLifecycle.Current();
-  const bool hasDeparted = server ? server->mLeaving : mServerLifecycle.Departed().has_value();
+  const bool hasDeparted = server ? server->mLeaving : mServerLifecycle.Departed() != nullptr;
   if (mDirectory && hasDeparted) {
     mDirectory->WhenPublished(std::move(aDone));
   } else {
--- a/packages/node/src/server_lifecycle.cpp
+++ b/packages/node/src/server_lifecycle.cpp
@@ -1,5 +1,6 @@
 #include "balsammount/server_lifecycle.h"
 
+#include <algorithm>
 #include <array>
 
 namespace balsammount {
@@ -12,8 +13,41 @@
 
 bool ServerLifecycle::HasDeparted(const ServerAnnouncement& aAnnouncement) const
 {
-  return mDeparted && mDeparted->mServerId == aAnnouncement.mServerId &&
-         aAnnouncement.mStarted <= mDeparted->mLatestStart;
+  return std::any_of(mDepartures.begin(), mDepartures.end(), [&](const DepartedServer& aDeparted) {
+    return aDeparted.mServerId == aAnnouncement.mServerId &&
+           aAnnouncement.mStarted <= aDeparted.mLatestStart;
+  });
+}
+
+void ServerLifecycle::MarkDeparted(const std::string& aServerId, uint64_t aLatestStart)
+{
+  DepartedServer departed{ aServerId, aLatestStart };
+  const auto known = std::find_if(mDepartures.begin(), mDepartures.end(), [&](const auto& aOther) {
+    return aOther.mServerId == aServerId;
+  });
+  if (known != mDepartures.end()) {
+    departed.mLatestStart = std::max(departed.mLatestStart, known->mLatestStart);
+    mDepartures.erase(known);
+  } else if (mDepartures.size() == kMaxDepartures) {
+    mDepartures.erase(mDepartures.begin());
+  }
+  mDepartures.push_back(std::move(departed));
+  if (mCurrent && HasDeparted(*mCurrent)) {
+    mCurrent->mLeaving = true;
+  }
+}
+
+const DepartedServer* ServerLifecycle::Departed() const
+{
+  if (mCurrent) {
+    const auto found =
+      std::find_if(mDepartures.begin(), mDepartures.end(),
+                   [this](const auto& aOther) { return aOther.mServerId == mCurrent->mServerId; });
+    if (found != mDepartures.end()) {
+      return &*found;
+    }
+  }
+  return mDepartures.empty() ? nullptr : &mDepartures.back();
 }
 
 AnnouncementResult ServerLifecycle::OnAnnouncement(const ServerAnnouncement& aAnnouncement)
@@ -41,30 +75,19 @@
 bool ServerLifecycle::OnDeparture(std::string_view aServerId, std::optional<uint64_t> aStarted,
                                   WallTime aNow)
 {
-  const bool isCurrent = mCurrent && mCurrent->mServerId == aServerId &&
-                         mCurrent->mStarted == aStarted.value_or(mCurrent->mStarted);
-  if (isCurrent) {
-    mCurrent->mLeaving = true;
-    mDeparted = DepartedServer{ mCurrent->mServerId, mCurrent->mStarted };
-    return true;
-  }
+  const std::string id(aServerId);
+  const bool isCurrentId = mCurrent && mCurrent->mServerId == id;
   // Without a start time the current time is an upper bound: the server has started by now, and its
   // next incarnation starts later.
-  const uint64_t latestStart = aStarted.value_or(MillisecondsSinceEpoch(aNow));
-  if (!mCurrent || latestStart >= mCurrent->mStarted) {
-    mDeparted = DepartedServer{ std::string(aServerId), latestStart };
-  }
-  return false;
+  const uint64_t latestStart =
+    aStarted.value_or(std::max(MillisecondsSinceEpoch(aNow), isCurrentId ? mCurrent->mStarted : 0));
+  MarkDeparted(id, latestStart);
+  return isCurrentId && mCurrent->mStarted <= latestStart;
 }
 
 void ServerLifecycle::RestoreDeparture(const std::string& aServerId, uint64_t aLatestStart)
 {
-  if (!mDeparted || mDeparted->mLatestStart < aLatestStart) {
-    mDeparted = DepartedServer{ aServerId, aLatestStart };
-  }
-  if (mCurrent && HasDeparted(*mCurrent)) {
-    mCurrent->mLeaving = true;
-  }
+  MarkDeparted(aServerId, aLatestStart);
 }
 
 } // namespace balsammount
