Return the requests that wait for a leaving server

Cause: a departure only stopped new requests; the queue was kept, as in a stop of the node, whose server stays. So the wait was bounded by the timeout of the route and not by the time that a leaving server has.

Change: queued requests are refused as not run when the server leaves. The sending node tries another server without using an attempt up. The product's own announcement of a leaving server uses the same function. A stop of the node alone still finishes its queue.

--- a/packages/admission/include/balsammount/admission.h
+++ b/packages/admission/include/balsammount/admission.h
@@ -159,6 +159,9 @@
   // While draining, new requests are refused; queued requests and those in flight finish.
   void SetDraining(bool aDraining) { mDraining = aDraining; }
 
+  // Refuses all queued requests; Poll() reports them.
+  void RefuseAllQueued(RefusalReason aReason);
+
   // While unavailable, new and queued requests are refused. The concurrency limit is reset when the
   // server becomes available again.
   void SetAvailable(bool aAvailable);
--- a/packages/admission/src/admission.cpp
+++ b/packages/admission/src/admission.cpp
@@ -162,8 +162,13 @@
     mLimit.Reset(mClock.Now());
     return;
   }
+  RefuseAllQueued(RefusalReason::Unavailable);
+}
+
+void AdmissionController::RefuseAllQueued(RefusalReason aReason)
+{
   while (mHeapSize > 0) {
-    RefuseQueued(mHeap[0], RefusalReason::Unavailable);
+    RefuseQueued(mHeap[0], aReason);
   }
 }
 
--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -428,9 +428,20 @@
   ApplyDraining();
 }
 
+void Executor::SetServerLeaving(bool aLeaving)
+{
+  mServerLeaving = aLeaving;
+  ApplyDraining();
+}
+
 void Executor::ApplyDraining()
 {
   mAdmission.SetDraining(mNodeDraining || mServerLeaving);
+  if (mServerLeaving) {
+    // They would reach the server long after its departure has been acknowledged. Other servers of
+    // the service can take them.
+    mAdmission.RefuseAllQueued(RefusalReason::Draining);
+  }
   PollAdmission();
 }
 
@@ -450,8 +461,7 @@
     mServerSlots = server->mSlots;
     ApplyPolicy();
   }
-  mServerLeaving = !aLifecycle.IsServing();
-  ApplyDraining();
+  SetServerLeaving(!aLifecycle.IsServing());
   if (mServerLeaving) {
     return;
   }
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -74,6 +74,8 @@
 
   void ApplyConfig(const std::shared_ptr<const Config>& aConfig);
   void SetDraining(bool aDraining);
+  // Sets whether the backend server is leaving. New and queued requests are refused then.
+  void SetServerLeaving(bool aLeaving);
   // Applies the announced state of the backend server, with ServerPresence::Announced.
   void SetServer(const ServerLifecycle& aLifecycle);
   // Reports in every result from now on that this node is leaving.
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -378,7 +378,7 @@
   if (response.mStatus == 204 && !mOnDrained) {
     Log("backend").info("backend server announced that it is {}", leaving ? "leaving" : "ready");
     mBackendLeaving = leaving;
-    mExecutor->SetDraining(leaving);
+    mExecutor->SetServerLeaving(leaving);
     PublishAvailability();
   }
   aExchange->Respond(std::move(response));
--- a/packages/node/tests/executor_test.cpp
+++ b/packages/node/tests/executor_test.cpp
@@ -336,3 +336,36 @@
     CHECK(Outcome() == AttemptOutcome::Unknown);
   }
 }
+
+// Guards against requests that reach a leaving server long after its departure has been
+// acknowledged and are lost with it: those that wait for a slot go back to the nodes that sent
+// them.
+TEST(Executor, DepartureReturnsTheRequestsThatWait)
+{
+  constexpr size_t kRequests = 8;
+  // The requests in flight end after the test.
+  const auto results = std::make_shared<std::vector<CallResult>>();
+  for (size_t i = 0; i < kRequests; ++i) {
+    CallContext context;
+    context.mRequestId = "request-" + std::to_string(i);
+    context.mService = "orders";
+    context.mRank = "usual";
+    context.mDeadline = mClock.Now() + 60s;
+    mExecutor->Execute(context, {}, RequestBudget::ForAttempts(3),
+                       [results](CallResult aResult) { results->push_back(std::move(aResult)); });
+  }
+  const AdmissionStats before = mExecutor->Admission().Stats();
+  CHECK(before.mInFlight > 0);
+  CHECK(before.mQueued > 0);
+  ServerLifecycle lifecycle = AnnouncedServer();
+  lifecycle.OnDeparture("server-1", std::nullopt, mClock.WallNow());
+  mExecutor->SetServer(lifecycle);
+  CHECK_EQUAL(before.mQueued, results->size());
+  for (const CallResult& result : *results) {
+    CHECK(result.mOutcome == AttemptOutcome::NotRun);
+    CHECK(result.mReason == CallReason::Draining);
+    CHECK_FALSE(result.mReachedServer); // does not count as an attempt
+  }
+  CHECK_EQUAL(before.mInFlight, mExecutor->Admission().Stats().mInFlight);
+  CHECK_EQUAL(0, mExecutor->Admission().Stats().mQueued);
+}
