Give the watch of the list its time before asking what it has missed

A count of the calls by their reason (a trial with further log lines) showed 211 checks of the list: at the start every node's list is older than the store, and each asked at once although its watch was about to report the rest; and a check that was due compared with the latest change that any node had stated and not with the one for which it had been scheduled, so a list that changed in between was checked in vain.

Change: one function notes the revision that is expected and when it must have been reported; the store is asked only if it has not been by then.

--- a/packages/node/src/directory_service.cpp
+++ b/packages/node/src/directory_service.cpp
@@ -199,18 +199,12 @@
   ApplyChanges();
 }
 
-void DirectoryService::CheckList()
-{
-  if (mWatch) {
-    mWatch->CheckNow(
-      [this](Revision aRevision) { mListRevision = std::max(mListRevision, aRevision); });
-  }
-}
-
+// The watch may be about to report the changes, so it gets the time for that first.
 void DirectoryService::OnStoreRevision(Revision aRevision)
 {
-  if (aRevision > mListRevision) {
-    CheckList();
+  if (aRevision > mListRevision && !mListCheckDue) {
+    mExpectedRevision = aRevision;
+    mListCheckDue = mClock.Now() + MinListUpdateInterval(mDirectory.Size() + 1) + kListReportMargin;
   }
 }
 
@@ -548,7 +542,10 @@
   }
   if (mListCheckDue && now >= *mListCheckDue) {
     mListCheckDue.reset();
-    OnStoreRevision(mPeersListChange);
+    if (mWatch && mExpectedRevision > mListRevision) {
+      mWatch->CheckNow(
+        [this](Revision aRevision) { mListRevision = std::max(mListRevision, aRevision); });
+    }
   }
   if (!mStoreReachable && now >= mNextPull) {
     mNextPull = now + kPullInterval;
@@ -725,13 +722,7 @@
     // The request arrived after it was sent.
     mDependencies.mConfig.OnVerified(std::min(aSentAt - *aView.mConfigAge, mClock.Now()));
   }
-  if (aView.mListRevision > mListRevision) {
-    mPeersListChange = std::max(mPeersListChange, aView.mListRevision);
-    if (!mListCheckDue) {
-      mListCheckDue =
-        mClock.Now() + MinListUpdateInterval(mDirectory.Size() + 1) + kListReportMargin;
-    }
-  }
+  OnStoreRevision(aView.mListRevision);
 }
 
 void DirectoryService::FetchConfig(const std::string& aNodeId)
--- a/packages/node/src/directory_service.h
+++ b/packages/node/src/directory_service.h
@@ -69,8 +69,9 @@
   HttpResponse HandleQuestion() const;
   // Handles the view in the response of another node to a request that was sent at aSentAt.
   void OnPeerView(const std::string& aNodeId, const StoreView& aView, SteadyTime aSentAt);
-  // Handles the revision of the store in the response to a read. Looks for changes of the node list
-  // that the watch has not reported.
+  // Handles a revision of the store, or of the last change of the list, that is known from
+  // elsewhere. If the watch has not reported all changes up to it in time, the store is asked for
+  // them.
   void OnStoreRevision(Revision aRevision);
 
   std::vector<FleetNode> Fleet() const;
@@ -80,7 +81,6 @@
   void ReadList(Freshness aFreshness);
   void OnList(const StoreResult<StoreRange>& aResult);
   void OnEvent(const WatchEvent& aEvent);
-  void CheckList();
   std::optional<NodeRecord> DecodeEntry(const std::string& aKey, std::string_view aValue);
   void Supersede(std::string_view aForeignEntry);
   void ApplyChanges();
@@ -129,10 +129,10 @@
   boost::asio::steady_timer mPublishWaiterTimer;
   std::vector<std::function<void()>> mPublishWaiters;
   std::unique_ptr<StoreWatch> mWatch;
-  Revision mListRevision = 0;    // all changes of the list up to this one have been reported
-  Revision mLastListChange = 0;  // the last change of the list that has been reported
-  Revision mPeersListChange = 0; // the last one that another node has stated
-  std::optional<SteadyTime> mListCheckDue; // if another node has seen a later change
+  Revision mListRevision = 0;     // all changes of the list up to this one have been reported
+  Revision mLastListChange = 0;   // the last change of the list that has been reported
+  Revision mExpectedRevision = 0; // up to which the changes are to be reported until mListCheckDue
+  std::optional<SteadyTime> mListCheckDue;
   LeaseId mLease = kNoLease;
   Revision mOwnRevision = kAbsent; // last known mod revision of this node's key
   uint64_t mPublishedSequence = 0;
