--- a/packages/node/tests/directory_service_test.cpp
+++ b/packages/node/tests/directory_service_test.cpp
@@ -338,11 +338,12 @@
 {
   mFixture->Start();
   const Revision revision = mFixture->mStore.Model().CurrentRevision();
+  const size_t calls = mFixture->mStore.mCalls;
+  mFixture->mService->OnStoreRevision(revision); // is known
   mFixture->mService->OnStoreRevision(revision + 1);
   mFixture->Put("a", EncodeNodeRecord(Record("a", 1)));
   STRCMP_EQUAL("a ", mFixture->KnownNodes().c_str());
   mFixture->mService->OnStoreRevision(revision + 2);
-  const size_t calls = mFixture->mStore.mCalls;
   mFixture->mClock.Advance(MinListUpdateInterval(2) + 500ms);
   mFixture->Run(600ms);
   CHECK_EQUAL(calls, mFixture->mStore.mCalls);
