Do not complete a response without a length after a reset

Callers saw: a part of an answer as a complete success. Their server had answered a long upload at once, without a length, and reset the connection while the upload was being written.

Cause: the operating system reports a reset once. The pending write got it, the read that followed saw what looks like an orderly end, and the failure of the write was dropped.

Change: a response that ends with its connection is complete only if the write of the request has not failed.

Why it works: whichever operation gets the reset, one of the two failures is now seen before the response is delivered.

--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -27,7 +27,7 @@
   // silent with the connection of that call.
   bool mDropIdleAfterTimeout = false;
   // Accepts a response without a length, which ends with an orderly close of the connection. If
-  // false, such a response fails with ConnectionLost.
+  // false, or if the connection failed before, such a response fails with ConnectionLost.
   bool mAcceptCloseDelimited = false;
 };
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -136,7 +136,7 @@
     case ResponseMatch::Ambiguous:
       return ": response without the id of its request";
     default:
-      return ": response without a length";
+      return ": response without a length, or reset before its end";
   }
 }
 
@@ -407,7 +407,9 @@
     } else {
       connection->mStream.close();
     }
-    if (match != ResponseMatch::Own || (!isSelfDelimited && !self.mLimits.mAcceptCloseDelimited)) {
+    const bool isComplete =
+      isSelfDelimited || (self.mLimits.mAcceptCloseDelimited && !outgoing->mFailed);
+    if (match != ResponseMatch::Own || !isComplete) {
       aCall->Finish(
         Failure{ TransportError::ConnectionLost, self.mHost + DescribeRejection(match) });
       co_return;
@@ -461,7 +463,7 @@
     co_return Result<void>();
   }
 
-  // A request that is being written. Its response may arrive before the write is complete.
+  // A request that is being written. Its response may arrive before the write has ended.
   struct OutgoingRequest
   {
     explicit OutgoingRequest(http::request<http::string_body> aMessage)
@@ -470,6 +472,7 @@
     }
     http::request<http::string_body> mMessage;
     bool mSent = false;
+    bool mFailed = false;
   };
 
   static asio::awaitable<void> Write(std::shared_ptr<Connection> aConnection,
@@ -477,8 +480,10 @@
   {
     auto [error, size] =
       co_await http::async_write(aConnection->mStream, aOutgoing->mMessage, kAwait);
-    // After an error the reader gets the rest of what the server sent, or fails as well.
+    // After an error the reader gets the rest of what the server sent. The operating system reports
+    // a reset only once, so the end that the reader then sees may not be an orderly one.
     aOutgoing->mSent = !error;
+    aOutgoing->mFailed = static_cast<bool>(error);
   }
 
   static void UpdateServerIdleTimeout(Connection& aConnection,
--- a/packages/transport/tests/framing_test.cpp
+++ b/packages/transport/tests/framing_test.cpp
@@ -404,6 +404,23 @@
     return "HTTP/1.1 " + aCode + " Text\r\nContent-Length: 5\r\n\r\nhello";
   }
 
+  void RunBriefly()
+  {
+    mContext.restart();
+    mContext.poll();
+  }
+
+  template <class Condition>
+  void RunUntil(Condition aCondition)
+  {
+    const auto end = std::chrono::steady_clock::now() + 10s;
+    while (!aCondition() && std::chrono::steady_clock::now() < end) {
+      mContext.restart();
+      mContext.run_one_for(10ms);
+    }
+    CHECK(aCondition());
+  }
+
   // Returns the body of the response, or nullopt after a failure. aBytes are sent aPieceBytes at a
   // time.
   std::optional<std::string> Call(Reader aReader, const std::string& aBytes, size_t aPieceBytes,
@@ -431,29 +448,19 @@
     tcp::socket socket(mContext);
     bool accepted = false;
     acceptor.async_accept(socket, [&accepted](const auto&) { accepted = true; });
-    const auto runUntil = [this](auto aCondition) {
-      const auto end = std::chrono::steady_clock::now() + 10s;
-      while (!aCondition() && std::chrono::steady_clock::now() < end) {
-        mContext.restart();
-        mContext.run_one_for(10ms);
-      }
-      CHECK(aCondition());
-    };
-    runUntil([&] { return accepted && socket.available() > 0; });
+    RunUntil([&] { return accepted && socket.available() > 0; });
     std::string request(socket.available(), ' ');
     socket.read_some(boost::asio::buffer(request));
     boost::system::error_code error;
     for (size_t at = 0; at < aBytes.size() && !error; at += aPieceBytes) {
       boost::asio::write(socket, boost::asio::buffer(aBytes.substr(at, aPieceBytes)), error);
-      mContext.restart();
-      mContext.poll();
+      RunBriefly();
     }
     if (aCloses) {
       socket.close(error);
     }
-    runUntil([&] { return result.has_value(); });
-    mContext.restart();
-    mContext.poll();
+    RunUntil([&] { return result.has_value(); });
+    RunBriefly();
     return *result ? std::optional(body) : std::nullopt;
   }
 };
@@ -487,3 +494,50 @@
     }
   }
 }
+
+// Guards against a part of a response that counts as complete: the server answers without a length
+// before it has read the request, and resets the connection while the request is being written.
+TEST(ResponseFraming, ResetDuringTheRequestIsNeverComplete)
+{
+  struct Case
+  {
+    bool mIsWhole;       // the server ends its side behind the body
+    bool mIsReadBetween; // the client reads the part before the connection is reset
+  };
+  const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
+  const std::string part(4000, 'a');
+  for (const Case one : { Case{ false, false }, Case{ false, true }, Case{ true, true } }) {
+    tcp::acceptor acceptor(mContext, kAnyPort);
+    // Small enough for the request to remain unwritten. Inherited by the accepted socket.
+    acceptor.set_option(tcp::socket::receive_buffer_size(32 * 1024));
+    HttpClientLimits limits;
+    limits.mAcceptCloseDelimited = true;
+    HttpClient client(mContext, acceptor.local_endpoint(), limits);
+    std::optional<Result<HttpResponse>> result;
+    HttpRequest upload{ "PUT", "/", {}, std::string(4 * kMaxBodyBytes, 'u') };
+    const auto call = client.Send(
+      std::move(upload), 5s, [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
+    tcp::socket socket(mContext);
+    bool accepted = false;
+    acceptor.async_accept(socket, [&accepted](const auto&) { accepted = true; });
+    RunUntil([&] { return accepted && socket.available() > 0; });
+    boost::asio::write(socket, boost::asio::buffer(head + part));
+    if (one.mIsReadBetween) {
+      RunBriefly();
+    }
+    if (one.mIsWhole) {
+      socket.shutdown(tcp::socket::shutdown_send);
+      RunUntil([&] { return result.has_value(); });
+    }
+    socket.set_option(boost::asio::socket_base::linger(true, 0));
+    socket.close();
+    RunUntil([&] { return result.has_value(); });
+    CHECK_EQUAL(one.mIsWhole, result->has_value());
+    if (one.mIsWhole) {
+      CHECK(part == (*result)->mBody);
+    } else {
+      CHECK_FALSE(ProvesNotRun(result->error().mCode));
+    }
+    RunBriefly();
+  }
+}
