Skip interim responses before a stream

Callers saw: nothing was reported. A watch of the store ended without events if an interim response came before the response.

Cause: HttpClient::Stream delivered the first head that it read. HttpClient::Send skipped interim responses.

Change: both skip them, up to the same number.

Evidence: with the new forms ResponseFraming.EveryFormIsReadOrFails fails on the code before (100 Continue before 200), and passes now.

Why it works: the loop ends only at a head that is final and valid.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -124,7 +124,7 @@
 // Returns true for interim responses such as 100 Continue, which precede the final response.
 bool IsInterim(const http::response<http::string_body>& aMessage)
 {
-  return aMessage.result_int() / 100 == 1 && aMessage.result_int() != 101;
+  return aMessage.result_int() / 100 == 1;
 }
 
 // Returns why a whole response is not delivered.
@@ -319,6 +319,11 @@
     return Failure{ aError, mHost + ": " + aCause.message() };
   }
 
+  Failure TooManyResponses() const
+  {
+    return { TransportError::TooLarge, mHost + ": too many unrelated responses" };
+  }
+
   asio::awaitable<beast::error_code> Connect(Connection& aConnection,
                                              std::chrono::nanoseconds aTimeout)
   {
@@ -370,8 +375,7 @@
     for (int skipped = 0; match == ResponseMatch::Other && isSelfDelimited; ++skipped) {
       if (skipped > kMaxSkippedResponses) {
         connection->mStream.close();
-        aCall->Finish(
-          Failure{ TransportError::TooLarge, self.mHost + ": too many unrelated responses" });
+        aCall->Finish(self.TooManyResponses());
         co_return;
       }
       parser.emplace();
@@ -543,19 +547,27 @@
       aCall->Finish(self.MakeFailure(writeError));
       co_return;
     }
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(boost::none);
-    if (const auto head = co_await self.ReadHead(*connection, parser); !head) {
-      aCall->Finish(head.error());
-      co_return;
+    std::optional<ResponseParser> parser;
+    for (int skipped = 0; !parser || IsInterim(parser->get()); ++skipped) {
+      if (skipped > kMaxSkippedResponses) {
+        aCall->Finish(self.TooManyResponses());
+        co_return;
+      }
+      parser.emplace();
+      parser->body_limit(boost::none);
+      if (const auto head = co_await self.ReadHead(*connection, *parser); !head) {
+        aCall->Finish(head.error());
+        co_return;
+      }
     }
-    const bool isSelfDelimited = parser.content_length() || parser.chunked() || !parser.need_eof();
-    aCall->DeliverHead(FromBeast(http::response<http::string_body>(parser.get().base())));
-    while (!parser.is_done() && !aCall->IsDone()) {
+    const bool isSelfDelimited =
+      parser->content_length() || parser->chunked() || !parser->need_eof();
+    aCall->DeliverHead(FromBeast(http::response<http::string_body>(parser->get().base())));
+    while (!parser->is_done() && !aCall->IsDone()) {
       stream.expires_after(aIdleTimeout);
       auto [error, size] =
-        co_await http::async_read_some(stream, connection->mBuffer, parser, kAwait);
-      aCall->DeliverData(std::exchange(parser.get().body(), {}));
+        co_await http::async_read_some(stream, connection->mBuffer, *parser, kAwait);
+      aCall->DeliverData(std::exchange(parser->get().body(), {}));
       if (error) {
         aCall->Finish(self.MakeFailure(error));
         co_return;
--- a/packages/transport/tests/framing_test.cpp
+++ b/packages/transport/tests/framing_test.cpp
@@ -396,6 +396,10 @@
       { "HTTP/1.1 101 Switching Protocols\r\n\r\n", false, std::nullopt },
       { "HTTP/1.1 101 Switching Protocols\r\n\r\n" + Status("200"), false, std::nullopt },
       { "HTTP/1.1 099 Continue\r\n\r\n" + Status("200"), false, std::nullopt },
+      { "HTTP/1.1 100 Continue\r\n\r\n" + Status("200"), false, "hello" },
+      { "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + Status("200"), false, "hello" },
+      { "HTTP/1.1 100 Continue\r\n\r\n" + Status("000"), false, std::nullopt },
+      { "HTTP/1.1 100 Continue\r\n\r\n", true, std::nullopt },
     };
   }
 
