Keep trailers out of the head of a response

A whole success with a trailer that has the name of the header for "not run" counted as a refusal: the request had run, and could run again elsewhere.

Cause: the parser adds trailers to the fields of the head, and the client read the head after the body.

Change: the client takes the head before it reads the body; trailers are dropped.

Evidence: Executor.TrailerDoesNotStateThatTheRequestDidNotRun fails on the code before and passes now.

Why it works: nothing that arrives behind the head is in the fields that are delivered.

--- a/packages/node/tests/executor_test.cpp
+++ b/packages/node/tests/executor_test.cpp
@@ -337,6 +337,19 @@
   }
 }
 
+// Guards against a trailer that counts as a field of the head: the claim that the request did not
+// run, while the rest of the response says that it did.
+TEST(Executor, TrailerDoesNotStateThatTheRequestDidNotRun)
+{
+  Start("a");
+  ReadRequest();
+  Write("HTTP/1.1 200 OK\r\nId: a\r\nStamp: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "2\r\nok\r\n0\r\nNot-Run: 1\r\nOther: 1\r\n\r\n");
+  CHECK(Outcome() == AttemptOutcome::Complete);
+  CHECK_EQUAL(std::string("ok"), mResult->mResponse.mBody);
+  CHECK_EQUAL(2, mResult->mResponse.mHeaders.All().size());
+}
+
 // Guards against a status that is none reaching the caller as an answer.
 TEST(Executor, ResponseWithoutAValidStatusIsNeverComplete)
 {
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -104,27 +104,27 @@
   return message;
 }
 
-HttpResponse FromBeast(http::response<http::string_body>&& aMessage)
+// Returns the response without its body.
+HttpResponse FromBeast(const http::response_header<http::fields>& aHead)
 {
   HttpResponse response;
-  response.mStatus = aMessage.result_int();
-  for (const auto& field : aMessage) {
+  response.mStatus = aHead.result_int();
+  for (const auto& field : aHead) {
     const std::string_view name(field.name_string().data(), field.name_string().size());
     if (!IsHopByHop(name)) {
       response.mHeaders.Add(name, std::string_view(field.value().data(), field.value().size()));
     }
   }
-  for (const std::string& option : detail::ConnectionOptions(aMessage)) {
+  for (const std::string& option : detail::ConnectionOptions(aHead)) {
     response.mHeaders.Remove(option);
   }
-  response.mBody = std::move(aMessage.body());
   return response;
 }
 
 // Returns true for interim responses such as 100 Continue, which precede the final response.
-bool IsInterim(const http::response<http::string_body>& aMessage)
+bool IsInterim(const http::response_header<http::fields>& aHead)
 {
-  return aMessage.result_int() / 100 == 1;
+  return aHead.result_int() / 100 == 1;
 }
 
 // Returns why a whole response is not delivered.
@@ -382,7 +382,7 @@
       parser->header_limit(static_cast<uint32_t>(self.mLimits.mMaxHeaderBytes));
       parser->body_limit(self.mLimits.mMaxBodyBytes);
       parser->skip(outgoing->mMessage.method() == http::verb::head);
-      const auto read = co_await self.ReadResponse(*connection, *parser);
+      auto read = co_await self.ReadResponse(*connection, *parser);
       if (!read) {
         connection->mStream.close();
         if (read.error().mCode == TransportError::TimedOut && self.mLimits.mDropIdleAfterTimeout) {
@@ -397,7 +397,7 @@
       isSelfDelimited = parser->content_length() || parser->chunked() || !parser->need_eof();
       mustClose = mustClose || !parser->keep_alive();
       UpdateServerIdleTimeout(*connection, parser->get());
-      response = FromBeast(parser->release());
+      response = std::move(*read);
       match = aCall->Filter() ? aCall->Filter()(response) : ResponseMatch::Own;
       mustClose = mustClose || match != ResponseMatch::Own;
     }
@@ -461,13 +461,27 @@
 
   // Reads a response whose bytes count against the budget while they arrive. Fails with TooLarge if
   // the budget is used up.
-  asio::awaitable<Result<void>> ReadResponse(Connection& aConnection, ResponseParser& aParser) const
+  asio::awaitable<Result<HttpResponse>> ReadResponse(Connection& aConnection,
+                                                     ResponseParser& aParser) const
   {
-    beast::tcp_stream& stream = aConnection.mStream;
-    const auto head = co_await ReadHead(aConnection, aParser);
-    if (!head || aParser.is_done()) {
-      co_return head;
+    if (const auto head = co_await ReadHead(aConnection, aParser); !head) {
+      co_return head.error();
+    }
+    // The parser adds the trailers to the head once it has read them.
+    HttpResponse response = FromBeast(aParser.get());
+    if (const auto body = co_await ReadBody(aConnection, aParser); !body) {
+      co_return body.error();
     }
+    response.mBody = std::move(aParser.get().body());
+    co_return std::move(response);
+  }
+
+  asio::awaitable<Result<void>> ReadBody(Connection& aConnection, ResponseParser& aParser) const
+  {
+    if (aParser.is_done()) {
+      co_return Result<void>();
+    }
+    beast::tcp_stream& stream = aConnection.mStream;
     HeldBytes held(mLimits.mBudget);
     const auto length = aParser.content_length();
     if (length && *length <= kSmallBodyBytes) {
@@ -562,7 +576,7 @@
     }
     const bool isSelfDelimited =
       parser->content_length() || parser->chunked() || !parser->need_eof();
-    aCall->DeliverHead(FromBeast(http::response<http::string_body>(parser->get().base())));
+    aCall->DeliverHead(FromBeast(parser->get()));
     while (!parser->is_done() && !aCall->IsDone()) {
       stream.expires_after(aIdleTimeout);
       auto [error, size] =
