Take each header block of a response between nodes for itself

Fields of an interim response and of trailers counted as fields of the response, such as the outcome of the request.

Cause: the client for other nodes added every field of a stream to one head.

Change: an interim head is dropped, fields behind the final head are ignored, and a stream that ends without a final head fails.

Evidence: Peer.InterimResponsesAreSkipped and Peer.TrailersAreNotPartOfTheHead fail on the code before and pass now. Peer.ResponseWithAnInvalidFieldFails passes on both: the HTTP/2 library ends such a stream already.

Why it works: fields are kept only between the start of the final head and its end.

--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -68,6 +68,7 @@
   HttpResponse mResponse;
   std::weak_ptr<ClientConnection> mConnection;
   int32_t mStreamId = -1;
+  bool mHeadDone = false; // the head of the final response has arrived
   bool mComplete = false; // the stream ended with END_STREAM
   bool mTooLarge = false;
 
@@ -264,12 +265,24 @@
       asio::post(Socket().get_executor(), [self = SharedSelf()] { self->CloseIfGone(); });
       return;
     }
-    if ((aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0 ||
+    const auto found = mCalls.find(aFrame.hd.stream_id);
+    if (found == mCalls.end() ||
         (aFrame.hd.type != NGHTTP2_HEADERS && aFrame.hd.type != NGHTTP2_DATA)) {
       return;
     }
-    if (const auto found = mCalls.find(aFrame.hd.stream_id); found != mCalls.end()) {
-      found->second->mComplete = true;
+    StreamCall& call = *found->second;
+    if (aFrame.hd.type == NGHTTP2_HEADERS && !call.mHeadDone) {
+      OnHeadDone(call);
+    }
+    call.mComplete = (aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  }
+
+  // Drops the head of an interim response, which precedes the final one.
+  static void OnHeadDone(StreamCall& aCall)
+  {
+    aCall.mHeadDone = aCall.mResponse.mStatus / 100 != 1;
+    if (!aCall.mHeadDone) {
+      aCall.mResponse = {};
     }
   }
 
@@ -279,6 +292,9 @@
     if (found == mCalls.end()) {
       return;
     }
+    if (found->second->mHeadDone) {
+      return; // a trailer
+    }
     HttpResponse& response = found->second->mResponse;
     if (aName == ":status") {
       std::from_chars(aValue.data(), aValue.data() + aValue.size(), response.mStatus);
@@ -315,7 +331,7 @@
       }
       if (aError == NGHTTP2_REFUSED_STREAM) {
         call->Fail(TransportError::NotProcessed);
-      } else if (aError != NGHTTP2_NO_ERROR || !call->mComplete) {
+      } else if (aError != NGHTTP2_NO_ERROR || !call->mComplete || !call->mHeadDone) {
         call->Fail(TransportError::ConnectionLost);
       } else if (call->mTooLarge) {
         call->Fail(TransportError::TooLarge);
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -40,6 +40,7 @@
   std::vector<Fields> mInterim; // header blocks before that of the response
   Fields mHead;
   std::string mBody;
+  Fields mTrailers;
 };
 
 // A peer that answers each request with the same frames, whether they are valid or not.
@@ -74,28 +75,48 @@
   void OnStreamClosed(int32_t, uint32_t) override {}
   void OnClosed() override {}
 
+  static detail::HeaderBlock Block(const Fields& aFields)
+  {
+    detail::HeaderBlock block;
+    for (const Header& field : aFields) {
+      block.Add(field.mName, field.mValue);
+    }
+    return block;
+  }
+
   void Answer(int32_t aStreamId)
   {
-    const auto block = [](const Fields& aFields) {
-      detail::HeaderBlock result;
-      for (const Header& field : aFields) {
-        result.Add(field.mName, field.mValue);
-      }
-      return result;
-    };
     for (const Fields& fields : mResponse.mInterim) {
-      auto interim = block(fields);
+      auto interim = Block(fields);
       const auto values = interim.Values();
       nghttp2_submit_headers(Session(), NGHTTP2_FLAG_NONE, aStreamId, nullptr, values.data(),
                              values.size(), nullptr);
     }
-    auto head = block(mResponse.mHead);
+    auto head = Block(mResponse.mHead);
     const auto values = head.Values();
     mBody = { mResponse.mBody, 0 };
-    const auto provider = detail::MakeDataProvider(mBody);
+    auto provider = detail::MakeDataProvider(mBody);
+    if (!mResponse.mTrailers.empty()) {
+      provider.read_callback = ReadBeforeTrailers;
+    }
     nghttp2_submit_response(Session(), aStreamId, values.data(), values.size(), &provider);
   }
 
+  // Ends the body with the trailers.
+  static ssize_t ReadBeforeTrailers(nghttp2_session* aSession, int32_t aStreamId, uint8_t* aBuffer,
+                                    size_t aLength, uint32_t* aFlags, nghttp2_data_source* aSource,
+                                    void* aUserData)
+  {
+    auto& self = static_cast<RawPeer&>(*static_cast<H2Connection*>(aUserData));
+    const auto read = detail::MakeDataProvider(self.mBody).read_callback;
+    const ssize_t count = read(aSession, aStreamId, aBuffer, aLength, aFlags, aSource, aUserData);
+    auto trailers = Block(self.mResponse.mTrailers);
+    const auto values = trailers.Values();
+    nghttp2_submit_trailer(aSession, aStreamId, values.data(), values.size());
+    *aFlags |= NGHTTP2_DATA_FLAG_NO_END_STREAM;
+    return count;
+  }
+
   RawResponse mResponse;
   detail::OutgoingBody mBody;
 };
@@ -338,17 +359,58 @@
   RunUntil([&] { return served == 2; });
 }
 
+// Guards against fields of an interim response in the response, and against an interim response
+// that counts as the response.
+TEST(Peer, InterimResponsesAreSkipped)
+{
+  const Fields hints = { { ":status", "103" }, { "bm-rank", "1" }, { "link", "a" } };
+  const auto result = CallRawPeer({ { hints, hints }, { { ":status", "200" } }, "hello", {} });
+  CHECK(result.has_value());
+  CHECK_EQUAL(200, result->mStatus);
+  CHECK(result->mHeaders.All().empty());
+  CHECK_EQUAL(std::string("hello"), result->mBody);
+  CHECK_FALSE(CallRawPeer({ {}, { { ":status", "103" } }, "", {} }).has_value());
+}
+
+// Guards against a trailer field that counts as one of the head, such as the claim that a request
+// did not run.
+TEST(Peer, TrailersAreNotPartOfTheHead)
+{
+  const auto result =
+    CallRawPeer({ {}, { { ":status", "200" }, { "a", "1" } }, "hello", { { "b", "2" } } });
+  CHECK(result.has_value());
+  CHECK_EQUAL(std::string("hello"), result->mBody);
+  CHECK(result->mHeaders.Has("a"));
+  CHECK_FALSE(result->mHeaders.Has("b"));
+}
+
+// Guards against a response that lacks a field because its name or value is not valid.
+TEST(Peer, ResponseWithAnInvalidFieldFails)
+{
+  using namespace std::string_literals;
+  const auto call = [&](const std::string& aName, const std::string& aValue) {
+    return CallRawPeer({ {}, { { ":status", "200" }, { aName, aValue } }, "hello", {} });
+  };
+  CHECK(call("name", "a\tb \xe9").has_value());
+  for (const std::string& name : { "na me"s, "na\x01me"s, "na\0me"s, "na\x7fme"s, ""s }) {
+    CHECK_FALSE_TEXT(call(name, "v").has_value(), name.c_str());
+  }
+  for (const std::string& value : { "a\x01z"s, "a\0z"s, "a\rz"s, "a\nz"s, "a\x7fz"s }) {
+    CHECK_FALSE_TEXT(call("name", value).has_value(), value.c_str());
+  }
+}
+
 // Guards against a status that is none reaching the caller as an answer.
 TEST(Peer, ResponseWithoutAValidStatusFails)
 {
   for (const char* status : { "200", "404", "599" }) {
-    const auto result = CallRawPeer({ {}, { { ":status", status } }, "hello" });
+    const auto result = CallRawPeer({ {}, { { ":status", status } }, "hello", {} });
     CHECK_TRUE_TEXT(result.has_value(), status);
     CHECK_EQUAL(std::string(status), std::to_string(result->mStatus));
     CHECK_EQUAL(std::string("hello"), result->mBody);
   }
   for (const char* status : { "000", "001", "099", "101", "600", "999", "20", "2000", "+20" }) {
-    const auto result = CallRawPeer({ {}, { { ":status", status } }, "hello" });
+    const auto result = CallRawPeer({ {}, { { ":status", status } }, "hello", {} });
     CHECK_FALSE_TEXT(result.has_value(), status);
     CHECK_FALSE_TEXT(ProvesNotRun(result.error().mCode), status);
   }
