Let other packages ask whether a response is valid

Cause: the check of a response was private to the clients and saw the status only, so that a node could not ask it for a response that it got in another way, such as one recorded by another node.

Change: response_check.h is public and checks the status and the fields of an HttpResponse. What depends on HTTP/1, the framing and folded lines, stands beside the framing of requests. Both clients ask the check once for each head. No behaviour changes: the parser and the HTTP/2 library refuse the fields in question already.

--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,8 +1,9 @@
 #include "balsammount/http_client.h"
 
-#include "response_check.h"
+#include "message_framing.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/response_check.h"
 #include "balsammount/unhandled.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -121,12 +122,6 @@
   return response;
 }
 
-// Returns true for interim responses such as 100 Continue, which precede the final response.
-bool IsInterim(const http::response_header<http::fields>& aHead)
-{
-  return aHead.result_int() / 100 == 1;
-}
-
 // Returns why a whole response is not delivered.
 const char* DescribeRejection(ResponseMatch aMatch)
 {
@@ -309,9 +304,8 @@
   Failure MakeFailure(const beast::error_code& aCause) const
   {
     const TransportError error = ToTransportError(aCause);
-    return error == TransportError::InvalidResponse
-             ? detail::InvalidResponse(mHost, aCause.message())
-             : MakeFailure(error, aCause);
+    return error == TransportError::InvalidResponse ? InvalidResponse(mHost, aCause.message())
+                                                    : MakeFailure(error, aCause);
   }
 
   Failure MakeFailure(TransportError aError, const beast::error_code& aCause) const
@@ -391,7 +385,7 @@
         aCall->Finish(read.error());
         co_return;
       }
-      if (IsInterim(parser->get())) {
+      if (IsInterim(*read)) {
         continue;
       }
       isSelfDelimited = parser->content_length() || parser->chunked() || !parser->need_eof();
@@ -425,7 +419,8 @@
 
   // Reads the head of a response, which may be an interim one. The bytes are read here and not by
   // the parser, which hides folded lines.
-  asio::awaitable<Result<void>> ReadHead(Connection& aConnection, ResponseParser& aParser) const
+  asio::awaitable<Result<HttpResponse>> ReadHead(Connection& aConnection,
+                                                 ResponseParser& aParser) const
   {
     beast::flat_buffer& buffer = aConnection.mBuffer;
     detail::FoldedLineFinder folded;
@@ -445,7 +440,7 @@
       }
       const std::string_view bytes(static_cast<const char*>(buffer.cdata().data()), buffer.size());
       if (folded.Find(bytes.substr(searched))) {
-        co_return detail::InvalidResponse(mHost, "folded line in the head");
+        co_return InvalidResponse(mHost, "folded line in the head");
       }
       beast::error_code error;
       buffer.consume(aParser.put(buffer.cdata(), error));
@@ -454,9 +449,17 @@
         co_return MakeFailure(error);
       }
     }
-    const auto fault =
-      detail::HeadFault(aParser.get(), { aParser.chunked(), aParser.content_length().has_value() });
-    co_return fault ? detail::InvalidResponse(mHost, *fault) : Result<void>();
+    // The parser adds the trailers to the head once it has read them.
+    HttpResponse head = FromBeast(aParser.get());
+    auto fault = detail::ResponseFramingFault(
+      aParser.get(), { aParser.chunked(), aParser.content_length().has_value() });
+    if (!fault) {
+      fault = ResponseFault(head);
+    }
+    if (fault) {
+      co_return InvalidResponse(mHost, *fault);
+    }
+    co_return std::move(head);
   }
 
   // Reads a response whose bytes count against the budget while they arrive. Fails with TooLarge if
@@ -464,15 +467,14 @@
   asio::awaitable<Result<HttpResponse>> ReadResponse(Connection& aConnection,
                                                      ResponseParser& aParser) const
   {
-    if (const auto head = co_await ReadHead(aConnection, aParser); !head) {
-      co_return head.error();
+    auto response = co_await ReadHead(aConnection, aParser);
+    if (!response) {
+      co_return response.error();
     }
-    // The parser adds the trailers to the head once it has read them.
-    HttpResponse response = FromBeast(aParser.get());
     if (const auto body = co_await ReadBody(aConnection, aParser); !body) {
       co_return body.error();
     }
-    response.mBody = std::move(aParser.get().body());
+    response->mBody = std::move(aParser.get().body());
     co_return std::move(response);
   }
 
@@ -562,21 +564,24 @@
       co_return;
     }
     std::optional<ResponseParser> parser;
-    for (int skipped = 0; !parser || IsInterim(parser->get()); ++skipped) {
+    HttpResponse head;
+    for (int skipped = 0; !parser || IsInterim(head); ++skipped) {
       if (skipped > kMaxSkippedResponses) {
         aCall->Finish(self.TooManyResponses());
         co_return;
       }
       parser.emplace();
       parser->body_limit(boost::none);
-      if (const auto head = co_await self.ReadHead(*connection, *parser); !head) {
-        aCall->Finish(head.error());
+      auto read = co_await self.ReadHead(*connection, *parser);
+      if (!read) {
+        aCall->Finish(read.error());
         co_return;
       }
+      head = std::move(*read);
     }
     const bool isSelfDelimited =
       parser->content_length() || parser->chunked() || !parser->need_eof();
-    aCall->DeliverHead(FromBeast(parser->get()));
+    aCall->DeliverHead(head);
     while (!parser->is_done() && !aCall->IsDone()) {
       stream.expires_after(aIdleTimeout);
       auto [error, size] =
--- a/packages/transport/src/message_framing.cpp
+++ b/packages/transport/src/message_framing.cpp
@@ -79,6 +79,43 @@
   return framing == Framing::Malformed || (isChunked && hasLength) || !agrees ? kBadRequest : 0;
 }
 
+std::optional<std::string> ResponseFramingFault(const http::response_header<http::fields>& aHead,
+                                                const ParsedFraming& aParsed)
+{
+  const Framing framing = FindFraming(aHead, aHead.version());
+  const bool isChunked = framing == Framing::Chunked;
+  if ((!isChunked && framing != Framing::NoTransferCoding) || aParsed.mChunked != isChunked) {
+    return "the end of the body is not known";
+  }
+  return std::nullopt;
+}
+
+FoldedLineFinder::Position FoldedLineFinder::Next(char aByte) const
+{
+  if (mPosition == Position::AfterReturn && aByte == '\n') {
+    return Position::LineStart;
+  }
+  // An empty line ends the head.
+  if (mPosition == Position::LineStart && aByte == '\r') {
+    return Position::AfterHead;
+  }
+  return aByte == '\r' ? Position::AfterReturn : Position::InLine;
+}
+
+bool FoldedLineFinder::Find(std::string_view aBytes)
+{
+  for (const char byte : aBytes) {
+    if (mPosition == Position::AfterHead) {
+      return false;
+    }
+    if (mPosition == Position::LineStart && (byte == ' ' || byte == '\t')) {
+      return true;
+    }
+    mPosition = Next(byte);
+  }
+  return false;
+}
+
 std::vector<std::string> ConnectionOptions(const http::fields& aFields)
 {
   return ListElements(aFields, http::field::connection);
--- a/packages/transport/src/message_framing.h
+++ b/packages/transport/src/message_framing.h
@@ -1,11 +1,12 @@
 // How the end of an HTTP/1 message is found (RFC 9112, sections 6.1 and 6.3).
 #pragma once
 
-#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/message.hpp>
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace balsammount::detail {
@@ -35,6 +36,35 @@
 unsigned StatusOfRequestFraming(const boost::beast::http::fields& aFields, unsigned aVersion,
                                 const ParsedFraming& aParsed);
 
+// Returns why the end of a response is not known, or nullopt. It is known if the framing states it,
+// or if it is the end of the connection. Otherwise no bytes may count as a complete response.
+std::optional<std::string> ResponseFramingFault(
+  const boost::beast::http::response_header<boost::beast::http::fields>& aHead,
+  const ParsedFraming& aParsed);
+
+// Finds a line of a head that continues the line before (RFC 9112, section 5.2). The parser joins
+// such lines, so that a field on the second one, such as the length, would become part of the
+// first.
+class FoldedLineFinder
+{
+public:
+  // Takes the next bytes of the message. Returns true if a line up to the end of the head is
+  // folded.
+  bool Find(std::string_view aBytes);
+
+private:
+  enum class Position
+  {
+    InLine,
+    AfterReturn, // after CR
+    LineStart,
+    AfterHead,
+  };
+  Position Next(char aByte) const;
+
+  Position mPosition = Position::InLine;
+};
+
 // Returns the names in the Connection fields. Such fields concern this connection only.
 std::vector<std::string> ConnectionOptions(const boost::beast::http::fields& aFields);
 
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -1,9 +1,9 @@
 #include "balsammount/peer_client.h"
 
 #include "h2_connection.h"
-#include "response_check.h"
 
 #include "balsammount/endpoint.h"
+#include "balsammount/response_check.h"
 #include "balsammount/unhandled.h"
 
 #include <boost/asio/post.hpp>
@@ -280,7 +280,7 @@
   // Drops the head of an interim response, which precedes the final one.
   static void OnHeadDone(StreamCall& aCall)
   {
-    aCall.mHeadDone = aCall.mResponse.mStatus / 100 != 1;
+    aCall.mHeadDone = !IsInterim(aCall.mResponse);
     if (!aCall.mHeadDone) {
       aCall.mResponse = {};
     }
@@ -335,8 +335,8 @@
         call->Fail(TransportError::ConnectionLost);
       } else if (call->mTooLarge) {
         call->Fail(TransportError::TooLarge);
-      } else if (const auto fault = detail::StatusFault(call->mResponse.mStatus)) {
-        call->Finish(detail::InvalidResponse(self->mPeer, *fault));
+      } else if (const auto fault = ResponseFault(call->mResponse)) {
+        call->Finish(InvalidResponse(self->mPeer, *fault));
       } else {
         call->Finish(std::move(call->mResponse));
       }
--- a/packages/transport/src/response_check.cpp
+++ b/packages/transport/src/response_check.cpp
@@ -1,73 +1,58 @@
-#include "response_check.h"
+#include "balsammount/response_check.h"
 
 #include "balsammount/event.h"
 
-namespace balsammount::detail {
+#include <algorithm>
 
-namespace http = boost::beast::http;
+namespace balsammount {
 
 namespace {
 
 constexpr unsigned kSwitchingProtocols = 101;
 
-// Returns whether the end of the body is known, or is the end of the connection.
-bool IsEndKnown(const http::response_header<http::fields>& aHead, const ParsedFraming& aParsed)
+// tchar of RFC 9110, section 5.6.2.
+bool IsTokenByte(char aByte)
 {
-  const Framing framing = FindFraming(aHead, aHead.version());
-  const bool isChunked = framing == Framing::Chunked;
-  return (isChunked || framing == Framing::NoTransferCoding) && aParsed.mChunked == isChunked;
+  const bool isAlphanumeric = (aByte >= '0' && aByte <= '9') || (aByte >= 'A' && aByte <= 'Z') ||
+                              (aByte >= 'a' && aByte <= 'z');
+  return isAlphanumeric ||
+         std::string_view("!#$%&'*+-.^_`|~").find(aByte) != std::string_view::npos;
 }
 
-} // namespace
-
-FoldedLineFinder::Position FoldedLineFinder::Next(char aByte) const
+bool IsControl(char aByte)
 {
-  if (mPosition == Position::AfterReturn && aByte == '\n') {
-    return Position::LineStart;
-  }
-  // An empty line ends the head.
-  if (mPosition == Position::LineStart && aByte == '\r') {
-    return Position::AfterHead;
-  }
-  return aByte == '\r' ? Position::AfterReturn : Position::InLine;
+  return (static_cast<unsigned char>(aByte) < 0x20 && aByte != '\t') || aByte == 0x7f;
 }
 
-bool FoldedLineFinder::Find(std::string_view aBytes)
+bool IsFieldValid(const Header& aField)
 {
-  for (const char byte : aBytes) {
-    if (mPosition == Position::AfterHead) {
-      return false;
-    }
-    if (mPosition == Position::LineStart && (byte == ' ' || byte == '\t')) {
-      return true;
-    }
-    mPosition = Next(byte);
-  }
-  return false;
+  const std::string& name = aField.mName;
+  const std::string& value = aField.mValue;
+  return !name.empty() && std::all_of(name.begin(), name.end(), IsTokenByte) &&
+         std::none_of(value.begin(), value.end(), IsControl);
 }
 
-std::optional<std::string> StatusFault(unsigned aStatus)
+} // namespace
+
+bool IsInterim(const HttpResponse& aResponse)
 {
-  constexpr unsigned kMin = 100;
-  constexpr unsigned kMax = 599;
-  if (aStatus < kMin || aStatus > kMax) {
-    return "status " + std::to_string(aStatus) + " is not between 100 and 599";
-  }
-  // A client of this package never asks for another protocol.
-  if (aStatus == kSwitchingProtocols) {
-    return "switch to a protocol that was not asked for";
-  }
-  return std::nullopt;
+  return aResponse.mStatus / 100 == 1;
 }
 
-std::optional<std::string> HeadFault(const http::response_header<http::fields>& aHead,
-                                     const ParsedFraming& aParsed)
+std::optional<std::string> ResponseFault(const HttpResponse& aResponse)
 {
-  if (auto fault = StatusFault(aHead.result_int())) {
-    return fault;
+  constexpr unsigned kMinStatus = 100;
+  constexpr unsigned kMaxStatus = 599;
+  const unsigned status = aResponse.mStatus;
+  if (status < kMinStatus || status > kMaxStatus) {
+    return "status " + std::to_string(status) + " is not between 100 and 599";
+  }
+  if (status == kSwitchingProtocols) {
+    return "switch to a protocol that was not asked for";
   }
-  if (!IsEndKnown(aHead, aParsed)) {
-    return "the end of the body is not known";
+  const auto& fields = aResponse.mHeaders.All();
+  if (!std::all_of(fields.begin(), fields.end(), IsFieldValid)) {
+    return "byte that is not allowed in the name or the value of a field";
   }
   return std::nullopt;
 }
@@ -78,4 +63,4 @@
   return { TransportError::InvalidResponse, aPeer + ": " + aFault };
 }
 
-} // namespace balsammount::detail
+} // namespace balsammount
