Do not replay a recorded response that is not valid

Callers saw: nothing was reported. A repeated call with a key got whatever response had been recorded, such as one with status 000 that a node of an earlier version recorded and handed over.

Cause: a record was replayed without the check that other responses pass.

Change: a record that is not a valid final response gives an unknown outcome and a log line.

Why it works: all replays go through the function that asks the check.

--- a/packages/node/src/ownership_service.cpp
+++ b/packages/node/src/ownership_service.cpp
@@ -2,7 +2,9 @@
 
 #include "store_keys.h"
 
+#include "balsammount/event.h"
 #include "balsammount/log.h"
+#include "balsammount/response_check.h"
 
 namespace balsammount {
 
@@ -41,15 +43,6 @@
   return response;
 }
 
-CallResult CompletedCallResult(HttpResponse aResponse, RequestBudget aBudget)
-{
-  CallResult callResult;
-  callResult.mOutcome = AttemptOutcome::Complete;
-  callResult.mResponse = std::move(aResponse);
-  callResult.mBudget = std::move(aBudget);
-  return callResult;
-}
-
 // Copies the result of a call for another sender of the same call.
 CallResult CopyCallResult(const CallResult& aCallResult, RequestBudget aBudget)
 {
@@ -64,6 +57,24 @@
 
 } // namespace
 
+CallResult ReplayedCallResult(const RecordedResponse& aRecorded, RequestBudget aBudget)
+{
+  HttpResponse response = Replay(aRecorded);
+  auto fault = ResponseFault(response);
+  if (!fault && IsInterim(response)) {
+    fault = "interim response";
+  }
+  if (fault) {
+    Event("ownership", "invalid-record").Add("fault", *fault);
+    return Unknown(CallReason::KeyUnknown, std::move(aBudget));
+  }
+  CallResult callResult;
+  callResult.mOutcome = AttemptOutcome::Complete;
+  callResult.mResponse = std::move(response);
+  callResult.mBudget = std::move(aBudget);
+  return callResult;
+}
+
 // One sender of a keyed call. Cancelling drops only the sender: the request continues, because the
 // sender may retry with the same key to get the result.
 class OwnershipService::KeyedCall final : public Call
@@ -203,7 +214,7 @@
     case BeginDecision::JoinRunning:
       return Join(key, waiter, std::move(aBudget), std::move(aCallback));
     case BeginDecision::Replay:
-      aCallback(CompletedCallResult(Replay(*begun->mResponse), std::move(aBudget)));
+      aCallback(ReplayedCallResult(*begun->mResponse, std::move(aBudget)));
       break;
     case BeginDecision::CompletedWithoutResponse:
     case BeginDecision::Unknown:
--- a/packages/node/src/ownership_service.h
+++ b/packages/node/src/ownership_service.h
@@ -17,6 +17,10 @@
 
 namespace balsammount {
 
+// Returns the result of a call that repeats one whose response was recorded, perhaps by another
+// node. The outcome is unknown if the record is no valid response.
+CallResult ReplayedCallResult(const RecordedResponse& aRecorded, RequestBudget aBudget);
+
 class OwnershipService final
   : public Service
   , public CallHandler
