Fail a call whose response states a body that its status forbids

Callers saw: nothing was reported. Of an answer with status 204 and a body they got the status with an empty body, as a complete success.

Cause: the end of such a response was taken from the status, whatever the head states.

Change: a length above 0 or a transfer coding with status 204 or 1xx fails the call.

Evidence: ResponseFraming.EveryFormIsReadOrFails with the new forms fails on the code before (204 with a length and with chunks) and passes now.

Why it works: the check of the framing is the only way from a head to a delivered response.

--- a/packages/transport/src/message_framing.cpp
+++ b/packages/transport/src/message_framing.cpp
@@ -47,6 +47,22 @@
   return EqualsIgnoringCase(aCoding, "chunked");
 }
 
+// Returns whether a response states a body that its status forbids (RFC 9110, section 8.6, and RFC
+// 9112, section 6.1). Its sender and its recipient may find different ends.
+bool StatesForbiddenBody(const http::response_header<http::fields>& aHead)
+{
+  const bool mayHaveBody =
+    aHead.result_int() / 100 != 1 && aHead.result() != http::status::no_content;
+  if (mayHaveBody) {
+    return false;
+  }
+  const auto lengths = ListElements(aHead, http::field::content_length);
+  return aHead.count(http::field::transfer_encoding) > 0 ||
+         std::any_of(lengths.begin(), lengths.end(), [](const std::string& aLength) {
+           return aLength.find_first_not_of('0') != std::string::npos;
+         });
+}
+
 } // namespace
 
 Framing FindFraming(const http::fields& aFields, unsigned aVersion)
@@ -87,6 +103,9 @@
   if ((!isChunked && framing != Framing::NoTransferCoding) || aParsed.mChunked != isChunked) {
     return "the end of the body is not known";
   }
+  if (StatesForbiddenBody(aHead)) {
+    return "a body that a response with this status does not have";
+  }
   return std::nullopt;
 }
 
--- a/packages/transport/tests/framing_test.cpp
+++ b/packages/transport/tests/framing_test.cpp
@@ -400,6 +400,14 @@
       { "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" + Status("200"), false, "hello" },
       { "HTTP/1.1 100 Continue\r\n\r\n" + Status("000"), false, std::nullopt },
       { "HTTP/1.1 100 Continue\r\n\r\n", true, std::nullopt },
+      // A body that the status does not have.
+      { "HTTP/1.1 204 No Content\r\nContent-Length: 00\r\n\r\n", false, "" },
+      { "HTTP/1.1 204 No Content\r\nContent-Length: 0\r\n\r\n", false, "" },
+      { "HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n", false, "" },
+      { Status("204"), false, std::nullopt },
+      { "HTTP/1.1 204 No Content\r\n" + te + "chunked\r\n" + chunks, false, std::nullopt },
+      { "HTTP/1.1 100 Continue\r\nContent-Length: 5\r\n\r\nhello" + Status("200"), false,
+        std::nullopt },
     };
   }
 
