--- a/packages/transport/tests/framing_test.cpp
+++ b/packages/transport/tests/framing_test.cpp
@@ -566,17 +566,22 @@
 }
 
 // Guards against a part of a response that counts as complete: the server answers without a length
-// before it has read the request, and resets the connection while the request is being written.
+// before it has read the request, and resets the connection while the request is being written or
+// when it has just been written.
 TEST(ResponseFraming, ResetDuringTheRequestIsNeverComplete)
 {
   struct Case
   {
+    size_t mRequestBytes;
     bool mIsWhole;       // the server ends its side behind the body
     bool mIsReadBetween; // the client reads the part before the connection is reset
   };
   const std::string head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
   const std::string part(4000, 'a');
-  for (const Case one : { Case{ false, false }, Case{ false, true }, Case{ true, true } }) {
+  constexpr size_t kPending = 4 * kMaxBodyBytes; // more than the sockets hold
+  for (const Case one : { Case{ kPending, false, false }, Case{ kPending, false, true },
+                          Case{ kPending, true, true }, Case{ 0, false, false },
+                          Case{ 0, false, true }, Case{ 10'000, false, true } }) {
     tcp::acceptor acceptor(mContext, kAnyPort);
     // Small enough for the request to remain unwritten. Inherited by the accepted socket.
     acceptor.set_option(tcp::socket::receive_buffer_size(32 * 1024));
@@ -584,7 +589,7 @@
     limits.mAcceptCloseDelimited = true;
     HttpClient client(mContext, acceptor.local_endpoint(), limits);
     std::optional<Result<HttpResponse>> result;
-    HttpRequest upload{ "PUT", "/", {}, std::string(4 * kMaxBodyBytes, 'u') };
+    HttpRequest upload{ "PUT", "/", {}, std::string(one.mRequestBytes, 'u') };
     const auto call = client.Send(
       std::move(upload), 5s, [&](Result<HttpResponse> aResult) { result = std::move(aResult); });
     tcp::socket socket(mContext);
