Account for all that a process holds for callers in one budget

What callers saw: clients that do not behave ended a node process for want of memory: chunked bodies without an end, heads of many short fields, answers that are read slowly, bodies that wait for a slow backend server.

Cause: the budget counted the bytes of bodies while they were read, and nothing else. Lines before a chunk (80 KB a connection), heads (up to 1.4 MB for a head of 16 KB), the capacity of strings beyond their size, three to four copies of a body, and answers from the moment at which they had been read were held by nobody. A full budget also stayed full until the clients that had stopped ran into their time limit.

Change: ResourceBudget counts per holder, that is per connection of a caller. Bytes are taken before they are read (message_reader.h) and returned with the last owner: a body is immutable, and its copies share one string and its charge (body.h). The answer is charged to the connection that it is for, which the request names. When the budget is full, holders that made no progress for a second yield first, of these the caller and then the connection with most bytes; a request that is being read gets 503 (not run), an answer that is not read ends with its connection. Requests that wait for a backend server never yield.

--- a/packages/node/src/executor.cpp
+++ b/packages/node/src/executor.cpp
@@ -35,10 +35,10 @@
   }
 }
 
-HttpClientLimits BackendLimits(std::shared_ptr<ByteBudget> aHeldBytes)
+HttpClientLimits BackendLimits(std::shared_ptr<ResourceBudget> aBudget)
 {
   HttpClientLimits limits;
-  limits.mBudget = std::move(aHeldBytes);
+  limits.mBudget = std::move(aBudget);
   // A backend server may end a response by closing the connection.
   limits.mAcceptCloseDelimited = true;
   return limits;
@@ -91,14 +91,14 @@
 
 Executor::Executor(asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
                    RecentOverload& aOverload, const HeaderNames& aNames,
-                   ServerPresence aServerPresence, std::shared_ptr<ByteBudget> aHeldBytes)
+                   ServerPresence aServerPresence, std::shared_ptr<ResourceBudget> aBudget)
   : mContext(aContext)
   , mClock(aClock)
   , mSettings(aSettings)
   , mOverload(aOverload)
   , mNames(aNames)
   , mServerPresence(aServerPresence)
-  , mBackend(aContext, aSettings.mBackend, BackendLimits(std::move(aHeldBytes)))
+  , mBackend(aContext, aSettings.mBackend, BackendLimits(std::move(aBudget)))
   , mAdmission(aClock, {})
   , mAdmissionTimer(aContext)
   , mProbeTimer(aContext)
@@ -299,6 +299,9 @@
     .Add("request", aJob.mRequest->mContext.mRequestId)
     .Add("server", mServerId)
     .Add("error", Describe(aResult.error()));
+  if (error == TransportError::NoResources) {
+    return Refused(CallReason::Overload, std::move(budget));
+  }
   if (ProvesNotRun(error)) {
     SetAvailable(false);
     StartProbe();
--- a/packages/node/src/executor.h
+++ b/packages/node/src/executor.h
@@ -53,7 +53,7 @@
 public:
   Executor(boost::asio::io_context& aContext, const Clock& aClock, const NodeSettings& aSettings,
            RecentOverload& aOverload, const HeaderNames& aNames, ServerPresence aServerPresence,
-           std::shared_ptr<ByteBudget> aHeldBytes);
+           std::shared_ptr<ResourceBudget> aBudget);
   ~Executor() override;
 
   Result<void> Start() override;
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -42,7 +42,8 @@
 // that requests already on their way are served and the last responses are written.
 constexpr auto kQuietPeriod = 100ms;
 
-HttpServerLimits ListenerLimits(const CallerLimits& aLimits, std::shared_ptr<ByteBudget> aBudget)
+HttpServerLimits ListenerLimits(const CallerLimits& aLimits,
+                                std::shared_ptr<ResourceBudget> aBudget)
 {
   HttpServerLimits limits;
   limits.mBudget = std::move(aBudget);
@@ -84,7 +85,7 @@
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mDeployment))
     , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mOverload,
                                            mDeployment.mHeaderNames, mDeployment.mServerPresence,
-                                           mHeldBytes))
+                                           mBudget))
     , mOwnership(MakeOwnership())
     , mQuarantine(std::make_shared<QuarantineService>(aContext, mClock, mRandom, mPeers, mSettings))
     , mLocal(mSettings, *mExecutor, mOwnership.get(), *mQuarantine)
@@ -125,7 +126,8 @@
   uint64_t mStarted = MillisecondsSinceEpoch(mClock.WallNow());
   Random mRandom;
   Metrics mMetrics;
-  std::shared_ptr<ByteBudget> mHeldBytes = std::make_shared<ByteBudget>(mSettings.mMaxHeldBytes);
+  std::shared_ptr<ResourceBudget> mBudget =
+    std::make_shared<ResourceBudget>(ResourceLimits{ mSettings.mMaxHeldBytes }, mClock);
   RecentOverload mOverload{ mClock };
   std::unique_ptr<Store> mStore;
   Peers mPeers;
@@ -194,7 +196,7 @@
   const auto listener = [this](const boost::asio::ip::tcp::endpoint& aEndpoint,
                                ExchangeHandler aHandler) {
     HttpServerLimits limits;
-    limits.mBudget = mHeldBytes;
+    limits.mBudget = mBudget;
     return std::make_shared<HttpServer>(mContext, aEndpoint, limits, std::move(aHandler));
   };
   mCallerListener =
@@ -248,7 +250,7 @@
     mExecutor->ApplyConfig(aConfig);
     mGateway->ApplyConfig(aConfig, mConfig->Holder().Revision());
     if (!aConfig->Routes().empty()) {
-      mCallerListener->SetLimits(ListenerLimits(aConfig->Limits(), mHeldBytes));
+      mCallerListener->SetLimits(ListenerLimits(aConfig->Limits(), mBudget));
     }
     if (mMembership) {
       mMembership->SetRevision(mConfig->Holder().Revision());
@@ -335,8 +337,12 @@
   add("foreign_responses",
       "Responses of the backend server in place of the response to another request.",
       [this] { return static_cast<double>(mExecutor->ForeignResponses()); });
-  add("held_bytes", "Bytes of request and response bodies that are held.",
-      [this] { return static_cast<double>(mHeldBytes->Used()); });
+  add("held_bytes", "Bytes that are held for callers, other nodes and the backend server.",
+      [this] { return static_cast<double>(mBudget->UsedBytes()); });
+  add("held_sockets", "Sockets that are held for callers, other nodes and the backend server.",
+      [this] { return static_cast<double>(mBudget->UsedSockets()); });
+  add("yields", "Connections and requests that ended for want of memory or sockets.",
+      [this] { return static_cast<double>(mBudget->Yields()); });
   add("unhandled_exceptions", "Exceptions that ended the work of a handler since the start.",
       [] { return static_cast<double>(UnhandledExceptions()); });
   add("members", "Nodes that are not dead, this one included.", [this] {
--- a/packages/transport/include/balsammount/exchange.h
+++ b/packages/transport/include/balsammount/exchange.h
@@ -19,6 +19,7 @@
   TimedOut,          // sent, but no complete response arrived in time
   Cancelled,
   TooLarge,
+  NoResources, // no request bytes were sent, because this process may open no more sockets
   ListenFailed,
   BadAddress,
 };
--- a/packages/transport/include/balsammount/http_client.h
+++ b/packages/transport/include/balsammount/http_client.h
@@ -1,8 +1,8 @@
 // HTTP/1.1 client for one endpoint, with a bounded pool of idle keep-alive connections.
 #pragma once
 
-#include "balsammount/byte_budget.h"
 #include "balsammount/exchange.h"
+#include "balsammount/resource_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,8 +20,9 @@
   std::chrono::milliseconds mMaxIdleTime{ 30'000 };
   size_t mMaxHeaderBytes = 64 * 1024;
   size_t mMaxBodyBytes = kMaxBodyBytes;
-  // For the bodies that are being read; null: no common limit.
-  std::shared_ptr<ByteBudget> mBudget;
+  // For the connections and for the responses. A response is charged to the holder of its request
+  // if there is one. Null: no common limit.
+  std::shared_ptr<ResourceBudget> mBudget;
   std::chrono::milliseconds mConnectTimeout{ 1000 };
   // Closes the idle connections after a call without a response in time. They may have become
   // silent with the connection of that call.
@@ -59,9 +60,10 @@
   HttpClient(const HttpClient&) = delete;
   HttpClient& operator=(const HttpClient&) = delete;
 
-  // Sends the request on an idle connection or on a new one. ConnectFailed proves that nothing was
-  // sent. TooLarge means that the response exceeds a limit or that more bytes precede it than those
-  // of a few other responses; the connection is closed. Cancelling closes the connection.
+  // Sends the request on an idle connection or on a new one. ConnectFailed and NoResources prove
+  // that nothing was sent. TooLarge means that the response exceeds a limit or that more bytes
+  // precede it than those of a few other responses; the connection is closed. Cancelling closes the
+  // connection.
   std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
                              ResponseCallback aCallback, ResponseFilter aFilter = nullptr);
 
--- a/packages/transport/include/balsammount/http_message.h
+++ b/packages/transport/include/balsammount/http_message.h
@@ -1,7 +1,10 @@
 // HTTP messages with complete bodies, shared by the HTTP/1.1 and HTTP/2 clients and servers.
 #pragma once
 
+#include "balsammount/body.h"
+
 #include <cstddef>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,20 +47,32 @@
   std::string mMethod = "GET";
   std::string mTarget = "/";
   Headers mHeaders;
-  std::string mBody;
+  Body mBody;
+  // Holds the response on behalf of the peer that sent this request; null: nobody does. Not a part
+  // of the message.
+  std::shared_ptr<ResourceHolder> mHolder = nullptr;
 
-  bool operator==(const HttpRequest&) const = default;
+  friend bool operator==(const HttpRequest& aLeft, const HttpRequest& aRight)
+  {
+    return aLeft.mMethod == aRight.mMethod && aLeft.mTarget == aRight.mTarget &&
+           aLeft.mHeaders == aRight.mHeaders && aLeft.mBody == aRight.mBody;
+  }
 };
 
 struct HttpResponse
 {
   unsigned mStatus = 200;
   Headers mHeaders;
-  std::string mBody;
+  Body mBody;
 
   bool operator==(const HttpResponse&) const = default;
 };
 
+// Memory that a head takes in all forms that a node has of it at a time: the fields as parsed,
+// those of the exchange, of the call, of the attempt and of the message that is sent on.
+size_t HeadBytes(const Headers& aHeaders);
+size_t HeadFieldBytes(size_t aNameBytes, size_t aValueBytes);
+
 // Returns true for headers that apply to a single connection and are not forwarded.
 bool IsHopByHop(std::string_view aName);
 
--- a/packages/transport/include/balsammount/http_server.h
+++ b/packages/transport/include/balsammount/http_server.h
@@ -2,9 +2,9 @@
 // 400 to a request with several Host headers, or with none in HTTP/1.1.
 #pragma once
 
-#include "balsammount/byte_budget.h"
 #include "balsammount/exchange.h"
 #include "balsammount/kernel.h"
+#include "balsammount/resource_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -18,10 +18,10 @@
 {
   size_t mMaxHeaderBytes = 16 * 1024;
   size_t mMaxBodyBytes = kMaxBodyBytes;
-  // For the bodies of the requests that are being read or answered. A request that does not fit
-  // gets 503 not-run. Null: no common limit.
-  std::shared_ptr<ByteBudget> mBudget;
-  size_t mMaxConnections = 2000;                      // more get 503 not-run and are closed
+  // For all that the connections hold. A request that does not fit gets 503 not-run. A connection
+  // that does not fit, and one that yields to another, is closed. Null: no common limit.
+  std::shared_ptr<ResourceBudget> mBudget;
+  size_t mMaxConnections = 2000; // without a budget; more get 503 not-run and are closed
   std::chrono::milliseconds mIdleTimeout{ 60'000 };   // between two requests on a connection
   std::chrono::milliseconds mHeaderTimeout{ 10'000 }; // from first byte to end of header
   std::chrono::milliseconds mReadTimeout{ 10'000 };   // from end of header to end of body
--- a/packages/transport/src/exchange.cpp
+++ b/packages/transport/src/exchange.cpp
@@ -6,7 +6,7 @@
 
 std::error_code make_error_code(TransportError aError)
 {
-  static constexpr std::array<const char*, 10> kMessages = {
+  static constexpr std::array<const char*, 11> kMessages = {
     "success",
     "connection failed",
     "request not processed by the peer",
@@ -15,6 +15,7 @@
     "no whole answer in time",
     "cancelled",
     "message too large",
+    "no socket available",
     "cannot listen",
     "expected ADDRESS:PORT with an IP address",
   };
@@ -35,7 +36,8 @@
 
 bool ProvesNotRun(const std::error_code& aError)
 {
-  return aError == TransportError::ConnectFailed || aError == TransportError::NotProcessed;
+  return aError == TransportError::ConnectFailed || aError == TransportError::NotProcessed ||
+         aError == TransportError::NoResources;
 }
 
 } // namespace balsammount
--- a/packages/transport/src/h2_connection.h
+++ b/packages/transport/src/h2_connection.h
@@ -26,7 +26,7 @@
 // A message body that nghttp2 reads in several steps.
 struct OutgoingBody
 {
-  std::string mBytes;
+  Body mBytes;
   size_t mOffset = 0;
 };
 
--- a/packages/transport/src/http_client.cpp
+++ b/packages/transport/src/http_client.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/http_client.h"
 
 #include "message_framing.h"
+#include "message_reader.h"
 
 #include "balsammount/endpoint.h"
 #include "balsammount/response_check.h"
@@ -29,31 +30,29 @@
 
 constexpr auto kAwait = asio::as_tuple(asio::use_awaitable);
 
-// Initial capacity of the read buffer, which most responses fit in. Beast reads 512 bytes at a time
-// into a buffer without capacity, so a response of 5 KB would need ten reads.
-constexpr size_t kReadBufferBytes = 4096;
-
 // Interim responses, and responses to other requests, that are skipped before the one that belongs
 // to the request. A server that sends more is faulty, and may go on forever.
 constexpr int kMaxSkippedResponses = 16;
 
-// A body with a stated length up to this size is read in one operation.
-constexpr uint64_t kSmallBodyBytes = 64 * 1024;
-
-// Bytes that are read ahead of the parser, in addition to a head of the longest size. Without a
-// bound the line before a chunk, which has no limit in Beast, would be held whatever its length.
-constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+// Memory of a connection without its read buffer and its messages.
+constexpr size_t kConnectionBytes = 4 * 1024;
 
 struct Connection
 {
-  Connection(const asio::any_io_executor& aExecutor, size_t aMaxHeaderBytes)
+  Connection(const asio::any_io_executor& aExecutor, size_t aMaxHeaderBytes,
+             std::shared_ptr<ResourceHolder> aHolder)
     : mStream(aExecutor)
-    , mBuffer(aMaxHeaderBytes + kMaxReadAheadBytes)
+    , mHolder(std::move(aHolder))
+    , mHeldConnection(mHolder)
+    , mBuffer(aMaxHeaderBytes, mHolder)
   {
-    mBuffer.reserve(kReadBufferBytes);
+    mHeldConnection.SetTo(kConnectionBytes);
   }
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  std::shared_ptr<ResourceHolder> mHolder; // null without a budget
+  HeldSocket mHeldSocket;
+  HeldBytes mHeldConnection;
+  detail::ReadBuffer mBuffer;
   std::chrono::steady_clock::time_point mIdleSince;
   // Idle timeout that the server announced in a Keep-Alive header, less a margin.
   std::chrono::milliseconds mServerIdleTimeout = std::chrono::milliseconds::max();
@@ -83,9 +82,12 @@
   return error != asio::error::would_block;
 }
 
-http::request<http::string_body> ToBeast(HttpRequest&& aRequest, const std::string& aHost)
+using OutgoingMessage = http::request<http::span_body<const char>>;
+
+// The message refers to the body of aRequest.
+OutgoingMessage ToBeast(const HttpRequest& aRequest, const std::string& aHost)
 {
-  http::request<http::string_body> message;
+  OutgoingMessage message;
   message.version(11);
   message.method_string(aRequest.mMethod);
   message.target(aRequest.mTarget);
@@ -97,10 +99,10 @@
   if (message.find(http::field::host) == message.end()) {
     message.set(http::field::host, aHost);
   }
-  message.body() = std::move(aRequest.mBody);
-  if (!message.body().empty() || message.method() == http::verb::post ||
+  message.body() = { aRequest.mBody.data(), aRequest.mBody.size() };
+  if (!aRequest.mBody.empty() || message.method() == http::verb::post ||
       message.method() == http::verb::put) {
-    message.content_length(message.body().size());
+    message.content_length(aRequest.mBody.size());
   }
   return message;
 }
@@ -226,7 +228,7 @@
     return TransportError::TimedOut;
   }
   if (aError == http::error::body_limit || aError == http::error::header_limit ||
-      aError == http::error::buffer_overflow) {
+      aError == http::error::buffer_overflow || aError == asio::error::no_memory) {
     return TransportError::TooLarge;
   }
   const bool isEnd = aError == http::error::end_of_stream || aError == http::error::partial_message;
@@ -278,6 +280,17 @@
     });
   }
 
+  // Returns null if no socket is available.
+  std::shared_ptr<Connection> MakeConnection() const
+  {
+    auto holder = mLimits.mBudget ? mLimits.mBudget->AddHolder(mHost) : nullptr;
+    auto connection =
+      std::make_shared<Connection>(mExecutor, mLimits.mMaxHeaderBytes, std::move(holder));
+    return connection->mHeldSocket.Take(mLimits.mBudget) ? connection : nullptr;
+  }
+
+  Failure NoSocket() const { return { TransportError::NoResources, mHost }; }
+
   void PutIdle(std::shared_ptr<Connection> aConnection)
   {
     DropExpiredIdle();
@@ -347,7 +360,11 @@
     }
     auto connection = self.TakeIdle();
     if (!connection) {
-      connection = std::make_shared<Connection>(self.mExecutor, self.mLimits.mMaxHeaderBytes);
+      connection = self.MakeConnection();
+      if (!connection) {
+        aCall->Finish(self.NoSocket());
+        co_return;
+      }
       aCall->SetConnection(connection);
       if (auto error = co_await self.Connect(*connection, aTimeout)) {
         aCall->Finish(self.MakeFailure(TransportError::ConnectFailed, error));
@@ -358,7 +375,8 @@
     if (aCall->IsCancelled()) {
       co_return;
     }
-    auto outgoing = std::make_shared<OutgoingRequest>(ToBeast(std::move(aRequest), self.mHost));
+    const auto holder = HolderOf(*connection, aRequest);
+    auto outgoing = std::make_shared<OutgoingRequest>(std::move(aRequest), self.mHost);
     connection->mStream.expires_at(deadline);
     asio::co_spawn(self.mExecutor, Write(connection, outgoing), ReportEnd);
     std::optional<http::response_parser<http::string_body>> parser;
@@ -376,7 +394,7 @@
       parser->header_limit(static_cast<uint32_t>(self.mLimits.mMaxHeaderBytes));
       parser->body_limit(self.mLimits.mMaxBodyBytes);
       parser->skip(outgoing->mMessage.method() == http::verb::head);
-      auto read = co_await self.ReadResponse(*connection, *parser);
+      auto read = co_await self.ReadResponse(*connection, *parser, holder);
       if (!read) {
         connection->mStream.close();
         if (read.error().mCode == TransportError::TimedOut && self.mLimits.mDropIdleAfterTimeout) {
@@ -399,8 +417,9 @@
     // response came before the request was fully sent, the rest of the request is still to be
     // written.
     const bool isReusable =
-      isSelfDelimited && !mustClose && outgoing->mSent && connection->mBuffer.size() == 0;
+      isSelfDelimited && !mustClose && outgoing->mSent && connection->mBuffer.Size() == 0;
     if (isReusable && !aCall->IsCancelled()) {
+      connection->mBuffer.Trim();
       self.PutIdle(std::move(connection));
     } else {
       connection->mStream.close();
@@ -422,29 +441,21 @@
   asio::awaitable<Result<HttpResponse>> ReadHead(Connection& aConnection,
                                                  ResponseParser& aParser) const
   {
-    beast::flat_buffer& buffer = aConnection.mBuffer;
+    detail::ReadBuffer& buffer = aConnection.mBuffer;
     detail::FoldedLineFinder folded;
     size_t searched = 0; // bytes at the start of the buffer
     while (!aParser.is_header_done()) {
-      if (searched == buffer.size()) {
-        const size_t room = beast::read_size(buffer, kMaxReadAheadBytes);
-        if (room == 0) {
-          co_return MakeFailure(http::error::buffer_overflow);
-        }
-        auto [error, count] =
-          co_await aConnection.mStream.async_read_some(buffer.prepare(room), kAwait);
-        if (error) {
+      if (searched == buffer.Size()) {
+        if (const auto error = co_await buffer.ReadSome(aConnection.mStream)) {
           co_return MakeFailure(error);
         }
-        buffer.commit(count);
       }
-      const std::string_view bytes(static_cast<const char*>(buffer.cdata().data()), buffer.size());
-      if (folded.Find(bytes.substr(searched))) {
+      if (folded.Find(buffer.View().substr(searched))) {
         co_return InvalidResponse(mHost, "folded line in the head");
       }
       beast::error_code error;
-      buffer.consume(aParser.put(buffer.cdata(), error));
-      searched = buffer.size();
+      buffer.Consume(aParser.put(buffer.Data(), error));
+      searched = buffer.Size();
       if (error && error != http::error::need_more) {
         co_return MakeFailure(error);
       }
@@ -462,58 +473,47 @@
     co_return std::move(head);
   }
 
-  // Reads a response whose bytes count against the budget while they arrive. Fails with TooLarge if
-  // the budget is used up.
+  // Returns the holder that the response is charged to.
+  static std::shared_ptr<ResourceHolder> HolderOf(const Connection& aConnection,
+                                                  const HttpRequest& aRequest)
+  {
+    return aRequest.mHolder ? aRequest.mHolder : aConnection.mHolder;
+  }
+
+  // Fails with TooLarge if the budget does not allow the response.
   asio::awaitable<Result<HttpResponse>> ReadResponse(Connection& aConnection,
-                                                     ResponseParser& aParser) const
+                                                     ResponseParser& aParser,
+                                                     std::shared_ptr<ResourceHolder> aHolder) const
   {
     auto response = co_await ReadHead(aConnection, aParser);
     if (!response) {
       co_return response.error();
     }
-    if (const auto body = co_await ReadBody(aConnection, aParser); !body) {
-      co_return body.error();
-    }
-    response->mBody = std::move(aParser.get().body());
-    co_return std::move(response);
-  }
-
-  asio::awaitable<Result<void>> ReadBody(Connection& aConnection, ResponseParser& aParser) const
-  {
-    if (aParser.is_done()) {
-      co_return Result<void>();
-    }
-    beast::tcp_stream& stream = aConnection.mStream;
-    HeldBytes held(mLimits.mBudget);
-    const auto length = aParser.content_length();
-    if (length && *length <= kSmallBodyBytes) {
-      if (!held.GrowTo(*length)) {
-        co_return MakeFailure(http::error::body_limit);
-      }
-      auto [error, size] = co_await http::async_read(stream, aConnection.mBuffer, aParser, kAwait);
-      co_return error ? MakeFailure(error) : Result<void>();
+    HeldBytes heldHead(aHolder);
+    if (!heldHead.GrowTo(HeadBytes(response->mHeaders))) {
+      co_return MakeFailure(asio::error::no_memory);
     }
-    while (!aParser.is_done()) {
-      auto [error, size] =
-        co_await http::async_read_some(stream, aConnection.mBuffer, aParser, kAwait);
-      if (error) {
-        co_return MakeFailure(error);
-      }
-      if (!held.GrowTo(aParser.get().body().size())) {
-        co_return MakeFailure(http::error::body_limit);
-      }
+    HeldBytes held(std::move(aHolder));
+    if (const auto error = co_await detail::ReadBody(aParser, aConnection.mBuffer, held, [&] {
+          return aConnection.mBuffer.ReadSome(aConnection.mStream);
+        })) {
+      co_return MakeFailure(error);
     }
-    co_return Result<void>();
+    held.Merge(std::move(heldHead));
+    response->mBody = Body(std::move(aParser.get().body()), std::move(held));
+    co_return std::move(response);
   }
 
   // A request that is being written. Its response may arrive before the write has ended.
   struct OutgoingRequest
   {
-    explicit OutgoingRequest(http::request<http::string_body> aMessage)
-      : mMessage(std::move(aMessage))
+    OutgoingRequest(HttpRequest aRequest, const std::string& aHost)
+      : mRequest(std::move(aRequest))
+      , mMessage(ToBeast(mRequest, aHost))
     {
     }
-    http::request<http::string_body> mMessage;
+    HttpRequest mRequest; // owns the body of the message
+    OutgoingMessage mMessage;
     bool mSent = false;
     bool mFailed = false;
   };
@@ -549,13 +549,17 @@
     if (aCall->IsDone()) {
       co_return;
     }
-    auto connection = std::make_shared<Connection>(self.mExecutor, self.mLimits.mMaxHeaderBytes);
+    auto connection = self.MakeConnection();
+    if (!connection) {
+      aCall->Finish(self.NoSocket());
+      co_return;
+    }
     aCall->SetConnection(connection);
     if (auto error = co_await self.Connect(*connection, aIdleTimeout)) {
       aCall->Finish(self.MakeFailure(TransportError::ConnectFailed, error));
       co_return;
     }
-    auto message = ToBeast(std::move(aRequest), self.mHost);
+    auto message = ToBeast(aRequest, self.mHost);
     beast::tcp_stream& stream = connection->mStream;
     stream.expires_after(aIdleTimeout);
     auto [writeError, written] = co_await http::async_write(stream, message, kAwait);
@@ -585,7 +589,7 @@
     while (!parser->is_done() && !aCall->IsDone()) {
       stream.expires_after(aIdleTimeout);
       auto [error, size] =
-        co_await http::async_read_some(stream, connection->mBuffer, *parser, kAwait);
+        co_await http::async_read_some(stream, connection->mBuffer.Buffer(), *parser, kAwait);
       aCall->DeliverData(std::exchange(parser->get().body(), {}));
       if (error) {
         aCall->Finish(self.MakeFailure(error));
--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -12,8 +12,28 @@
   return aChar >= 'A' && aChar <= 'Z' ? static_cast<char>(aChar - 'A' + 'a') : aChar;
 }
 
+// Copies of a head that a node has at a time.
+constexpr size_t kHeadCopies = 6;
+// Of one field in one copy, besides the bytes of its name and value. A string takes 32
+// bytes, and the parser's fields take more.
+constexpr size_t kFieldBytes = 64;
+
 } // namespace
 
+size_t HeadFieldBytes(size_t aNameBytes, size_t aValueBytes)
+{
+  return kHeadCopies * (kFieldBytes + aNameBytes + aValueBytes);
+}
+
+size_t HeadBytes(const Headers& aHeaders)
+{
+  size_t bytes = 0;
+  for (const Header& header : aHeaders.All()) {
+    bytes += HeadFieldBytes(header.mName.size(), header.mValue.size());
+  }
+  return bytes;
+}
+
 bool EqualsIgnoringCase(std::string_view aLeft, std::string_view aRight)
 {
   return std::equal(aLeft.begin(), aLeft.end(), aRight.begin(), aRight.end(),
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/http_server.h"
 
 #include "message_framing.h"
+#include "message_reader.h"
 
 #include "balsammount/endpoint.h"
 #include "balsammount/event.h"
@@ -18,6 +19,7 @@
 #include <deque>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace balsammount {
 
@@ -38,9 +40,9 @@
 // occupy. Further requests stay in the socket buffer.
 constexpr size_t kMaxPipelinedRequests = 16;
 
-// Bytes that are read ahead of the parser, in addition to a head of the longest size. Bounds the
-// line before a chunk, which has no limit in Beast.
-constexpr size_t kMaxReadAheadBytes = 64 * 1024;
+// Memory of a connection without its read buffer and its messages: the objects of the session and
+// the frames of its coroutines.
+constexpr size_t kConnectionBytes = 12 * 1024;
 
 // How long a connection is read after its last response, so that a reset does not discard that
 // response.
@@ -50,9 +52,11 @@
 {
 public:
   ServerExchange(const asio::any_io_executor& aExecutor, HttpRequest aRequest, std::string aAddress,
-                 size_t aMaxBacklog, HeldBytes aHeldBytes = HeldBytes(nullptr))
+                 size_t aMaxBacklog, HeldBytes aHeldHead = HeldBytes())
     : mRequest(std::move(aRequest))
-    , mHeldBytes(std::move(aHeldBytes))
+    , mHeldHead(std::move(aHeldHead))
+    , mHeldResponse(mRequest.mHolder)
+    , mHeldData(mRequest.mHolder)
     , mAddress(std::move(aAddress))
     , mMaxBacklog(aMaxBacklog)
     , mWake(aExecutor, asio::steady_timer::time_point::max())
@@ -67,6 +71,10 @@
     if (mResponse || mClosed) {
       return;
     }
+    // The response of a backend server has been charged while it was read.
+    if (!aResponse.mBody.IsCharged()) {
+      mHeldResponse.SetTo(HeadBytes(aResponse.mHeaders) + aResponse.mBody.size());
+    }
     mResponse = std::move(aResponse);
     mEnded = true;
     mOnCancel = nullptr;
@@ -90,7 +98,8 @@
     if (!mStreaming || mEnded || mClosed) {
       return false;
     }
-    if (mUnsentData.size() + aData.size() > mMaxBacklog) {
+    const size_t unsentBytes = mUnsentData.size() + aData.size();
+    if (unsentBytes > mMaxBacklog || !mHeldData.GrowTo(unsentBytes)) {
       Abort();
       return false;
     }
@@ -140,6 +149,8 @@
     while (mUnsentData.empty() && !mEnded && !mClosed) {
       co_await mWake.async_wait(kAwait);
     }
+    // The data stays charged while it is written.
+    mHeldData.ShrinkTo(mUnsentData.size());
     co_return mClosed ? std::string() : std::exchange(mUnsentData, {});
   }
 
@@ -149,7 +160,9 @@
 
 private:
   HttpRequest mRequest;
-  HeldBytes mHeldBytes; // of the request
+  HeldBytes mHeldHead;
+  HeldBytes mHeldResponse;
+  HeldBytes mHeldData; // of a stream
   std::string mAddress;
   size_t mMaxBacklog;
   asio::steady_timer mWake;
@@ -161,9 +174,11 @@
   bool mClosed = false;
 };
 
-HttpRequest FromBeast(http::request<http::string_body>&& aMessage)
+HttpRequest FromBeast(http::request<http::string_body>&& aMessage, HeldBytes aHeldBody,
+                      std::shared_ptr<ResourceHolder> aHolder)
 {
   HttpRequest request;
+  request.mHolder = std::move(aHolder);
   request.mMethod = std::string(aMessage.method_string());
   request.mTarget = std::string(aMessage.target());
   for (const auto& field : aMessage) {
@@ -177,14 +192,27 @@
   }
   // The server has already sent 100 Continue.
   request.mHeaders.Remove("Expect");
-  request.mBody = std::move(aMessage.body());
+  request.mBody = Body(std::move(aMessage.body()), std::move(aHeldBody));
   return request;
 }
 
-http::response<http::string_body> ToBeast(HttpResponse&& aResponse, unsigned aVersion,
-                                          bool aKeepAlive, bool aIsHead)
+// Returns the memory that the head takes in this node.
+size_t HeadBytes(const http::fields& aFields)
+{
+  size_t bytes = 0;
+  for (const auto& field : aFields) {
+    bytes += HeadFieldBytes(field.name_string().size(), field.value().size());
+  }
+  return bytes;
+}
+
+using OutgoingResponse = http::response<http::span_body<const char>>;
+
+// The message refers to the body of aResponse.
+OutgoingResponse ToBeast(const HttpResponse& aResponse, unsigned aVersion, bool aKeepAlive,
+                         bool aIsHead)
 {
-  http::response<http::string_body> message;
+  OutgoingResponse message;
   message.version(aVersion);
   message.result(aResponse.mStatus);
   for (const Header& header : aResponse.mHeaders.All()) {
@@ -194,12 +222,11 @@
   }
   message.keep_alive(aKeepAlive);
   const bool hasNoContent = aResponse.mStatus == 204 || aResponse.mStatus == 304;
-  message.body() = std::move(aResponse.mBody);
   if (!hasNoContent) {
-    message.content_length(message.body().size());
+    message.content_length(aResponse.mBody.size());
   }
-  if (aIsHead || hasNoContent) {
-    message.body().clear();
+  if (!aIsHead && !hasNoContent) {
+    message.body() = { aResponse.mBody.data(), aResponse.mBody.size() };
   }
   return message;
 }
@@ -228,7 +255,7 @@
     return MakeErrorResponse(408, "request not received in time");
   }
   if (aError == asio::error::no_memory) {
-    auto response = MakeErrorResponse(503, "too many bytes of requests are held");
+    auto response = MakeErrorResponse(503, "too many bytes are held for callers");
     response.mHeaders.Set("Retry-After", "1");
     return response;
   }
@@ -264,10 +291,13 @@
   // responses are written in the order of the requests.
   struct Session
   {
-    Session(tcp::socket aSocket, std::string aAddress, size_t aMaxHeaderBytes)
+    Session(tcp::socket aSocket, std::string aAddress, size_t aMaxHeaderBytes,
+            std::shared_ptr<ResourceHolder> aHolder)
       : mStream(std::move(aSocket))
       , mAddress(std::move(aAddress))
-      , mBuffer(aMaxHeaderBytes + kMaxReadAheadBytes)
+      , mHolder(std::move(aHolder))
+      , mHeldConnection(mHolder)
+      , mBuffer(aMaxHeaderBytes, mHolder)
       , mChanged(mStream.get_executor(), asio::steady_timer::time_point::max())
       , mTimer(mStream.get_executor())
     {
@@ -275,6 +305,47 @@
 
     bool IsIdle() const { return mPending.empty() && !mReadingRequest; }
 
+    HolderActivity Activity() const
+    {
+      if (mAwaitsBytes || mWriting) {
+        return HolderActivity::Waiting;
+      }
+      return IsIdle() ? HolderActivity::Idle : HolderActivity::Working;
+    }
+
+    // Refuses the request that is being read if that is enough. Otherwise the connection is closed.
+    void Yield(YieldFor aNeed)
+    {
+      mYielded = true;
+      if (aNeed == YieldFor::Bytes && mAwaitsBytes && !mWriting) {
+        beast::error_code ignored;
+        mStream.socket().cancel(ignored);
+        return;
+      }
+      Close();
+    }
+
+    void Close()
+    {
+      mStream.close();
+      if (mHolder) {
+        mHolder->ReturnSocket();
+      }
+    }
+
+    void OnProgress(size_t aBytes)
+    {
+      if (mHolder) {
+        mHolder->OnProgress(aBytes);
+      }
+    }
+    void OnBegin()
+    {
+      if (mHolder) {
+        mHolder->OnBegin();
+      }
+    }
+
     void NotifyClosed()
     {
       for (auto pending = std::exchange(mPending, {}); const Pending& one : pending) {
@@ -287,11 +358,16 @@
 
     beast::tcp_stream mStream;
     std::string mAddress;
-    beast::flat_buffer mBuffer;
+    std::shared_ptr<ResourceHolder> mHolder; // null without a budget
+    HeldBytes mHeldConnection;
+    detail::ReadBuffer mBuffer;
     std::deque<Pending> mPending;
     asio::steady_timer mChanged; // cancelled to wake the reader and the writer
     asio::steady_timer mTimer;   // limits idle time, reading a request, or lingering
     bool mReadingRequest = false;
+    bool mAwaitsBytes = false; // of the request that is being read
+    bool mWriting = false;     // a response that the client is to read
+    bool mYielded = false;
     bool mTimedOut = false;
     bool mOverLimit = false;      // refuses one request, then closes
     bool mNoMoreRequests = false; // no further request is read from this connection
@@ -339,10 +415,11 @@
     beast::error_code ignored;
     aSocket.set_option(tcp::no_delay(true), ignored);
     EnableTcpKeepAlive(aSocket);
-    const auto remote = aSocket.remote_endpoint(ignored);
-    auto session = std::make_shared<Session>(std::move(aSocket), remote.address().to_string(),
-                                             mLimits.mMaxHeaderBytes);
-    session->mOverLimit = mSessions.size() >= mLimits.mMaxConnections;
+    const std::string address = aSocket.remote_endpoint(ignored).address().to_string();
+    auto session = MakeSession(std::move(aSocket), address);
+    if (!session) {
+      return;
+    }
     mSessions.insert(session);
     const auto onEnd = [self = shared_from_this(), session](const std::exception_ptr& aException) {
       if (aException) {
@@ -354,6 +431,36 @@
     asio::co_spawn(mAcceptor.get_executor(), WriteLoop(shared_from_this(), session), onEnd);
   }
 
+  // Returns null if the budget does not allow another connection. Its client sees that no request
+  // was read.
+  std::shared_ptr<Session> MakeSession(tcp::socket aSocket, const std::string& aAddress)
+  {
+    if (!mLimits.mBudget) {
+      auto session =
+        std::make_shared<Session>(std::move(aSocket), aAddress, mLimits.mMaxHeaderBytes, nullptr);
+      session->mOverLimit = mSessions.size() >= mLimits.mMaxConnections;
+      return session;
+    }
+    auto owner = std::make_shared<std::weak_ptr<Session>>();
+    auto holder = mLimits.mBudget->AddHolder(aAddress, { [owner] {
+                                                          const auto session = owner->lock();
+                                                          return session ? session->Activity()
+                                                                         : HolderActivity::Working;
+                                                        },
+                                                         [owner](YieldFor aNeed) {
+                                                           if (const auto session = owner->lock()) {
+                                                             session->Yield(aNeed);
+                                                           }
+                                                         } });
+    if (!holder->TryTakeSocket()) {
+      return nullptr;
+    }
+    auto session = std::make_shared<Session>(std::move(aSocket), aAddress, mLimits.mMaxHeaderBytes,
+                                             std::move(holder));
+    *owner = session;
+    return session->mHeldConnection.GrowTo(kConnectionBytes) ? session : nullptr;
+  }
+
   static asio::awaitable<void> ReadLoop(std::shared_ptr<State> aState,
                                         std::shared_ptr<Session> aSession)
   {
@@ -382,10 +489,10 @@
   {
     Session& session = *aSession;
     while (!session.mDisconnected && (!session.mWriterDone || !session.mTimedOut)) {
-      session.mBuffer.consume(session.mBuffer.size());
+      session.mBuffer.Consume(session.mBuffer.Size());
+      session.mBuffer.Trim();
       session.mStream.expires_never();
-      auto [error, count] =
-        co_await session.mStream.async_read_some(session.mBuffer.prepare(1024), kAwait);
+      const auto error = co_await session.mBuffer.ReadSome(session.mStream);
       // The timer of an earlier phase may still cancel this read.
       session.mDisconnected = error && error != asio::error::operation_aborted;
     }
@@ -421,27 +528,32 @@
     while (session.mPending.size() >= kMaxPipelinedRequests) {
       co_await session.mChanged.async_wait(kAwait);
     }
-    if (session.mBuffer.size() == 0) {
+    if (session.mBuffer.Size() == 0) {
       if (session.mPending.empty()) {
         StartIdleTimer(aSession);
       }
+      session.mBuffer.Trim();
       session.mStream.expires_never();
-      auto [waitError, count] =
-        co_await session.mStream.async_read_some(session.mBuffer.prepare(4096), kAwait);
+      const auto waitError = co_await session.mBuffer.ReadSome(session.mStream);
       if (waitError) {
         session.mDisconnected = waitError != asio::error::operation_aborted;
         co_return false;
       }
-      session.mBuffer.commit(count);
     }
+    session.OnBegin();
     // From its first byte on, a request counts as in flight, and Stop lets it finish.
     session.mReadingRequest = true;
     http::request_parser<http::string_body> parser;
     parser.header_limit(static_cast<uint32_t>(mLimits.mMaxHeaderBytes));
     parser.body_limit(mLimits.mMaxBodyBytes);
-    HeldBytes held(mLimits.mBudget);
-    const auto error = co_await ReadRequest(aSession, parser, held);
+    HeldBytes heldHead(session.mHolder);
+    HeldBytes heldBody(session.mHolder);
+    auto error = co_await ReadRequest(aSession, parser, heldHead, heldBody);
+    session.mAwaitsBytes = false;
     session.mTimer.cancel();
+    if (error && session.mYielded) {
+      error = asio::error::no_memory;
+    }
     if (auto refusal = RefusalOfHeader(parser)) {
       RespondAndClose(aSession, std::move(*refusal));
       co_return false;
@@ -459,7 +571,9 @@
       RespondAndClose(aSession, std::move(refusal));
       co_return false;
     }
-    const bool more = co_await Dispatch(aSession, parser.release(), std::move(held));
+    auto message = parser.release();
+    const bool more =
+      co_await Dispatch(aSession, std::move(message), std::move(heldHead), std::move(heldBody));
     co_return more;
   }
 
@@ -467,7 +581,8 @@
   // connection are unanswered, because a client resends the requests that follow a response that
   // closes the connection.
   asio::awaitable<bool> Dispatch(std::shared_ptr<Session> aSession,
-                                 http::request<http::string_body> aMessage, HeldBytes aHeldBytes)
+                                 http::request<http::string_body> aMessage, HeldBytes aHeldHead,
+                                 HeldBytes aHeldBody)
   {
     const bool isHead = aMessage.method() == http::verb::head;
     const bool isSafe = isHead || aMessage.method() == http::verb::get;
@@ -482,8 +597,9 @@
     const bool keepAlive = aMessage.keep_alive();
     const unsigned version = aMessage.version();
     auto exchange = std::make_shared<ServerExchange>(
-      aSession->mStream.get_executor(), FromBeast(std::move(aMessage)), aSession->mAddress,
-      mLimits.mMaxStreamBacklogBytes, std::move(aHeldBytes));
+      aSession->mStream.get_executor(),
+      FromBeast(std::move(aMessage), std::move(aHeldBody), aSession->mHolder), aSession->mAddress,
+      mLimits.mMaxStreamBacklogBytes, std::move(aHeldHead));
     aSession->mPending.push_back({ exchange, version, keepAlive, isHead });
     aSession->mNoMoreRequests = !keepAlive;
     aSession->mReadingRequest = false;
@@ -502,7 +618,9 @@
     if (aResponse.mStatus != 503) {
       Event("http-server", "bad-request")
         .Add("status", aResponse.mStatus)
-        .Add("reason", aResponse.mBody.substr(0, aResponse.mBody.find('\n')))
+        .Add(
+          "reason",
+          std::string_view(aResponse.mBody.Bytes()).substr(0, aResponse.mBody.Bytes().find('\n')))
         .Add("client", aSession->mAddress);
     }
     auto exchange =
@@ -561,46 +679,68 @@
     co_return !session.mWriterDone;
   }
 
-  // Reads no body if the request is refused because of its header. Fails with no_memory if the body
-  // does not fit into the budget.
+  // Reads more bytes of a request.
+  static asio::awaitable<beast::error_code> ReadMore(Session& aSession)
+  {
+    // The writer may have set a time limit for a response.
+    aSession.mStream.expires_never();
+    aSession.mAwaitsBytes = true;
+    const size_t before = aSession.mBuffer.Size();
+    const auto error = co_await aSession.mBuffer.ReadSome(aSession.mStream);
+    aSession.mAwaitsBytes = false;
+    aSession.OnProgress(aSession.mBuffer.Size() - before);
+    co_return error;
+  }
+
+  static asio::awaitable<beast::error_code> ReadHead(Session& aSession, RequestParser& aParser)
+  {
+    bool needsMore = aSession.mBuffer.Size() == 0;
+    while (!aParser.is_header_done()) {
+      beast::error_code error;
+      if (needsMore) {
+        error = co_await ReadMore(aSession);
+      }
+      if (!error) {
+        aSession.mBuffer.Consume(aParser.put(aSession.mBuffer.Data(), error));
+        needsMore = error == http::error::need_more;
+        if (needsMore) {
+          error = {};
+        }
+      }
+      if (error) {
+        co_return error == asio::error::eof ? http::error::partial_message : error;
+      }
+    }
+    co_return beast::error_code{};
+  }
+
+  // Reads no body if the request is refused because of its header. Fails with no_memory if the
+  // budget does not allow the request.
   asio::awaitable<beast::error_code> ReadRequest(std::shared_ptr<Session> aSession,
-                                                 RequestParser& aParser, HeldBytes& aHeldBytes)
+                                                 RequestParser& aParser, HeldBytes& aHeldHead,
+                                                 HeldBytes& aHeldBody)
   {
-    beast::tcp_stream& stream = aSession->mStream;
+    Session& session = *aSession;
     StartTimer(aSession, mLimits.mHeaderTimeout);
-    stream.expires_never();
-    auto [error, size] =
-      co_await http::async_read_header(stream, aSession->mBuffer, aParser, kAwait);
-    if (error) {
+    if (const auto error = co_await ReadHead(session, aParser)) {
       co_return error;
     }
+    if (!aHeldHead.GrowTo(HeadBytes(aParser.get()))) {
+      co_return asio::error::no_memory;
+    }
     const bool isRefused =
-      RefusalOfHeader(aParser) || (aSession->mOverLimit && ExpectsContinue(aParser));
+      RefusalOfHeader(aParser) || (session.mOverLimit && ExpectsContinue(aParser));
     if (aParser.is_done() || isRefused) {
       co_return beast::error_code{};
     }
-    if (!aHeldBytes.GrowTo(aParser.content_length().value_or(0))) {
-      co_return asio::error::no_memory;
-    }
     // A client that has sent a part of the body does not wait.
-    const bool isAwaited = ExpectsContinue(aParser) && aSession->mBuffer.size() == 0;
+    const bool isAwaited = ExpectsContinue(aParser) && session.mBuffer.Size() == 0;
     if (isAwaited && !co_await SendContinue(aSession)) {
       co_return asio::error::operation_aborted;
     }
     StartTimer(aSession, mLimits.mReadTimeout);
-    while (!aParser.is_done()) {
-      // The writer may have set a time limit for a response.
-      stream.expires_never();
-      auto [bodyError, bodySize] =
-        co_await http::async_read_some(stream, aSession->mBuffer, aParser, kAwait);
-      if (bodyError) {
-        co_return bodyError;
-      }
-      if (!aHeldBytes.GrowTo(aParser.get().body().size())) {
-        co_return asio::error::no_memory;
-      }
-    }
-    co_return beast::error_code{};
+    co_return co_await detail::ReadBody(aParser, session.mBuffer, aHeldBody,
+                                        [&session] { return ReadMore(session); });
   }
 
   static asio::awaitable<void> WriteLoop(std::shared_ptr<State> aState,
@@ -624,7 +764,7 @@
   {
     if (aSession->mReaderDone && aSession->mWriterDone) {
       aSession->mTimer.cancel();
-      aSession->mStream.close();
+      aSession->Close();
       mSessions.erase(aSession);
     }
   }
@@ -660,24 +800,23 @@
     if (!response) {
       co_return false;
     }
-    beast::tcp_stream& stream = session.mStream;
     if (pending.mExchange->IsStreaming()) {
       if (pending.mVersion < 11) {
         pending.mExchange->NotifyClosed();
         response = MakeErrorResponse(505, "a streamed answer needs HTTP/1.1", "unknown");
-        co_await Write(stream, std::move(*response), pending.mVersion, false, false);
+        co_await Write(session, std::move(*response), pending.mVersion, false, false);
         co_return false;
       }
-      const bool streamed = co_await WriteStream(stream, *pending.mExchange, std::move(*response));
+      const bool streamed = co_await WriteStream(session, *pending.mExchange, std::move(*response));
       co_return streamed&& Pop(aSession, pending.mKeepAlive);
     }
     // While the server drains, the connection is closed after the last request that was read.
     const bool isLastResponse = (mClosing || mStopping) && session.mPending.size() == 1 &&
-                                !session.mReadingRequest && session.mBuffer.size() == 0;
+                                !session.mReadingRequest && session.mBuffer.Size() == 0;
     session.mNoMoreRequests = session.mNoMoreRequests || isLastResponse;
     const bool keepAlive = pending.mKeepAlive && !isLastResponse;
     const bool written =
-      co_await Write(stream, std::move(*response), pending.mVersion, keepAlive, pending.mIsHead);
+      co_await Write(session, std::move(*response), pending.mVersion, keepAlive, pending.mIsHead);
     co_return written&& Pop(aSession, keepAlive);
   }
 
@@ -694,9 +833,10 @@
   }
 
   // Writes a streamed response to its end. Returns false if the connection has to be closed.
-  asio::awaitable<bool> WriteStream(beast::tcp_stream& aStream, ServerExchange& aExchange,
+  asio::awaitable<bool> WriteStream(Session& aSession, ServerExchange& aExchange,
                                     HttpResponse aHead)
   {
+    beast::tcp_stream& stream = aSession.mStream;
     http::response<http::empty_body> head;
     head.version(11);
     head.result(aHead.mStatus);
@@ -707,25 +847,27 @@
     }
     head.chunked(true);
     http::response_serializer<http::empty_body> serializer(head);
-    aStream.expires_after(mLimits.mWriteTimeout);
-    auto [headError, headSize] = co_await http::async_write_header(aStream, serializer, kAwait);
+    stream.expires_after(mLimits.mWriteTimeout);
+    auto [headError, headSize] = co_await http::async_write_header(stream, serializer, kAwait);
     if (headError) {
       aExchange.NotifyClosed();
       co_return false;
     }
     for (;;) {
-      aStream.expires_never();
+      stream.expires_never();
+      aSession.mWriting = false;
       const std::string bytes = co_await aExchange.WaitForData();
       if (aExchange.IsClosed()) {
         co_return false;
       }
-      aStream.expires_after(mLimits.mWriteTimeout);
+      BeginWrite(aSession);
+      stream.expires_after(mLimits.mWriteTimeout);
       if (bytes.empty()) {
-        auto [error, size] = co_await asio::async_write(aStream, http::make_chunk_last(), kAwait);
+        auto [error, size] = co_await asio::async_write(stream, http::make_chunk_last(), kAwait);
         co_return !error;
       }
       auto [error, size] =
-        co_await asio::async_write(aStream, http::make_chunk(asio::buffer(bytes)), kAwait);
+        co_await asio::async_write(stream, http::make_chunk(asio::buffer(bytes)), kAwait);
       if (error) {
         aExchange.NotifyClosed();
         co_return false;
@@ -733,14 +875,28 @@
     }
   }
 
-  asio::awaitable<bool> Write(beast::tcp_stream& aStream, HttpResponse aResponse, unsigned aVersion,
+  static void BeginWrite(Session& aSession)
+  {
+    aSession.mWriting = true;
+    aSession.OnBegin();
+  }
+
+  asio::awaitable<bool> Write(Session& aSession, HttpResponse aResponse, unsigned aVersion,
                               bool aKeepAlive, bool aIsHead)
   {
-    auto message = ToBeast(std::move(aResponse), aVersion, aKeepAlive, aIsHead);
-    http::response_serializer<http::string_body> serializer(message);
+    const auto message = ToBeast(aResponse, aVersion, aKeepAlive, aIsHead);
+    http::response_serializer<http::span_body<const char>> serializer(message);
     serializer.split(false);
-    aStream.expires_after(mLimits.mWriteTimeout);
-    auto [error, size] = co_await http::async_write(aStream, serializer, kAwait);
+    aSession.mStream.expires_after(mLimits.mWriteTimeout);
+    BeginWrite(aSession);
+    beast::error_code error;
+    while (!serializer.is_done() && !error) {
+      size_t count = 0;
+      std::tie(error, count) =
+        co_await http::async_write_some(aSession.mStream, serializer, kAwait);
+      aSession.OnProgress(count);
+    }
+    aSession.mWriting = false;
     co_return !error;
   }
 
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -66,6 +66,7 @@
   HttpRequest mRequest;
   detail::OutgoingBody mRequestBody;
   HttpResponse mResponse;
+  std::string mReceived; // body of the response
   std::weak_ptr<ClientConnection> mConnection;
   int32_t mStreamId = -1;
   bool mHeadDone = false; // the head of the final response has arrived
@@ -310,11 +311,11 @@
       return;
     }
     StreamCall& call = *found->second;
-    if (call.mResponse.mBody.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+    if (call.mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
       call.mTooLarge = true;
       return;
     }
-    call.mResponse.mBody.append(aBytes);
+    call.mReceived.append(aBytes);
   }
 
   void OnStreamClosed(int32_t aStreamId, uint32_t aError) override
@@ -338,6 +339,7 @@
       } else if (const auto fault = ResponseFault(call->mResponse)) {
         call->Finish(InvalidResponse(self->mPeer, *fault));
       } else {
+        call->mResponse.mBody = std::move(call->mReceived);
         call->Finish(std::move(call->mResponse));
       }
     });
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -49,6 +49,7 @@
   }
 
   HttpRequest mRequest;
+  std::string mReceived; // body of the request
   detail::OutgoingBody mResponseBody;
   size_t mHeaderBytes = 0;
   bool mTooLarge = false;
@@ -135,6 +136,7 @@
     }
     const auto exchange = found->second;
     exchange->mHandled = true;
+    exchange->mRequest.mBody = std::move(exchange->mReceived);
     if (exchange->mTooLarge) {
       HttpResponse response;
       response.mStatus = 413;
@@ -181,12 +183,12 @@
       return;
     }
     StreamExchange& exchange = *found->second;
-    if (exchange.mRequest.mBody.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+    if (exchange.mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
       exchange.mTooLarge = true;
-      exchange.mRequest.mBody.clear();
+      exchange.mReceived.clear();
     }
     if (!exchange.mTooLarge) {
-      exchange.mRequest.mBody.append(aBytes);
+      exchange.mReceived.append(aBytes);
     }
   }
 
--- a/testing/scenario/src/cluster_control.cpp
+++ b/testing/scenario/src/cluster_control.cpp
@@ -295,7 +295,7 @@
       const bool node = managed->mKind == ProcessKind::Node;
       const auto page =
         Fetch(managed->mPort, Get(node ? "/state" : "/standin/counters"), kReportTimeout);
-      text += page ? page->mBody + "\n" : Describe(page.error()) + "\n";
+      text += page ? page->mBody.Bytes() + "\n" : Describe(page.error()) + "\n";
     }
     for (const std::string& line : process.LastLogLines(kReportLines)) {
       text += "  " + line + "\n";
