Account for what other nodes have a node hold

What callers saw: a crowd at one node ended another one, or the same one with the answers of the other, although the entry's own connections were within the budget.

Cause: nothing between nodes was counted. A response from another node was kept in full for each call, and a request from another node for as long as the backend server took. The write buffer of a connection kept its greatest capacity (256 KB and more).

Change: each stream of PeerServer is a holder of the same budget, grouped by the node that it comes from. A request that does not fit, or that yields, is refused as not run; the stream of a response that yields is reset. PeerClient charges a response to the holder that its request names, which is the connection of the caller, and gives the call up with TooLarge if it does not fit. Heads of responses have a limit. Connections count with their write buffers, whose capacity is given back.

--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -80,7 +80,7 @@
     , mDeployment(std::move(aDeployment))
     , mRandom(std::random_device()() ^ (static_cast<uint64_t>(std::random_device()()) << 32))
     , mStore(MakeStore(aContext, mDeployment, mSettings, mRandom))
-    , mPeers(aContext, mDeployment.mHeaderNames)
+    , mPeers(aContext, mDeployment.mHeaderNames, mBudget)
     , mUpstreams(mClock, mRandom, mSettings.mNodeId, mSettings.mDataCentre)
     , mConfig(std::make_shared<ConfigService>(aContext, mClock, *mStore, mDeployment))
     , mExecutor(std::make_shared<Executor>(aContext, mClock, mSettings, mOverload,
@@ -214,7 +214,7 @@
     { "admin", admin },
     { "peer-listener",
       std::make_shared<PeerServer>(
-        mContext, mSettings.mPeerListen, PeerServerLimits{},
+        mContext, mSettings.mPeerListen, PeerServerLimits{ .mBudget = mBudget },
         [this](const std::shared_ptr<Exchange>& aExchange) { mPeerHandler.Handle(aExchange); }) },
     { "caller-listener", mCallerListener },
     { "admin-listener", listener(mSettings.mAdminListen, handleAdmin) },
--- a/packages/node/src/peers.cpp
+++ b/packages/node/src/peers.cpp
@@ -19,7 +19,8 @@
   Peer& peer = mPeers[aNodeId];
   if (!peer.mClient || peer.mEndpoint != aEndpoint) {
     peer.mEndpoint = aEndpoint;
-    peer.mClient = std::make_shared<PeerClient>(mContext, aEndpoint);
+    peer.mClient =
+      std::make_shared<PeerClient>(mContext, aEndpoint, PeerClientLimits{ .mBudget = mBudget });
   }
 }
 
--- a/packages/node/src/peers.h
+++ b/packages/node/src/peers.h
@@ -16,9 +16,11 @@
 class Peers
 {
 public:
-  explicit Peers(boost::asio::io_context& aContext, HeaderNames aNames = {})
+  explicit Peers(boost::asio::io_context& aContext, HeaderNames aNames = {},
+                 std::shared_ptr<ResourceBudget> aBudget = nullptr)
     : mContext(aContext)
     , mNames(std::move(aNames))
+    , mBudget(std::move(aBudget))
   {
   }
 
@@ -51,6 +53,7 @@
 
   boost::asio::io_context& mContext;
   HeaderNames mNames;
+  std::shared_ptr<ResourceBudget> mBudget;
   std::map<std::string, Peer> mPeers;
   StoreViewCallback mOnStoreView = [](const std::string&, const StoreView&, SteadyTime) {};
 };
--- a/packages/transport/include/balsammount/peer_client.h
+++ b/packages/transport/include/balsammount/peer_client.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "balsammount/exchange.h"
+#include "balsammount/resource_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -20,6 +21,10 @@
   std::chrono::milliseconds mPingTimeout{ 500 };
   std::chrono::milliseconds mMaxIdleTime{ 15'000 }; // then the connection is closed
   size_t mMaxBodyBytes = kMaxBodyBytes;
+  size_t mMaxHeaderBytes = 64 * 1024;
+  // For the connection and for the responses, which are charged to the holders of their requests.
+  // Null: no common limit.
+  std::shared_ptr<ResourceBudget> mBudget = nullptr;
 };
 
 class PeerClient
@@ -31,8 +36,8 @@
   PeerClient(const PeerClient&) = delete;
   PeerClient& operator=(const PeerClient&) = delete;
 
-  // ConnectFailed and NotProcessed prove that the peer did not process the request. Cancelling
-  // resets the stream.
+  // ConnectFailed and NotProcessed prove that the peer did not process the request. TooLarge means
+  // that the response exceeds a limit or the budget. Cancelling resets the stream.
   std::shared_ptr<Call> Send(HttpRequest aRequest, std::chrono::nanoseconds aTimeout,
                              ResponseCallback aCallback);
 
--- a/packages/transport/include/balsammount/peer_server.h
+++ b/packages/transport/include/balsammount/peer_server.h
@@ -3,6 +3,7 @@
 
 #include "balsammount/exchange.h"
 #include "balsammount/kernel.h"
+#include "balsammount/resource_budget.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -17,6 +18,9 @@
   uint32_t mMaxConcurrentStreams = 2000; // per connection
   size_t mMaxBodyBytes = kMaxBodyBytes;
   size_t mMaxHeaderBytes = 32 * 1024;
+  // For the connections, and for the requests and responses of each stream. A request that does not
+  // fit is refused as not run. Null: no common limit.
+  std::shared_ptr<ResourceBudget> mBudget = nullptr;
 };
 
 class PeerServer final : public Service
--- a/packages/transport/src/h2_connection.cpp
+++ b/packages/transport/src/h2_connection.cpp
@@ -16,6 +16,12 @@
 // Size at which no further frames are added to a write to the socket.
 constexpr size_t kMaxWriteBufferBytes = 256 * 1024;
 
+// Capacity of a write buffer that is kept between two writes.
+constexpr size_t kKeptWriteBufferBytes = 16 * 1024;
+
+// Memory of a connection without its streams: the read buffer and the session of nghttp2.
+constexpr size_t kConnectionBytes = kReadBufferBytes + 8 * 1024;
+
 // Size of the HPACK table. Each request adds about 500 bytes of values that do not repeat, which
 // evict the ones that do. With the protocol's default of 4 KB, the repeating values are sent in
 // full every eight requests.
@@ -34,6 +40,9 @@
   const size_t count = std::min(aLength, body.mBytes.size() - body.mOffset);
   std::copy_n(body.mBytes.data() + body.mOffset, count, aBuffer);
   body.mOffset += count;
+  if (body.mHolder) {
+    body.mHolder->OnProgress(count);
+  }
   if (body.mOffset == body.mBytes.size()) {
     *aFlags |= NGHTTP2_DATA_FLAG_EOF;
   }
@@ -124,9 +133,13 @@
   }
 };
 
-H2Connection::H2Connection(asio::ip::tcp::socket aSocket)
+H2Connection::H2Connection(asio::ip::tcp::socket aSocket, std::shared_ptr<ResourceHolder> aHolder)
   : mSocket(std::move(aSocket))
+  , mHolder(std::move(aHolder))
+  , mHeldConnection(mHolder)
+  , mHeldWrite(mHolder)
 {
+  mHeldConnection.SetTo(kConnectionBytes);
 }
 
 H2Connection::~H2Connection() = default;
@@ -209,11 +222,16 @@
     mWriteBuffer.append(View(data, static_cast<size_t>(count)));
   }
   if (mWriteBuffer.empty()) {
+    if (mWriteBuffer.capacity() > kKeptWriteBufferBytes) {
+      mWriteBuffer = {};
+    }
+    mHeldWrite.SetTo(mWriteBuffer.capacity());
     if (!nghttp2_session_want_read(mSession.get()) && !nghttp2_session_want_write(mSession.get())) {
       Close();
     }
     return;
   }
+  mHeldWrite.SetTo(mWriteBuffer.capacity());
   mWriting = true;
   asio::async_write(mSocket, asio::buffer(mWriteBuffer),
                     [self = shared_from_this()](const auto& aError, size_t /*aCount*/) {
--- a/packages/transport/src/h2_connection.h
+++ b/packages/transport/src/h2_connection.h
@@ -28,6 +28,7 @@
 {
   Body mBytes;
   size_t mOffset = 0;
+  std::shared_ptr<ResourceHolder> mHolder = nullptr; // makes progress when the peer takes bytes
 };
 
 // aBody must outlive the stream that it is submitted to.
@@ -55,7 +56,9 @@
 class H2Connection : public std::enable_shared_from_this<H2Connection>
 {
 public:
-  explicit H2Connection(boost::asio::ip::tcp::socket aSocket);
+  // aHolder is charged for the buffers; null: there is no budget.
+  explicit H2Connection(boost::asio::ip::tcp::socket aSocket,
+                        std::shared_ptr<ResourceHolder> aHolder = nullptr);
   virtual ~H2Connection();
   H2Connection(const H2Connection&) = delete;
   H2Connection& operator=(const H2Connection&) = delete;
@@ -63,6 +66,8 @@
   // Closes the socket and calls OnClosed once.
   void Close();
   bool IsClosed() const { return mClosed; }
+  // Null without a budget.
+  ResourceHolder* Holder() const { return mHolder.get(); }
 
 protected:
   // Called for events of the session. Sending is not allowed from within these callbacks.
@@ -93,6 +98,9 @@
   void HandleBytes(size_t aCount);
 
   boost::asio::ip::tcp::socket mSocket;
+  std::shared_ptr<ResourceHolder> mHolder;
+  HeldBytes mHeldConnection;
+  HeldBytes mHeldWrite;
   std::unique_ptr<nghttp2_session, SessionDeleter> mSession;
   std::array<uint8_t, kReadBufferBytes> mReadBuffer{};
   std::string mWriteBuffer;
--- a/packages/transport/src/peer_client.cpp
+++ b/packages/transport/src/peer_client.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/peer_client.h"
 
 #include "h2_connection.h"
+#include "message_reader.h"
 
 #include "balsammount/endpoint.h"
 #include "balsammount/response_check.h"
@@ -30,6 +31,8 @@
   StreamCall(const asio::any_io_executor& aExecutor, HttpRequest aRequest,
              ResponseCallback aCallback)
     : mRequest(std::move(aRequest))
+    , mHeldHead(mRequest.mHolder)
+    , mHeldBody(mRequest.mHolder)
     , mTimer(aExecutor)
     , mCallback(std::move(aCallback))
   {
@@ -67,8 +70,11 @@
   detail::OutgoingBody mRequestBody;
   HttpResponse mResponse;
   std::string mReceived; // body of the response
+  HeldBytes mHeldHead;
+  HeldBytes mHeldBody;
   std::weak_ptr<ClientConnection> mConnection;
   int32_t mStreamId = -1;
+  size_t mHeadBytes = 0;
   bool mHeadDone = false; // the head of the final response has arrived
   bool mComplete = false; // the stream ended with END_STREAM
   bool mTooLarge = false;
@@ -92,17 +98,23 @@
   using TimePoint = std::chrono::steady_clock::time_point;
 
 public:
-  ClientConnection(const asio::any_io_executor& aExecutor, PeerClientLimits aLimits)
-    : H2Connection(tcp::socket(aExecutor))
-    , mLimits(aLimits)
+  ClientConnection(const asio::any_io_executor& aExecutor, PeerClientLimits aLimits,
+                   const std::string& aPeer)
+    : H2Connection(tcp::socket(aExecutor),
+                   aLimits.mBudget ? aLimits.mBudget->AddHolder(aPeer) : nullptr)
+    , mLimits(std::move(aLimits))
+    , mPeer(aPeer)
     , mTimer(aExecutor)
   {
   }
 
   void Connect(const tcp::endpoint& aEndpoint)
   {
-    mPeer = ToText(aEndpoint);
     auto self = SharedSelf();
+    if (!mHeldSocket.Take(mLimits.mBudget)) {
+      asio::post(Socket().get_executor(), [self] { self->Close(); });
+      return;
+    }
     mTimer.expires_after(mLimits.mConnectTimeout);
     mTimer.async_wait([self](const auto& aError) {
       if (!aError && !self->mConnected) {
@@ -284,6 +296,7 @@
     aCall.mHeadDone = !IsInterim(aCall.mResponse);
     if (!aCall.mHeadDone) {
       aCall.mResponse = {};
+      aCall.mHeldHead.ShrinkTo(0);
     }
   }
 
@@ -293,10 +306,18 @@
     if (found == mCalls.end()) {
       return;
     }
-    if (found->second->mHeadDone) {
-      return; // a trailer
+    StreamCall& call = *found->second;
+    if (call.mHeadDone || call.mTooLarge) {
+      return; // a trailer, or a response that is not delivered
+    }
+    call.mHeadBytes += aName.size() + aValue.size();
+    if (call.mHeadBytes > mLimits.mMaxHeaderBytes ||
+        !call.mHeldHead.GrowTo(call.mHeldHead.Bytes() +
+                               HeadFieldBytes(aName.size(), aValue.size()))) {
+      OnTooLarge(call);
+      return;
     }
-    HttpResponse& response = found->second->mResponse;
+    HttpResponse& response = call.mResponse;
     if (aName == ":status") {
       std::from_chars(aValue.data(), aValue.data() + aValue.size(), response.mStatus);
     } else if (!IsHopByHop(aName)) {
@@ -311,11 +332,29 @@
       return;
     }
     StreamCall& call = *found->second;
-    if (call.mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
-      call.mTooLarge = true;
+    if (call.mTooLarge) {
+      return;
+    }
+    if (call.mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes ||
+        !detail::ReserveBody(call.mReceived, aBytes.size(), call.mHeldBody)) {
+      OnTooLarge(call);
       return;
     }
     call.mReceived.append(aBytes);
+    if (call.mRequest.mHolder) {
+      call.mRequest.mHolder->OnProgress(aBytes.size());
+    }
+  }
+
+  // Drops what has arrived of a response. The rest does not need to be sent.
+  void OnTooLarge(StreamCall& aCall)
+  {
+    aCall.mTooLarge = true;
+    aCall.mReceived = {};
+    aCall.mResponse = {};
+    aCall.mHeldHead.ShrinkTo(0);
+    aCall.mHeldBody.ShrinkTo(0);
+    ResetStream(aCall.mStreamId);
   }
 
   void OnStreamClosed(int32_t aStreamId, uint32_t aError) override
@@ -332,14 +371,15 @@
       }
       if (aError == NGHTTP2_REFUSED_STREAM) {
         call->Fail(TransportError::NotProcessed);
-      } else if (aError != NGHTTP2_NO_ERROR || !call->mComplete || !call->mHeadDone) {
-        call->Fail(TransportError::ConnectionLost);
       } else if (call->mTooLarge) {
         call->Fail(TransportError::TooLarge);
+      } else if (aError != NGHTTP2_NO_ERROR || !call->mComplete || !call->mHeadDone) {
+        call->Fail(TransportError::ConnectionLost);
       } else if (const auto fault = ResponseFault(call->mResponse)) {
         call->Finish(InvalidResponse(self->mPeer, *fault));
       } else {
-        call->mResponse.mBody = std::move(call->mReceived);
+        call->mHeldBody.Merge(std::move(call->mHeldHead));
+        call->mResponse.mBody = Body(std::move(call->mReceived), std::move(call->mHeldBody));
         call->Finish(std::move(call->mResponse));
       }
     });
@@ -357,7 +397,8 @@
   }
 
   PeerClientLimits mLimits;
-  std::string mPeer; // address, for messages
+  std::string mPeer; // address
+  HeldSocket mHeldSocket;
   asio::steady_timer mTimer;
   std::vector<std::shared_ptr<StreamCall>> mPendingCalls;
   std::map<int32_t, std::shared_ptr<StreamCall>> mCalls;
@@ -384,7 +425,7 @@
   State(asio::io_context& aContext, tcp::endpoint aEndpoint, PeerClientLimits aLimits)
     : mExecutor(aContext.get_executor())
     , mEndpoint(std::move(aEndpoint))
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
   {
   }
 
@@ -396,7 +437,7 @@
 
 PeerClient::PeerClient(asio::io_context& aContext, tcp::endpoint aEndpoint,
                        PeerClientLimits aLimits)
-  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits))
+  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), std::move(aLimits)))
 {
 }
 
@@ -415,7 +456,8 @@
   call->StartTimer(aTimeout);
   auto& connection = mState->mConnection;
   if (!connection || !connection->IsUsable()) {
-    connection = std::make_shared<ClientConnection>(mState->mExecutor, mState->mLimits);
+    connection = std::make_shared<ClientConnection>(mState->mExecutor, mState->mLimits,
+                                                    ToText(mState->mEndpoint));
     connection->Connect(mState->mEndpoint);
   }
   connection->Send(call);
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -1,6 +1,7 @@
 #include "balsammount/peer_server.h"
 
 #include "h2_connection.h"
+#include "message_reader.h"
 
 #include "balsammount/endpoint.h"
 #include "balsammount/unhandled.h"
@@ -24,7 +25,15 @@
 
 class ServerConnection;
 
-class StreamExchange final : public Exchange
+constexpr unsigned kTooLarge = 413;
+constexpr unsigned kUnavailable = 503;
+
+// Memory of a stream without its message, here and in nghttp2.
+constexpr size_t kStreamBytes = 2 * 1024;
+
+class StreamExchange final
+  : public Exchange
+  , public std::enable_shared_from_this<StreamExchange>
 {
 public:
   StreamExchange(std::weak_ptr<ServerConnection> aConnection, int32_t aStreamId,
@@ -35,6 +44,35 @@
   {
   }
 
+  void SetBudget(const std::shared_ptr<ResourceBudget>& aBudget)
+  {
+    mRequest.mHolder =
+      aBudget->AddHolder(mAddress, { [weak = weak_from_this()] {
+                                      const auto self = weak.lock();
+                                      return self ? self->Activity() : HolderActivity::Working;
+                                    },
+                                     [weak = weak_from_this()](YieldFor) {
+                                       if (const auto self = weak.lock()) {
+                                         self->Yield();
+                                       }
+                                     } });
+    mHeldHead = HeldBytes(mRequest.mHolder);
+    mHeldHead.SetTo(kStreamBytes);
+    mHeldBody = HeldBytes(mRequest.mHolder);
+    mHeldResponse = HeldBytes(mRequest.mHolder);
+  }
+
+  HolderActivity Activity() const
+  {
+    return mHandled && !mResponding ? HolderActivity::Working : HolderActivity::Waiting;
+  }
+
+  // Refuses a request that has not arrived as a whole, and resets the stream of a response.
+  void Yield();
+
+  // Drops what has arrived of the request and answers that it has not run.
+  void Refuse(unsigned aStatus);
+
   const HttpRequest& Request() const override { return mRequest; }
   const std::string& RemoteAddress() const override { return mAddress; }
   void Respond(HttpResponse aResponse) override;
@@ -50,10 +88,14 @@
 
   HttpRequest mRequest;
   std::string mReceived; // body of the request
+  HeldBytes mHeldHead;
+  HeldBytes mHeldBody;
+  HeldBytes mHeldResponse;
   detail::OutgoingBody mResponseBody;
   size_t mHeaderBytes = 0;
-  bool mTooLarge = false;
-  bool mHandled = false;
+  unsigned mRefusal = 0; // status; answered once the head has arrived
+  bool mHandled = false; // passed on or refused
+  bool mResponding = false;
 
 private:
   std::weak_ptr<ServerConnection> mConnection;
@@ -65,17 +107,34 @@
 class ServerConnection final : public detail::H2Connection
 {
 public:
-  ServerConnection(tcp::socket aSocket, PeerServerLimits aLimits, ExchangeHandler aHandler,
+  ServerConnection(tcp::socket aSocket, std::string aAddress,
+                   std::shared_ptr<ResourceHolder> aHolder, PeerServerLimits aLimits,
+                   ExchangeHandler aHandler,
                    std::function<void(const std::shared_ptr<ServerConnection>&)> aOnClosed)
-    : H2Connection(std::move(aSocket))
-    , mLimits(aLimits)
+    : H2Connection(std::move(aSocket), std::move(aHolder))
+    , mLimits(std::move(aLimits))
     , mHandler(std::move(aHandler))
     , mOnClosed(std::move(aOnClosed))
+    , mAddress(std::move(aAddress))
   {
     boost::system::error_code ignored;
     Socket().set_option(tcp::no_delay(true), ignored);
     EnableTcpKeepAlive(Socket());
-    mAddress = Socket().remote_endpoint(ignored).address().to_string();
+  }
+
+  // A connection that has carried a request is that of another node. It is never idle here, because
+  // a request that crosses its end would have an unknown outcome.
+  HolderActivity Activity() const
+  {
+    return mHadStream ? HolderActivity::Working : HolderActivity::Idle;
+  }
+
+  void ResetStream(int32_t aStreamId)
+  {
+    if (!IsClosed()) {
+      nghttp2_submit_rst_stream(Session(), NGHTTP2_FLAG_NONE, aStreamId, NGHTTP2_INTERNAL_ERROR);
+      FlushSoon();
+    }
   }
 
   void Start()
@@ -100,7 +159,14 @@
     block.Add(":status", std::to_string(aResponse.mStatus));
     block.AddAll(aResponse.mHeaders);
     block.Add("content-length", std::to_string(aResponse.mBody.size()));
-    aExchange.mResponseBody = { std::move(aResponse.mBody), 0 };
+    if (!aResponse.mBody.IsCharged()) {
+      aExchange.mHeldResponse.SetTo(HeadBytes(aResponse.mHeaders) + aResponse.mBody.size());
+    }
+    if (aExchange.mRequest.mHolder) {
+      aExchange.mRequest.mHolder->OnBegin();
+    }
+    aExchange.mResponding = true;
+    aExchange.mResponseBody = { std::move(aResponse.mBody), 0, aExchange.mRequest.mHolder };
     const nghttp2_data_provider provider = detail::MakeDataProvider(aExchange.mResponseBody);
     const auto values = block.Values();
     nghttp2_submit_response(Session(), aStreamId, values.data(), values.size(), &provider);
@@ -125,25 +191,23 @@
 
   void OnFrame(const nghttp2_frame& aFrame) override
   {
-    const int32_t streamId = aFrame.hd.stream_id;
-    if ((aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0 ||
-        (aFrame.hd.type != NGHTTP2_HEADERS && aFrame.hd.type != NGHTTP2_DATA)) {
+    if (aFrame.hd.type != NGHTTP2_HEADERS && aFrame.hd.type != NGHTTP2_DATA) {
       return;
     }
-    const auto found = mStreams.find(streamId);
+    const auto found = mStreams.find(aFrame.hd.stream_id);
     if (found == mStreams.end() || found->second->mHandled) {
       return;
     }
     const auto exchange = found->second;
-    exchange->mHandled = true;
-    exchange->mRequest.mBody = std::move(exchange->mReceived);
-    if (exchange->mTooLarge) {
-      HttpResponse response;
-      response.mStatus = 413;
-      response.mHeaders.Set("bm-outcome", "not-run");
-      exchange->Respond(std::move(response));
+    if (exchange->mRefusal != 0) {
+      exchange->Refuse(exchange->mRefusal);
       return;
     }
+    if ((aFrame.hd.flags & NGHTTP2_FLAG_END_STREAM) == 0) {
+      return;
+    }
+    exchange->mHandled = true;
+    exchange->mRequest.mBody = Body(std::move(exchange->mReceived), std::move(exchange->mHeldBody));
     if (!RunGuarded("peer-server", mHandler, exchange)) {
       HttpResponse response;
       response.mStatus = 500;
@@ -158,10 +222,22 @@
     if (!exchange) {
       exchange = std::make_shared<StreamExchange>(
         std::static_pointer_cast<ServerConnection>(shared_from_this()), aStreamId, mAddress);
+      mHadStream = true;
+      if (mLimits.mBudget) {
+        exchange->SetBudget(mLimits.mBudget);
+      }
+    }
+    if (exchange->mHandled || exchange->mRefusal != 0) {
+      return;
     }
     exchange->mHeaderBytes += aName.size() + aValue.size();
     if (exchange->mHeaderBytes > mLimits.mMaxHeaderBytes) {
-      exchange->mTooLarge = true;
+      exchange->mRefusal = kTooLarge;
+      return;
+    }
+    if (!exchange->mHeldHead.GrowTo(exchange->mHeldHead.Bytes() +
+                                    HeadFieldBytes(aName.size(), aValue.size()))) {
+      exchange->mRefusal = kUnavailable;
       return;
     }
     HttpRequest& request = exchange->mRequest;
@@ -182,13 +258,21 @@
     if (found == mStreams.end()) {
       return;
     }
-    StreamExchange& exchange = *found->second;
-    if (exchange.mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
-      exchange.mTooLarge = true;
-      exchange.mReceived.clear();
+    const auto exchange = found->second;
+    if (exchange->mHandled) {
+      return;
     }
-    if (!exchange.mTooLarge) {
-      exchange.mReceived.append(aBytes);
+    if (exchange->mReceived.size() + aBytes.size() > mLimits.mMaxBodyBytes) {
+      exchange->Refuse(kTooLarge);
+      return;
+    }
+    if (!detail::ReserveBody(exchange->mReceived, aBytes.size(), exchange->mHeldBody)) {
+      exchange->Refuse(kUnavailable);
+      return;
+    }
+    exchange->mReceived.append(aBytes);
+    if (exchange->mRequest.mHolder) {
+      exchange->mRequest.mHolder->OnProgress(aBytes.size());
     }
   }
 
@@ -212,9 +296,35 @@
   std::function<void(const std::shared_ptr<ServerConnection>&)> mOnClosed;
   std::string mAddress;
   std::map<int32_t, std::shared_ptr<StreamExchange>> mStreams;
+  bool mHadStream = false;
   bool mFlushPosted = false;
 };
 
+void StreamExchange::Yield()
+{
+  if (!mHandled) {
+    Refuse(kUnavailable);
+  } else if (const auto connection = std::exchange(mConnection, {}).lock()) {
+    connection->ResetStream(mStreamId);
+  }
+}
+
+void StreamExchange::Refuse(unsigned aStatus)
+{
+  mHandled = true;
+  mReceived = {};
+  mRequest.mHeaders = {};
+  mHeldBody.ShrinkTo(0);
+  mHeldHead.ShrinkTo(kStreamBytes);
+  HttpResponse response;
+  response.mStatus = aStatus;
+  response.mHeaders.Set("bm-outcome", "not-run");
+  if (aStatus == kUnavailable) {
+    response.mHeaders.Set("bm-reason", "overload");
+  }
+  Respond(std::move(response));
+}
+
 void StreamExchange::Respond(HttpResponse aResponse)
 {
   mOnCancel = nullptr;
@@ -232,7 +342,7 @@
     : mAcceptor(aContext)
     , mRetryTimer(aContext)
     , mEndpoint(std::move(aEndpoint))
-    , mLimits(aLimits)
+    , mLimits(std::move(aLimits))
     , mHandler(std::move(aHandler))
   {
   }
@@ -259,18 +369,44 @@
 
   void Serve(tcp::socket aSocket)
   {
+    boost::system::error_code ignored;
+    const std::string address = aSocket.remote_endpoint(ignored).address().to_string();
+    const auto owner = std::make_shared<std::weak_ptr<ServerConnection>>();
+    std::shared_ptr<ResourceHolder> holder;
+    if (mLimits.mBudget) {
+      holder = mLimits.mBudget->AddHolder(address, MakeCallbacks(owner));
+      if (!holder->TryTakeSocket()) {
+        return;
+      }
+    }
     std::weak_ptr<State> weak = shared_from_this();
     auto connection = std::make_shared<ServerConnection>(
-      std::move(aSocket), mLimits, mHandler,
+      std::move(aSocket), address, std::move(holder), mLimits, mHandler,
       [weak](const std::shared_ptr<ServerConnection>& aConnection) {
         if (auto self = weak.lock()) {
           self->mConnections.erase(aConnection);
         }
       });
+    *owner = connection;
     mConnections.insert(connection);
     connection->Start();
   }
 
+  static HolderCallbacks MakeCallbacks(
+    const std::shared_ptr<std::weak_ptr<ServerConnection>>& aConnection)
+  {
+    return { [aConnection] {
+              const auto connection = aConnection->lock();
+              return connection ? connection->Activity() : HolderActivity::Working;
+            },
+             [aConnection](YieldFor) {
+               if (const auto connection = aConnection->lock()) {
+                 connection->Close();
+                 connection->Holder()->ReturnSocket();
+               }
+             } };
+  }
+
   tcp::acceptor mAcceptor;
   asio::steady_timer mRetryTimer;
   tcp::endpoint mEndpoint;
@@ -282,7 +418,8 @@
 
 PeerServer::PeerServer(asio::io_context& aContext, tcp::endpoint aEndpoint,
                        PeerServerLimits aLimits, ExchangeHandler aHandler)
-  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), aLimits, std::move(aHandler)))
+  : mState(std::make_shared<State>(aContext, std::move(aEndpoint), std::move(aLimits),
+                                   std::move(aHandler)))
 {
 }
 
