Limit the sockets that a node holds

What callers saw: enough silent or idle connections take all descriptors of a process, which can then neither accept callers nor reach its backend server, the store or other nodes.

Cause: each listener accepted up to 2256 connections, whatever the process may have, and connections that the node opens were not counted.

Change: the budget counts the sockets of accepted connections and of those to backend servers and other nodes.

--- a/packages/node/include/balsammount/node_settings.h
+++ b/packages/node/include/balsammount/node_settings.h
@@ -54,9 +54,11 @@
   // ten seconds. Ratio 0: the limits in the configuration of the services apply instead.
   double mFleetRetryRatio = 0;
   uint32_t mFleetRetrySlack = 0;
-  // Limit on the bytes of request and response bodies that are held at a time. The process copies a
-  // body up to three times on its way.
+  // Limit on the bytes that are held at a time for callers, other nodes and the backend server:
+  // their connections, buffers, requests and responses.
   uint64_t mMaxHeldBytes = 64 * 1024 * 1024;
+  // Limit on their sockets. The process uses some more descriptors for other purposes.
+  uint16_t mMaxSockets = 3900;
   // Time after which an accepted configuration must be in force on every node. Used where the store
   // may lose watch requests: each node then checks its configuration within this time.
   std::chrono::milliseconds mConfigConvergence{ 2000 };
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -26,6 +26,7 @@
 
 #include <optional>
 #include <random>
+#include <sys/resource.h>
 
 namespace balsammount {
 
@@ -42,6 +43,21 @@
 // that requests already on their way are served and the last responses are written.
 constexpr auto kQuietPeriod = 100ms;
 
+// Descriptors that are not accounted for: files, the listeners, timers, the connections to the
+// store and those that probe the backend server.
+constexpr size_t kOtherDescriptors = 100;
+
+// The operating system may allow fewer descriptors than the settings.
+size_t MaxSockets(size_t aSetting)
+{
+  rlimit limit{};
+  if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY) {
+    return aSetting;
+  }
+  const auto available = static_cast<size_t>(limit.rlim_cur);
+  return std::min(aSetting, available - std::min(available / 2, kOtherDescriptors));
+}
+
 HttpServerLimits ListenerLimits(const CallerLimits& aLimits,
                                 std::shared_ptr<ResourceBudget> aBudget)
 {
@@ -126,8 +142,8 @@
   uint64_t mStarted = MillisecondsSinceEpoch(mClock.WallNow());
   Random mRandom;
   Metrics mMetrics;
-  std::shared_ptr<ResourceBudget> mBudget =
-    std::make_shared<ResourceBudget>(ResourceLimits{ mSettings.mMaxHeldBytes }, mClock);
+  std::shared_ptr<ResourceBudget> mBudget = std::make_shared<ResourceBudget>(
+    ResourceLimits{ mSettings.mMaxHeldBytes, MaxSockets(mSettings.mMaxSockets) }, mClock);
   RecentOverload mOverload{ mClock };
   std::unique_ptr<Store> mStore;
   Peers mPeers;
--- a/packages/node/src/node_settings.cpp
+++ b/packages/node/src/node_settings.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <functional>
 #include <iterator>
+#include <limits>
 #include <variant>
 
 namespace balsammount {
@@ -22,8 +23,8 @@
 {
   const char* mName;
   std::variant<std::string NodeSettings::*, Endpoint NodeSettings::*,
-               std::vector<Endpoint> NodeSettings::*, uint32_t NodeSettings::*,
-               uint64_t NodeSettings::*, double NodeSettings::*,
+               std::vector<Endpoint> NodeSettings::*, uint16_t NodeSettings::*,
+               uint32_t NodeSettings::*, uint64_t NodeSettings::*, double NodeSettings::*,
                std::chrono::milliseconds NodeSettings::*>
     mMember;
   bool mRequired;
@@ -49,6 +50,7 @@
   Setting{ "fleet_retry_ratio", &NodeSettings::mFleetRetryRatio, false },
   Setting{ "fleet_retry_slack", &NodeSettings::mFleetRetrySlack, false },
   Setting{ "max_held_bytes", &NodeSettings::mMaxHeldBytes, false },
+  Setting{ "max_sockets", &NodeSettings::mMaxSockets, false },
   Setting{ "config_convergence_ms", &NodeSettings::mConfigConvergence, false },
 };
 
@@ -76,6 +78,18 @@
   return {};
 }
 
+Result<void> Assign(uint16_t& aTarget, const std::string& aName, const Json& aValue)
+{
+  constexpr uint64_t kMin = 100;
+  constexpr uint64_t kMax = std::numeric_limits<uint16_t>::max();
+  if (!aValue.is_number_unsigned() || aValue.get<uint64_t>() < kMin ||
+      aValue.get<uint64_t>() > kMax) {
+    return Fail(SettingsError::WrongType, aName, "expected a number of sockets from 100 to 65535");
+  }
+  aTarget = aValue.get<uint16_t>();
+  return {};
+}
+
 Result<void> Assign(uint64_t& aTarget, const std::string& aName, const Json& aValue)
 {
   constexpr uint64_t kMin = 1024 * 1024;
