--- a/packages/node/include/balsammount/node.h
+++ b/packages/node/include/balsammount/node.h
@@ -4,6 +4,7 @@
 #include "balsammount/deployment_options.h"
 #include "balsammount/kernel.h"
 #include "balsammount/node_settings.h"
+#include "balsammount/resource_budget.h"
 #include "balsammount/server_lifecycle.h"
 
 #include <boost/asio/io_context.hpp>
@@ -46,6 +47,9 @@
   // changes need a restart.
   void Reload(const NodeSettings& aSettings);
 
+  // Accounts for all that this process holds for its peers; for further listeners in this process.
+  std::shared_ptr<ResourceBudget> Budget() const;
+
   // Stops all services without waiting for requests in flight.
   void Stop();
 
--- a/packages/node/src/node.cpp
+++ b/packages/node/src/node.cpp
@@ -523,6 +523,11 @@
   mImpl->CompleteAnnouncement(std::move(aDone));
 }
 
+std::shared_ptr<ResourceBudget> Node::Budget() const
+{
+  return mImpl->mBudget;
+}
+
 void Node::Reload(const NodeSettings& aSettings)
 {
   NodeSettings comparable = aSettings;
