End a request that yields although its bytes have just arrived

Found when reading the change: a read that had completed before it could be cancelled went on, while the budget took its memory as about to be returned. The reader now ends with no_memory whenever its connection has yielded. Both servers make their callbacks in the same way, refused sockets are logged like refused bytes, and the budget between nodes has tests: a request beyond it has not run, a response beyond it is TooLarge. The race itself has no test of its own; it needs a read that completes in the same turn of the event loop.

--- a/packages/transport/include/balsammount/resource_budget.h
+++ b/packages/transport/include/balsammount/resource_budget.h
@@ -44,6 +44,21 @@
   std::function<void(YieldFor)> mYield;
 };
 
+// Callbacks of an owner that is known only after its holder. An owner that is gone does not yield.
+template <class Owner>
+HolderCallbacks CallbacksOf(const std::shared_ptr<std::weak_ptr<Owner>>& aOwner)
+{
+  return { [aOwner] {
+            const auto owner = aOwner->lock();
+            return owner ? owner->Activity() : HolderActivity::Working;
+          },
+           [aOwner](YieldFor aNeed) {
+             if (const auto owner = aOwner->lock()) {
+               owner->Yield(aNeed);
+             }
+           } };
+}
+
 class ResourceBudget;
 
 // Holds resources for one peer: a connection of a caller or a request of another node.
@@ -72,9 +87,6 @@
   // Reports bytes that the peer has sent or taken.
   void OnProgress(size_t aBytes);
 
-  // From now on the holder does not yield. Its bytes stay taken until they are returned.
-  void Detach() { mCallbacks = {}; }
-
   size_t Bytes() const { return mBytes; }
 
 private:
--- a/packages/transport/src/http_server.cpp
+++ b/packages/transport/src/http_server.cpp
@@ -442,16 +442,7 @@
       return session;
     }
     auto owner = std::make_shared<std::weak_ptr<Session>>();
-    auto holder = mLimits.mBudget->AddHolder(aAddress, { [owner] {
-                                                          const auto session = owner->lock();
-                                                          return session ? session->Activity()
-                                                                         : HolderActivity::Working;
-                                                        },
-                                                         [owner](YieldFor aNeed) {
-                                                           if (const auto session = owner->lock()) {
-                                                             session->Yield(aNeed);
-                                                           }
-                                                         } });
+    auto holder = mLimits.mBudget->AddHolder(aAddress, CallbacksOf(owner));
     if (!holder->TryTakeSocket()) {
       return nullptr;
     }
@@ -548,12 +539,9 @@
     parser.body_limit(mLimits.mMaxBodyBytes);
     HeldBytes heldHead(session.mHolder);
     HeldBytes heldBody(session.mHolder);
-    auto error = co_await ReadRequest(aSession, parser, heldHead, heldBody);
+    const auto error = co_await ReadRequest(aSession, parser, heldHead, heldBody);
     session.mAwaitsBytes = false;
     session.mTimer.cancel();
-    if (error && session.mYielded) {
-      error = asio::error::no_memory;
-    }
     if (auto refusal = RefusalOfHeader(parser)) {
       RespondAndClose(aSession, std::move(*refusal));
       co_return false;
@@ -689,7 +677,8 @@
     const auto error = co_await aSession.mBuffer.ReadSome(aSession.mStream);
     aSession.mAwaitsBytes = false;
     aSession.OnProgress(aSession.mBuffer.Size() - before);
-    co_return error;
+    // The bytes may have arrived before the read could be cancelled.
+    co_return aSession.mYielded ? beast::error_code(asio::error::no_memory) : error;
   }
 
   static asio::awaitable<beast::error_code> ReadHead(Session& aSession, RequestParser& aParser)
--- a/packages/transport/src/peer_server.cpp
+++ b/packages/transport/src/peer_server.cpp
@@ -46,16 +46,8 @@
 
   void SetBudget(const std::shared_ptr<ResourceBudget>& aBudget)
   {
-    mRequest.mHolder =
-      aBudget->AddHolder(mAddress, { [weak = weak_from_this()] {
-                                      const auto self = weak.lock();
-                                      return self ? self->Activity() : HolderActivity::Working;
-                                    },
-                                     [weak = weak_from_this()](YieldFor) {
-                                       if (const auto self = weak.lock()) {
-                                         self->Yield();
-                                       }
-                                     } });
+    mRequest.mHolder = aBudget->AddHolder(
+      mAddress, CallbacksOf(std::make_shared<std::weak_ptr<StreamExchange>>(weak_from_this())));
     mHeldHead = HeldBytes(mRequest.mHolder);
     mHeldHead.SetTo(kStreamBytes);
     mHeldBody = HeldBytes(mRequest.mHolder);
@@ -68,7 +60,7 @@
   }
 
   // Refuses a request that has not arrived as a whole, and resets the stream of a response.
-  void Yield();
+  void Yield(YieldFor aNeed);
 
   // Drops what has arrived of the request and answers that it has not run.
   void Refuse(unsigned aStatus);
@@ -129,6 +121,12 @@
     return mHadStream ? HolderActivity::Working : HolderActivity::Idle;
   }
 
+  void Yield(YieldFor /*aNeed*/)
+  {
+    Close();
+    Holder()->ReturnSocket();
+  }
+
   void ResetStream(int32_t aStreamId)
   {
     if (!IsClosed()) {
@@ -300,7 +298,7 @@
   bool mFlushPosted = false;
 };
 
-void StreamExchange::Yield()
+void StreamExchange::Yield(YieldFor /*aNeed*/)
 {
   if (!mHandled) {
     Refuse(kUnavailable);
@@ -374,7 +372,7 @@
     const auto owner = std::make_shared<std::weak_ptr<ServerConnection>>();
     std::shared_ptr<ResourceHolder> holder;
     if (mLimits.mBudget) {
-      holder = mLimits.mBudget->AddHolder(address, MakeCallbacks(owner));
+      holder = mLimits.mBudget->AddHolder(address, CallbacksOf(owner));
       if (!holder->TryTakeSocket()) {
         return;
       }
@@ -392,21 +390,6 @@
     connection->Start();
   }
 
-  static HolderCallbacks MakeCallbacks(
-    const std::shared_ptr<std::weak_ptr<ServerConnection>>& aConnection)
-  {
-    return { [aConnection] {
-              const auto connection = aConnection->lock();
-              return connection ? connection->Activity() : HolderActivity::Working;
-            },
-             [aConnection](YieldFor) {
-               if (const auto connection = aConnection->lock()) {
-                 connection->Close();
-                 connection->Holder()->ReturnSocket();
-               }
-             } };
-  }
-
   tcp::acceptor mAcceptor;
   asio::steady_timer mRetryTimer;
   tcp::endpoint mEndpoint;
--- a/packages/transport/src/resource_budget.cpp
+++ b/packages/transport/src/resource_budget.cpp
@@ -58,6 +58,7 @@
   if (!mBudget->MakeRoom(*this, aBytes)) {
     Event("resources", "refused")
       .Add("caller", mCaller->first)
+      .Add("for", "bytes")
       .Add("bytes", mBytes)
       .Add("wanted", aBytes)
       .Add("used_bytes", mBudget->mBytes);
@@ -90,6 +91,10 @@
 bool ResourceHolder::TryTakeSocket()
 {
   if (!mBudget->MakeSocketAvailable(ThreeQuarters(mBudget->mLimits.mSockets))) {
+    Event("resources", "refused")
+      .Add("caller", mCaller->first)
+      .Add("for", "socket")
+      .Add("used_sockets", mBudget->mSockets);
     return false;
   }
   mHasSocket = true;
--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -415,3 +415,66 @@
     CHECK_FALSE_TEXT(ProvesNotRun(result.error().mCode), status);
   }
 }
+
+// Guards against requests of other nodes that together exceed the memory of the process. Those
+// beyond the budget have not run.
+TEST(Peer, RequestsShareABudget)
+{
+  SystemClock clock;
+  PeerServerLimits limits;
+  limits.mBudget = std::make_shared<ResourceBudget>(ResourceLimits{ 4 * 1024 * 1024 }, clock);
+  std::vector<std::shared_ptr<Exchange>> exchanges;
+  auto server = MakeServer(
+    [&](const std::shared_ptr<Exchange>& aExchange) { exchanges.push_back(aExchange); }, limits);
+  PeerClient client(mContext, EndpointOf(*server));
+  std::vector<Result<HttpResponse>> results;
+  const auto send = [&](size_t aBytes) {
+    return client.Send(Post(std::string(aBytes, 'x')), 5s, [&](Result<HttpResponse> aResult) {
+      results.push_back(std::move(aResult));
+    });
+  };
+  const auto first = send(2 * 1024 * 1024);
+  RunUntil([&] { return exchanges.size() == 1; });
+  const auto second = send(2 * 1024 * 1024);
+  RunUntil([&] { return results.size() == 1; });
+  CHECK_EQUAL(503, results[0]->mStatus);
+  CHECK(results[0]->mHeaders.Find("bm-outcome") == "not-run");
+  CHECK_EQUAL(1, exchanges.size());
+  const auto small = send(1000);
+  RunUntil([&] { return exchanges.size() == 2; });
+  for (const auto& exchange : exchanges) {
+    exchange->Respond({});
+  }
+  exchanges.clear();
+  RunUntil([&] { return results.size() == 3; });
+  CHECK_EQUAL(200, results[1]->mStatus);
+  CHECK_EQUAL(200, results[2]->mStatus);
+  RunUntil([&] { return limits.mBudget->UsedBytes() < 64 * 1024; }); // that of the connection
+}
+
+// Guards against responses of other nodes that together exceed the memory of the process. They are
+// charged to the holder for which the request was sent.
+TEST(Peer, ResponsesShareABudget)
+{
+  auto server = MakeServer([](const std::shared_ptr<Exchange>& aExchange) {
+    HttpResponse response;
+    response.mBody = std::string(2 * 1024 * 1024, 'a');
+    aExchange->Respond(std::move(response));
+  });
+  SystemClock clock;
+  const auto budget = std::make_shared<ResourceBudget>(ResourceLimits{ 4 * 1024 * 1024 }, clock);
+  PeerClient client(mContext, EndpointOf(*server));
+  std::vector<Result<HttpResponse>> results;
+  for (size_t i = 0; i < 2; ++i) {
+    HttpRequest request = Post("a");
+    request.mHolder = budget->AddHolder("caller");
+    client.Send(std::move(request), 5s,
+                [&](Result<HttpResponse> aResult) { results.push_back(std::move(aResult)); });
+    RunUntil([&] { return results.size() == i + 1; });
+  }
+  CHECK_EQUAL(2 * 1024 * 1024, results[0]->mBody.size());
+  CHECK(results[1].error().mCode == TransportError::TooLarge);
+  CHECK(budget->UsedBytes() >= 2 * 1024 * 1024);
+  results.clear();
+  RunUntil([&] { return budget->UsedBytes() == 0; });
+}
