Serve a single longest request with a small budget

What a caller would see: on an instance with little memory, a single request with the longest body or answer is refused, or fails after it has run, although the node holds nothing else, because long messages may use three quarters of the budget only.

A field of a head counts with 80 bytes a copy, as 64 were less than what it took.

Evidence: ResourceBudget.LargeHolderAloneMayUseMore fails without the change.

--- a/packages/transport/src/http_message.cpp
+++ b/packages/transport/src/http_message.cpp
@@ -16,7 +16,7 @@
 constexpr size_t kHeadCopies = 6;
 // Of one field in one copy, besides the bytes of its name and value. A string takes 32
 // bytes, and the parser's fields take more.
-constexpr size_t kFieldBytes = 64;
+constexpr size_t kFieldBytes = 80;
 
 } // namespace
 
--- a/packages/transport/src/resource_budget.cpp
+++ b/packages/transport/src/resource_budget.cpp
@@ -21,6 +21,10 @@
 // them.
 constexpr size_t kOrdinaryBytes = 64 * 1024;
 
+// As long as all others hold less than a quarter, a large holder may use more, so that a single
+// message of the longest size fits into a small budget. This share is always left.
+constexpr size_t kLeftShare = 16; // a sixteenth
+
 // The memory of holders that have yielded is returned a moment later. Until then this share of the
 // limit may be in use twice.
 constexpr size_t kYieldingShare = 2; // a half
@@ -148,8 +152,11 @@
 
 bool ResourceBudget::HasBytes(const ResourceHolder& aHolder, size_t aBytes) const
 {
-  const bool isLarge = IsLarge(aHolder.mBytes + aBytes);
-  const size_t limit = isLarge ? ThreeQuarters(mLimits.mBytes) : mLimits.mBytes;
+  size_t limit = mLimits.mBytes;
+  if (IsLarge(aHolder.mBytes + aBytes)) {
+    const bool isAlone = mBytes - aHolder.mBytes <= mLimits.mBytes / 4;
+    limit = isAlone ? limit - limit / kLeftShare : ThreeQuarters(limit);
+  }
   const size_t used = mBytes - std::min(mYieldingBytes, mLimits.mBytes / kYieldingShare);
   return used <= limit && aBytes <= limit - used;
 }
