--- a/packages/transport/include/balsammount/body.h
+++ b/packages/transport/include/balsammount/body.h
@@ -13,7 +13,7 @@
 {
 public:
   Body() = default;
-  // NOLINTBEGIN(google-explicit-constructor): a body is used like a string.
+  // Implicit, because a body is used like a string.
   Body(std::string aBytes)
     : Body(std::move(aBytes), HeldBytes())
   {
@@ -28,7 +28,6 @@
   }
   operator const std::string&() const { return Bytes(); }
   operator std::string_view() const { return Bytes(); }
-  // NOLINTEND(google-explicit-constructor)
 
   // aHeld is returned with the last copy of this body.
   Body(std::string aBytes, HeldBytes aHeld)
@@ -46,10 +45,12 @@
   // Whether the bytes are charged to a budget.
   bool IsCharged() const { return mShared && mShared->mHeld.Bytes() > 0; }
 
+  // NOLINTBEGIN(readability-identifier-naming): the names of std::string
   const char* c_str() const { return Bytes().c_str(); }
   const char* data() const { return Bytes().data(); }
   size_t size() const { return Bytes().size(); }
   bool empty() const { return Bytes().empty(); }
+  // NOLINTEND(readability-identifier-naming)
   auto begin() const { return Bytes().begin(); }
   auto end() const { return Bytes().end(); }
 
