--- a/packages/transport/tests/peer_test.cpp
+++ b/packages/transport/tests/peer_test.cpp
@@ -135,7 +135,8 @@
 {
   asio::io_context mContext;
 
-  std::unique_ptr<PeerServer> MakeServer(ExchangeHandler aHandler, PeerServerLimits aLimits = {})
+  std::unique_ptr<PeerServer> MakeServer(ExchangeHandler aHandler,
+                                         const PeerServerLimits& aLimits = {})
   {
     auto server = std::make_unique<PeerServer>(mContext, kLoopback, aLimits, std::move(aHandler));
     CHECK(server->Start().has_value());
--- a/packages/transport/tests/resource_budget_test.cpp
+++ b/packages/transport/tests/resource_budget_test.cpp
@@ -154,9 +154,9 @@
 // connections.
 TEST(ResourceBudget, CallerWithMostBytesYieldsFirst)
 {
-  std::vector<std::unique_ptr<Peer>> crowd;
-  for (int i = 0; i < 10; ++i) {
-    crowd.push_back(Add(HolderActivity::Waiting, 40'000, "crowd"));
+  std::vector<std::unique_ptr<Peer>> crowd(10);
+  for (auto& peer : crowd) {
+    peer = Add(HolderActivity::Waiting, 40'000, "crowd");
   }
   const auto other = Add(HolderActivity::Waiting, kLarge, "other");
   mClock.Advance(2s);
@@ -202,15 +202,15 @@
 // Guards against memory that is given away several times before it is free.
 TEST(ResourceBudget, OnlyAPartIsTakenBeforeItIsReturned)
 {
-  std::vector<std::unique_ptr<Peer>> crowd;
-  for (int i = 0; i < 15; ++i) {
-    crowd.push_back(Add(HolderActivity::Waiting, 50'000));
-    crowd.back()->mReturnsAtOnce = false;
+  std::vector<std::unique_ptr<Peer>> crowd(15);
+  for (auto& peer : crowd) {
+    peer = Add(HolderActivity::Waiting, 50'000);
+    peer->mReturnsAtOnce = false;
   }
   mClock.Advance(2s);
-  std::vector<std::unique_ptr<Peer>> next;
-  for (int i = 0; i < 100; ++i) {
-    next.push_back(Add(HolderActivity::Working, 50'000));
+  std::vector<std::unique_ptr<Peer>> next(100);
+  for (auto& peer : next) {
+    peer = Add(HolderActivity::Working, 50'000);
   }
   CHECK(mBudget->UsedBytes() <= kLimit + kLimit / 2);
   CHECK(mBudget->UsedBytes() > kLimit);
