--- a/review/standins-3/born_goes_back.cpp
+++ b/review/standins-3/born_goes_back.cpp
@@ -1,5 +1,6 @@
 // The time of day of a machine jumps back between two starts of its upstream, which keeps its id.
-// Shows whether the upstream's later notice that it leaves, which the node acknowledges, has effect.
+// Shows whether the upstream's later notice that it leaves, which the node acknowledges, has
+// effect.
 #include "lab.h"
 
 #include <cstdio>
@@ -49,7 +50,8 @@
         Machine& machine = deployment.At(i % deployment.Size());
         Socket socket = Connect(machine.Outbound(), machine.Ip());
         const std::string id = NewId();
-        socket.WriteAll(RequestText("POST", kRoutes[1], "w200-s200", id, kDeadlineMs, BodyFor(id, 64)));
+        socket.WriteAll(
+          RequestText("POST", kRoutes[1], "w200-s200", id, kDeadlineMs, BodyFor(id, 64)));
         const Answer answer = ReadAnswer(socket, {}, kDeadlineMs);
         Record("client gets for " + id + ": " + answer.Text());
         served += answer.mStatus == 200 ? 1 : 0;
@@ -76,11 +78,10 @@
     late += run.mStarted > acknowledged + kDrainMs ? 1 : 0;
     before += run.mStarted <= acknowledged ? 1 : 0;
   }
-  const std::string summary =
-    std::to_string(served) + " orders served; the leaving upstream ran " + std::to_string(before) +
-    " before its leaving was acknowledged and " + std::to_string(late) + " later than " +
-    std::to_string(kDrainMs) + " ms after; " + std::to_string(failed) +
-    " orders were answered 502";
+  const std::string summary = std::to_string(served) + " orders served; the leaving upstream ran " +
+                              std::to_string(before) + " before its leaving was acknowledged and " +
+                              std::to_string(late) + " later than " + std::to_string(kDrainMs) +
+                              " ms after; " + std::to_string(failed) + " orders were answered 502";
   Record(summary);
   std::printf("%s\n", summary.c_str());
   if (served == 0 || before == 0) {
--- a/review/standins-3/crashing_request.cpp
+++ b/review/standins-3/crashing_request.cpp
@@ -20,9 +20,10 @@
 constexpr int64_t kBetweenOrdersMs = 100;
 const std::string kCrashing = "-crash-";
 
-const std::vector<std::pair<std::string, int>> kParts = {
-  { "catalogue", 25 }, { "orders", 25 }, { "certify", 25 }, { "scheduler", 25 }
-};
+const std::vector<std::pair<std::string, int>> kParts = { { "catalogue", 25 },
+                                                          { "orders", 25 },
+                                                          { "certify", 25 },
+                                                          { "scheduler", 25 } };
 const std::vector<Route> kRoutes = {
   { "browse", "catalogue.example", "/browse/", "idempotent", 5000, 1, "", kParts },
   { "order", "orders.example", "/order/", "non_idempotent", 5000, 2, "", kParts },
@@ -30,8 +31,8 @@
 
 std::string CrashingRequest(const std::string& aId)
 {
-  return "GET " + kRoutes[0].mPrefix + "page" + kCrashing + "7/w100-s100 HTTP/1.1\r\nHost: " +
-         kRoutes[0].mHost + "\r\nRequest-Id: " + aId +
+  return "GET " + kRoutes[0].mPrefix + "page" + kCrashing +
+         "7/w100-s100 HTTP/1.1\r\nHost: " + kRoutes[0].mHost + "\r\nRequest-Id: " + aId +
          "\r\nDeadline-Ms: " + std::to_string(kDeadlineMs) + "\r\n\r\n";
 }
 
@@ -59,8 +60,8 @@
   std::vector<MachineSettings> machines;
   for (const auto& [service, weight] : kParts) {
     for (const char* const zone : { "a", "b" }) {
-      machines.push_back({ std::string("side-") + zone + "-" + service, service, zone, "", 54,
-                           upstream });
+      machines.push_back(
+        { std::string("side-") + zone + "-" + service, service, zone, "", 54, upstream });
     }
   }
   Deployment deployment(machines, kRoutes);
--- a/review/standins-3/lab.cpp
+++ b/review/standins-3/lab.cpp
@@ -10,10 +10,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include <csignal>
 #include <algorithm>
 #include <cctype>
 #include <cerrno>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <cstring>
@@ -76,7 +76,8 @@
   size_t at = aTarget.find('?');
   while (at != std::string::npos) {
     const size_t next = aTarget.find('&', at + 1);
-    const std::string part = aTarget.substr(at + 1, next == std::string::npos ? next : next - at - 1);
+    const std::string part =
+      aTarget.substr(at + 1, next == std::string::npos ? next : next - at - 1);
     const size_t equals = part.find('=');
     if (equals != std::string::npos) {
       query[part.substr(0, equals)] = PercentDecode(part.substr(equals + 1));
@@ -456,7 +457,8 @@
     }
     const auto [method, target] = RequestLine(*message);
     const auto [status, body] = Handle(method, target, message->mBody, aStopping);
-    if (!aSocket.WriteAll(ResponseText(status, "Content-Type: application/json\r\n", body.dump()))) {
+    if (!aSocket.WriteAll(
+          ResponseText(status, "Content-Type: application/json\r\n", body.dump()))) {
       return;
     }
   }
@@ -809,15 +811,13 @@
 
 bool Upstream::Announce(const std::string& aCall, const std::string& aState)
 {
-  const Json body = { { "address", mAddress.Text() },
-                      { "born", mBorn },
-                      { "info",
-                        { { "service", mService },
-                          { "version", "v1" },
-                          { "zone", mZone },
-                          { "slots", mSlots } } },
-                      { "status",
-                        { { "state", aState }, { "sequence", ++mSequence }, { "cold-left-ms", 0 } } } };
+  const Json body = {
+    { "address", mAddress.Text() },
+    { "born", mBorn },
+    { "info",
+      { { "service", mService }, { "version", "v1" }, { "zone", mZone }, { "slots", mSlots } } },
+    { "status", { { "state", aState }, { "sequence", ++mSequence }, { "cold-left-ms", 0 } } }
+  };
   const std::string text = body.dump();
   Socket socket = Connect(mControl, mAddress.mIp);
   if (!socket.IsOpen()) {
@@ -871,24 +871,24 @@
 void Machine::StartNode()
 {
   // The fields of deploy/node.json as the platform fills them in.
-  const Json settings = { { "node_id", mSettings.mName },
-                          { "service", mSettings.mService },
-                          { "data_centre", mSettings.mZone },
-                          { "region", "r" },
-                          { "caller_listen", At(kOutbound).Text() },
-                          { "ready_listen", At(kReady).Text() },
-                          { "peer_listen", At(kInternal).Text() },
-                          { "admin_listen", At(kAdmin).Text() },
-                          { "backend", At(kServer).Text() },
-                          { "store", Json::array({ mStore.Text() }) },
-                          { "log_format", "json" },
-                          { "log_level", "warning" },
-                          { "fleet_retry_ratio", 0.2 },
-                          { "fleet_retry_slack", 48 },
-                          { "platform",
-                            { { "announcements", At(kControl).Text() },
-                              { "memory_mb", 260 },
-                              { "grace_seconds", 6 } } } };
+  const Json settings = {
+    { "node_id", mSettings.mName },
+    { "service", mSettings.mService },
+    { "data_centre", mSettings.mZone },
+    { "region", "r" },
+    { "caller_listen", At(kOutbound).Text() },
+    { "ready_listen", At(kReady).Text() },
+    { "peer_listen", At(kInternal).Text() },
+    { "admin_listen", At(kAdmin).Text() },
+    { "backend", At(kServer).Text() },
+    { "store", Json::array({ mStore.Text() }) },
+    { "log_format", "json" },
+    { "log_level", "warning" },
+    { "fleet_retry_ratio", 0.2 },
+    { "fleet_retry_slack", 48 },
+    { "platform",
+      { { "announcements", At(kControl).Text() }, { "memory_mb", 260 }, { "grace_seconds", 6 } } }
+  };
   const std::string path = mDirectory + "/" + mSettings.mName + ".json";
   std::ofstream(path) << settings.dump(2);
   const std::string log = mDirectory + "/" + mSettings.mName + ".log";
@@ -908,9 +908,9 @@
     _exit(127);
   }
   if (!mUpstream) {
-    mUpstream = std::make_unique<Upstream>("i-" + mSettings.mName, mSettings.mService,
-                                           mSettings.mZone, mSettings.mSlots, At(kServer),
-                                           At(kControl), mSettings.mUpstream);
+    mUpstream =
+      std::make_unique<Upstream>("i-" + mSettings.mName, mSettings.mService, mSettings.mZone,
+                                 mSettings.mSlots, At(kServer), At(kControl), mSettings.mUpstream);
   }
 }
 
@@ -991,17 +991,17 @@
 Deployment::Deployment(const std::vector<MachineSettings>& aMachines,
                        const std::vector<Route>& aRoutes)
 {
-  mDirectory = (std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(getpid())))
-                 .string();
+  mDirectory =
+    (std::filesystem::temp_directory_path() / ("review-3-" + std::to_string(getpid()))).string();
   std::filesystem::create_directories(mDirectory);
   std::random_device seed;
   std::string base;
   for (int attempt = 0; base.empty() && attempt < 50; ++attempt) {
     base = "127." + std::to_string(20 + seed() % 200) + "." + std::to_string(seed() % 250) + ".";
     for (size_t i = 0; i <= aMachines.size(); ++i) {
-      for (const uint16_t port : { Machine::kServer, Machine::kReady, Machine::kOutbound,
-                                   Machine::kControl, Machine::kInternal, Machine::kAdmin,
-                                   Machine::kStore }) {
+      for (const uint16_t port :
+           { Machine::kServer, Machine::kReady, Machine::kOutbound, Machine::kControl,
+             Machine::kInternal, Machine::kAdmin, Machine::kStore }) {
         base = !base.empty() && CanBind({ base + std::to_string(i + 1), port }) ? base : "";
       }
     }
--- a/review/standins-3/lab.h
+++ b/review/standins-3/lab.h
@@ -248,7 +248,6 @@
   // Deregisters and exits.
   void Exit();
 
-
 private:
   void Listen();
   void Restart();
